--- a/kernel/src/main/java/org/marjoramswitch/kernel/InstanceKernel.java
+++ b/kernel/src/main/java/org/marjoramswitch/kernel/InstanceKernel.java
@@ -22,6 +22,7 @@
 import org.marjoramswitch.kernel.model.InstanceId;
 import org.marjoramswitch.kernel.model.Member;
 import org.marjoramswitch.kernel.model.TargetId;
+import org.marjoramswitch.kernel.placement.PlacementArbiter;
 import org.marjoramswitch.kernel.settings.FleetSettings;
 import org.marjoramswitch.kernel.settings.PoolSettings;
 import org.marjoramswitch.kernel.settings.TargetSettings;
@@ -43,6 +44,7 @@
     private final Map<CellId, Arbiter> arbiters = new TreeMap<>();
     private final Map<CellId, Long> assignedSinceMs = new TreeMap<>();
     private final Set<CellId> touched = new TreeSet<>();
+    private final Map<CellId, PlacementArbiter> placementArbiters = new TreeMap<>();
     private final Deque<PeerMessage> toSelf = new ArrayDeque<>();
     private final PeerWatch entryWatch = PeerWatch.create();
     private boolean draining;
@@ -143,6 +145,14 @@
             List<CellId> cells = List.copyOf(touched);
             touched.clear();
             cells.forEach(cell -> grantFree(cell, nowMs, sink));
+            cells.forEach(cell -> decidePlacements(cell, nowMs, sink));
+        }
+    }
+
+    private void decidePlacements(CellId cell, long nowMs, ActionSink sink) {
+        PlacementArbiter arbiter = placementArbiters.get(cell);
+        if (arbiter != null) {
+            arbiter.decide(nowMs, sink);
         }
     }
 
@@ -160,6 +170,8 @@
             entry.callerGone(gone.requestId(), sink);
         } else if (event instanceof Event.TargetProgress progress) {
             entry.delivered(progress.requestId(), progress.outputTokens(), sink);
+        } else if (event instanceof Event.TargetAnswering answering) {
+            entry.answering(answering.requestId(), sink);
         } else if (event instanceof Event.TargetEnded ended) {
             entry.attemptEnded(ended.requestId(), ended.outcome(), ended.usage(), nowMs, sink);
         } else if (event instanceof Event.PeerReceived received) {
@@ -200,6 +212,9 @@
             entry.granted(from, grant, nowMs, sink);
             return;
         }
+        if (receivedPlacement(from, message, nowMs, sink)) {
+            return;
+        }
         if (message instanceof PeerMessage.Register register) {
             arbiterFor(register.cell(), nowMs).register(from, incarnation, register, nowMs);
             touched.add(register.cell());
@@ -225,8 +240,45 @@
         }
     }
 
+    /** Takes a message about placements; false for any other. */
+    private boolean receivedPlacement(InstanceId from, PeerMessage message, long nowMs, ActionSink sink) {
+        if (message instanceof PeerMessage.Placed placed) {
+            entry.placed(from, placed, nowMs, sink);
+        } else if (message instanceof PeerMessage.NotPlaced refused) {
+            entry.notPlaced(from, refused, sink);
+        } else if (message instanceof PeerMessage.Place place) {
+            placementArbiter(place.cell()).place(from, place, nowMs);
+            touched.add(place.cell());
+        } else if (message instanceof PeerMessage.PlacementsHeld held) {
+            placementArbiter(held.cell()).held(from, held, nowMs);
+        } else if (message instanceof PeerMessage.PlaceWithdrawn withdrawn) {
+            placementArbiter(withdrawn.cell()).withdrawn(from, withdrawn.ask());
+        } else if (message instanceof PeerMessage.PlacementAnswering answering) {
+            placementArbiter(answering.cell()).answering(from, answering.ask(), nowMs);
+            touched.add(answering.cell());
+        } else if (message instanceof PeerMessage.PlacementEnded ended) {
+            placementArbiter(ended.cell()).ended(from, ended, nowMs);
+            touched.add(ended.cell());
+        } else {
+            return false;
+        }
+        return true;
+    }
+
+    private PlacementArbiter placementArbiter(CellId cell) {
+        PlacementArbiter known = placementArbiters.get(cell);
+        if (known != null) {
+            return known;
+        }
+        PoolSettings pool = plan.settings().pools().getOrDefault(cell.pool(), PoolSettings.modelEngines(cell.pool()));
+        PlacementArbiter created = PlacementArbiter.create(cell, pool, plan::weight);
+        created.targets(plan.cells().targets(cell), plan.leavingTargets());
+        placementArbiters.put(cell, created);
+        return created;
+    }
+
     private void heard(InstanceId from, PeerMessage message, long nowMs, ActionSink sink) {
-        entry.registrations().heard(from, nowMs, sink);
+        entry.heard(from, nowMs, sink);
         entryWatch.heard(from, nowMs);
         for (Arbiter arbiter : arbiters.values()) {
             arbiter.heard(from);
@@ -302,11 +354,13 @@
     private void linkChanged(Event.PeerLinkChanged changed, long nowMs, ActionSink sink) {
         plan.reachable(changed.peer(), changed.up());
         if (changed.up()) {
-            entry.registrations().connected(changed.peer(), nowMs, sink);
+            entry.connected(changed.peer(), nowMs, sink);
         } else {
             arbiters.values().forEach(arbiter -> arbiter.disconnected(changed.peer()));
         }
-        entry.registrations().planChanged(nowMs, sink);
+        // On a new link the peer tells its state anew; what an older link brought must not be added to it.
+        forgetPlacements(changed.peer(), nowMs);
+        entry.planChanged(nowMs, sink);
     }
 
     private void viewChanged(FleetView view, long nowMs, ActionSink sink) {
@@ -317,10 +371,16 @@
             boolean gone = now == null || now.incarnation() != member.incarnation();
             if (gone && !member.id().equals(self.id())) {
                 arbiters.values().forEach(arbiter -> dropEntry(arbiter, member.id(), sink));
+                forgetPlacements(member.id(), nowMs);
             }
         }
         noteAssignments(nowMs);
-        entry.registrations().planChanged(nowMs, sink);
+        entry.planChanged(nowMs, sink);
+    }
+
+    private void forgetPlacements(InstanceId gone, long nowMs) {
+        placementArbiters.values().forEach(arbiter -> arbiter.forget(gone, nowMs));
+        touched.addAll(placementArbiters.keySet());
     }
 
     /**
@@ -339,7 +399,7 @@
         plan.settings(settings);
         noteAssignments(nowMs);
         refreshTargets();
-        entry.registrations().planChanged(nowMs, sink);
+        entry.planChanged(nowMs, sink);
     }
 
     private void targetsLeaving(Set<TargetId> leaving, ActionSink sink) {
@@ -364,6 +424,11 @@
             arbiter.targets(plan.cells().targets(arbiter.cell()), plan.leavingTargets());
             touched.add(arbiter.cell());
         }
+        placementArbiters.keySet().removeIf(cell -> plan.cells().targets(cell).isEmpty());
+        for (PlacementArbiter arbiter : placementArbiters.values()) {
+            arbiter.targets(plan.cells().targets(arbiter.cell()), plan.leavingTargets());
+            touched.add(arbiter.cell());
+        }
     }
 
     private void targetReported(Event.TargetReported reported, long nowMs) {
@@ -389,6 +454,7 @@
         watchEntries(nowMs, sink);
         arbiters.values().removeIf(arbiter -> !arbiter.inUse());
         touched.addAll(arbiters.keySet());
+        touched.addAll(placementArbiters.keySet());
         arbiters.values().forEach(arbiter -> tellCharges(arbiter, nowMs, sink));
         if (nowMs >= nextReachMs) {
             nextReachMs = nowMs + REACH_AGAIN_MS;
--- a/kernel/src/main/java/org/marjoramswitch/kernel/KernelOptions.java
+++ b/kernel/src/main/java/org/marjoramswitch/kernel/KernelOptions.java
@@ -1,5 +1,7 @@
 package org.marjoramswitch.kernel;
 
+import org.marjoramswitch.kernel.capacity.WindowedRetryBudget;
+
 /**
  * The constants of the decisions. They are options so that the bench can vary them; the defaults are the ones that
  * docs/MEASUREMENTS.md supports.
@@ -13,6 +15,7 @@
  * @param admitAhead requests given to a target beyond its slots, so that a grant's round trip leaves none empty
  * @param idleRegistrationMs how long an entry stays registered with a cell it has no requests for
  * @param maxWaiting the most requests that may wait at one instance
+ * @param resendLimits what the whole fleet may send to a second target
  */
 public record KernelOptions(
         long registrationWindowMs,
@@ -22,7 +25,8 @@
         long chargesIntervalMs,
         int admitAhead,
         long idleRegistrationMs,
-        int maxWaiting) {
+        int maxWaiting,
+        WindowedRetryBudget.Limits resendLimits) {
     private static final long REGISTRATION_WINDOW_MS = 250;
     private static final long SPILL_AFTER_MS = 20;
     private static final int OFFER_LIMIT = 16;
@@ -41,7 +45,8 @@
                 CHARGES_INTERVAL_MS,
                 ADMIT_AHEAD,
                 IDLE_REGISTRATION_MS,
-                MAX_WAITING);
+                MAX_WAITING,
+                WindowedRetryBudget.Limits.DEFAULT);
     }
 
     public KernelOptions withAdmitAhead(int requests) {
@@ -53,7 +58,8 @@
                 chargesIntervalMs,
                 requests,
                 idleRegistrationMs,
-                maxWaiting);
+                maxWaiting,
+                resendLimits);
     }
 
     public KernelOptions withProgressStepTokens(long tokens) {
@@ -65,7 +71,8 @@
                 chargesIntervalMs,
                 admitAhead,
                 idleRegistrationMs,
-                maxWaiting);
+                maxWaiting,
+                resendLimits);
     }
 
     public KernelOptions withSpillAfterMs(long waitMs) {
@@ -77,7 +84,8 @@
                 chargesIntervalMs,
                 admitAhead,
                 idleRegistrationMs,
-                maxWaiting);
+                maxWaiting,
+                resendLimits);
     }
 
     public KernelOptions withChargesIntervalMs(long intervalMs) {
@@ -89,7 +97,8 @@
                 intervalMs,
                 admitAhead,
                 idleRegistrationMs,
-                maxWaiting);
+                maxWaiting,
+                resendLimits);
     }
 
     public KernelOptions withMaxWaiting(int requests) {
@@ -101,6 +110,20 @@
                 chargesIntervalMs,
                 admitAhead,
                 idleRegistrationMs,
-                requests);
+                requests,
+                resendLimits);
+    }
+
+    public KernelOptions withResendLimits(WindowedRetryBudget.Limits limits) {
+        return new KernelOptions(
+                registrationWindowMs,
+                spillAfterMs,
+                offerLimit,
+                progressStepTokens,
+                chargesIntervalMs,
+                admitAhead,
+                idleRegistrationMs,
+                maxWaiting,
+                limits);
     }
 }
--- a/kernel/src/main/java/org/marjoramswitch/kernel/entry/Entry.java
+++ b/kernel/src/main/java/org/marjoramswitch/kernel/entry/Entry.java
@@ -3,6 +3,7 @@
 import java.util.Comparator;
 import java.util.Map;
 import java.util.PriorityQueue;
+import java.util.Set;
 import java.util.TreeMap;
 import org.jspecify.annotations.Nullable;
 import org.marjoramswitch.kernel.KernelOptions;
@@ -11,11 +12,14 @@
 import org.marjoramswitch.kernel.action.Decision;
 import org.marjoramswitch.kernel.error.ErrorType;
 import org.marjoramswitch.kernel.error.Failure;
+import org.marjoramswitch.kernel.liveness.PeerWatch;
 import org.marjoramswitch.kernel.message.PeerMessage;
 import org.marjoramswitch.kernel.message.PeerMessage.DeclineReason;
+import org.marjoramswitch.kernel.message.PeerMessage.PlacementEnd;
 import org.marjoramswitch.kernel.model.CellId;
 import org.marjoramswitch.kernel.model.CustomerId;
 import org.marjoramswitch.kernel.model.InstanceId;
+import org.marjoramswitch.kernel.model.PlacementSpec;
 import org.marjoramswitch.kernel.model.PoolId;
 import org.marjoramswitch.kernel.model.RequestSpec;
 import org.marjoramswitch.kernel.model.RunState;
@@ -56,6 +60,8 @@
             Comparator.comparingLong((EntryRequest request) -> request.spec().deadlineMs())
                     .thenComparingLong(request -> request.spec().requestId()));
     private final Registrations registrations;
+    private final Placements placements;
+    private final PeerWatch placementWatch = PeerWatch.create();
     private int waitingInAll;
     private boolean draining;
 
@@ -65,6 +71,7 @@
         this.plan = plan;
         this.offers = new DemandOffers(options, plan);
         this.registrations = new Registrations(self, options, plan, offers, this::pool, requests.values());
+        this.placements = new Placements(self, plan);
     }
 
     public static Entry create(InstanceId self, KernelOptions options, FleetPlan plan) {
@@ -102,6 +109,9 @@
         EntryRequest request = new EntryRequest(spec, nowMs);
         requests.put(spec.requestId(), request);
         deadlines.add(request);
+        if (spec.placement() != null) {
+            pool(spec.pool()).resends().requested(options.resendLimits(), nowMs);
+        }
         enqueue(request, nowMs, sink);
     }
 
@@ -120,6 +130,59 @@
         fail(request, ErrorType.CALLER_GONE, 0, "", sink);
     }
 
+    /** The first byte of the running attempt's answer is there. */
+    public void answering(long requestId, ActionSink sink) {
+        EntryRequest request = requests.get(requestId);
+        if (request != null && request.target() != null) {
+            placements.answering(request, sink);
+        }
+    }
+
+    /** An arbiter found a target for a request. */
+    public void placed(InstanceId from, PeerMessage.Placed placed, long nowMs, ActionSink sink) {
+        EntryRequest request = placements.placed(from, placed, sink);
+        if (request == null) {
+            return;
+        }
+        if (mayStartAt(placed.target())) {
+            waitingInAll--;
+            start(request, placed.target(), placed.cell(), placed.ask(), "placed", nowMs, sink);
+            return;
+        }
+        // The arbiter does not know yet that the target is gone or leaving; it is asked to leave that target out.
+        placements.ended(request, 0, PlacementEnd.NOT_RUN, sink);
+        request.failedAtUnused(placed.target());
+        askAgain(request, nowMs, sink);
+    }
+
+    /** An arbiter found no target that could serve a request in a useful time. */
+    public void notPlaced(InstanceId from, PeerMessage.NotPlaced refused, ActionSink sink) {
+        EntryRequest request = placements.notPlaced(from, refused);
+        if (request == null) {
+            return;
+        }
+        waitingInAll--;
+        fail(request, ErrorType.NO_TARGET_IN_TIME, refused.retryAfterMs(), "", sink);
+    }
+
+    /** Arbiters, cells or links may have changed. */
+    public void planChanged(long nowMs, ActionSink sink) {
+        registrations.planChanged(nowMs, sink);
+        placements.follow(nowMs, sink);
+    }
+
+    /** A new link to a peer came up. */
+    public void connected(InstanceId peer, long nowMs, ActionSink sink) {
+        registrations.connected(peer, nowMs, sink);
+        placements.connected(peer, nowMs, sink);
+    }
+
+    /** Something came from a peer. */
+    public void heard(InstanceId peer, long nowMs, ActionSink sink) {
+        placementWatch.heard(peer, nowMs);
+        registrations.heard(peer, nowMs, sink);
+    }
+
     public void delivered(long requestId, long outputTokens, ActionSink sink) {
         EntryRequest request = requests.get(requestId);
         PoolSettings pool = request == null ? null : poolSettings(request);
@@ -144,6 +207,7 @@
         PoolQueues pool = pool(request.spec().pool());
         CellLink link = linkOf(request);
         settle(request, outcome, usage, link, sink);
+        placements.ended(request, usage.outputTokens(), placementEnd(outcome), sink);
         if (!outcome.notRun()) {
             request.markMayHaveRun();
         }
@@ -189,9 +253,32 @@
     public void tick(long nowMs, ActionSink sink) {
         expire(nowMs, sink);
         registrations.tick(nowMs, sink);
+        watchPlacementArbiters(nowMs, sink);
+        placements.follow(nowMs, sink);
         pools.values().forEach(pool -> offers.spill(pool, nowMs, sink));
     }
 
+    /** Requests would wait for a paused or cut-off arbiter beside idle targets; the next one in rank is asked then. */
+    private void watchPlacementArbiters(long nowMs, ActionSink sink) {
+        Set<InstanceId> awaited = placements.awaited();
+        awaited.removeAll(plan.unreachable());
+        for (InstanceId silent : placementWatch.silent(awaited, nowMs, peer -> registrations.probe(peer, sink))) {
+            plan.reachable(silent, false);
+        }
+    }
+
+    private boolean mayStartAt(TargetId target) {
+        return plan.settings().targets().containsKey(target)
+                && !plan.leavingTargets().contains(target);
+    }
+
+    private void askAgain(EntryRequest request, long nowMs, ActionSink sink) {
+        if (!placements.ask(request, nowMs, sink)) {
+            waitingInAll--;
+            fail(request, ErrorType.NO_TARGET_IN_TIME, RETRY_AFTER_MS, "", sink);
+        }
+    }
+
     private @Nullable Failure refusal(RequestSpec spec) {
         if (draining) {
             return Failure.notRun(ErrorType.INSTANCE_LEAVING, RETRY_AFTER_MS, self.name());
@@ -226,6 +313,11 @@
     }
 
     private void enqueue(EntryRequest request, long nowMs, ActionSink sink) {
+        if (request.spec().placement() != null) {
+            waitingInAll++;
+            askAgain(request, nowMs, sink);
+            return;
+        }
         PoolQueues pool = pool(request.spec().pool());
         CustomerQueue queue = pool.add(request);
         waitingInAll++;
@@ -233,6 +325,11 @@
     }
 
     private void dequeue(EntryRequest request, ActionSink sink) {
+        if (request.spec().placement() != null) {
+            waitingInAll--;
+            placements.withdraw(request, sink);
+            return;
+        }
         PoolQueues pool = pool(request.spec().pool());
         pool.remove(request);
         waitingInAll--;
@@ -306,6 +403,16 @@
                 sink);
     }
 
+    private static PlacementEnd placementEnd(TargetOutcome outcome) {
+        if (outcome.notRun()) {
+            return PlacementEnd.NOT_RUN;
+        }
+        if (outcome == TargetOutcome.CANCELLED) {
+            return PlacementEnd.GIVEN_UP;
+        }
+        return outcome.targetFault() ? PlacementEnd.FAILED : PlacementEnd.SERVED;
+    }
+
     private static long outcomeFloor(EntryRequest request, TargetOutcome outcome) {
         return outcome == TargetOutcome.COMPLETED ? 0 : request.costTokens();
     }
@@ -314,20 +421,25 @@
         if (outcome == TargetOutcome.COMPLETED) {
             PoolSettings settings = poolSettings(request);
             pool.retries().succeeded(settings == null ? 0 : settings.retryShare());
-            requests.remove(request.spec().requestId());
-            deadlines.remove(request);
-            sink.accept(new Action.Complete(request.spec().requestId()));
+            complete(request, sink);
             return;
         }
         if (outcome == TargetOutcome.CANCELLED || request.callerGone()) {
             fail(request, ErrorType.CALLER_GONE, 0, "", sink);
             return;
         }
-        if (!mayRetry(request, outcome, nowMs)) {
-            fail(request, errorOf(outcome), retryAfterMs(outcome), String.valueOf(request.target()), sink);
+        boolean mayRetry = mayRetry(request, outcome, nowMs);
+        if (mayRetry && takeRetry(request, pool, nowMs)) {
+            request.failed();
+            enqueue(request, nowMs, sink);
+            return;
+        }
+        if (outcome == TargetOutcome.SERVER_ERROR) {
+            // The target's own answer tells the caller more than a failure of ours would.
+            complete(request, sink);
             return;
         }
-        if (!pool.retries().take()) {
+        if (mayRetry) {
             fail(
                     request,
                     ErrorType.RETRY_BUDGET_SPENT,
@@ -336,17 +448,34 @@
                     sink);
             return;
         }
-        request.failed();
-        enqueue(request, nowMs, sink);
+        fail(request, errorOf(outcome), retryAfterMs(outcome), String.valueOf(request.target()), sink);
+    }
+
+    private void complete(EntryRequest request, ActionSink sink) {
+        requests.remove(request.spec().requestId());
+        deadlines.remove(request);
+        sink.accept(new Action.Complete(request.spec().requestId()));
+    }
+
+    private boolean takeRetry(EntryRequest request, PoolQueues pool, long nowMs) {
+        if (request.spec().placement() == null) {
+            return pool.retries().take();
+        }
+        int instances = plan.view().members().size();
+        return pool.resends().take(options.resendLimits(), instances, nowMs);
     }
 
     private static boolean mayRetry(EntryRequest request, TargetOutcome outcome, long nowMs) {
+        PlacementSpec placement = request.spec().placement();
         if (request.attempts() >= MOST_ATTEMPTS || nowMs >= request.spec().deadlineMs()) {
             return false;
         }
-        if (outcome.answerBegun()) {
+        if (placement != null && request.executions() >= placement.attempts()) {
             return false;
         }
+        if (outcome.answerBegun()) {
+            return placement != null && placement.resumable();
+        }
         return request.spec().repeatable() || !request.mayHaveRun();
     }
 
@@ -355,7 +484,7 @@
             case REFUSED -> ErrorType.TARGET_REFUSED;
             case SILENT_BEFORE_ANSWER, SILENT_IN_ANSWER -> ErrorType.TARGET_SILENT;
             case CANCELLED -> ErrorType.CALLER_GONE;
-            case COMPLETED, BROKEN_BEFORE_ANSWER, BROKEN_IN_ANSWER -> ErrorType.TARGET_BROKE;
+            case COMPLETED, SERVER_ERROR, BROKEN_BEFORE_ANSWER, BROKEN_IN_ANSWER -> ErrorType.TARGET_BROKE;
         };
     }
 
@@ -373,7 +502,11 @@
     private void expire(long nowMs, ActionSink sink) {
         while (!deadlines.isEmpty() && deadlines.peek().spec().deadlineMs() <= nowMs) {
             EntryRequest request = deadlines.poll();
-            if (request.target() != null || !requests.containsKey(request.spec().requestId())) {
+            if (!requests.containsKey(request.spec().requestId())) {
+                continue;
+            }
+            if (request.target() != null) {
+                endInTime(request, sink);
                 continue;
             }
             long retryAfterMs = pool(request.spec().pool())
@@ -385,6 +518,18 @@
         }
     }
 
+    /** A placed request's caller waits for nothing beyond the deadline; the target is to work for it no longer. */
+    private void endInTime(EntryRequest request, ActionSink sink) {
+        TargetId target = request.target();
+        if (request.spec().placement() == null || target == null) {
+            return;
+        }
+        sink.accept(new Action.CancelAttempt(request.spec().requestId(), target));
+        placements.ended(request, 0, PlacementEnd.GIVEN_UP, sink);
+        request.markMayHaveRun();
+        fail(request, ErrorType.REQUEST_TIMEOUT, 0, target.name(), sink);
+    }
+
     private @Nullable DeclineReason reasonToDecline(InstanceId from, PeerMessage.Grant grant, @Nullable CellLink link) {
         if (link == null || !from.equals(link.arbiter()) || link.behindBarrier()) {
             return DeclineReason.NOT_THE_ARBITER;
--- a/kernel/src/main/java/org/marjoramswitch/kernel/entry/EntryRequest.java
+++ b/kernel/src/main/java/org/marjoramswitch/kernel/entry/EntryRequest.java
@@ -19,7 +19,7 @@
     private long costTokens;
     private long toldTokens;
     private boolean callerGone;
-    private boolean mayHaveRun;
+    private int executions;
 
     EntryRequest(RequestSpec spec, long arrivedAtMs) {
         this.spec = spec;
@@ -86,6 +86,10 @@
         callerGone = true;
     }
 
+    Set<TargetId> failedTargets() {
+        return failedAt;
+    }
+
     boolean failedAt(TargetId candidate) {
         return failedAt.contains(candidate);
     }
@@ -104,11 +108,21 @@
      * a caller told "not run" after a broken first and a refused second attempt would repeat what the first one did.
      */
     boolean mayHaveRun() {
-        return mayHaveRun;
+        return executions > 0;
     }
 
     void markMayHaveRun() {
-        mayHaveRun = true;
+        executions++;
+    }
+
+    /** How many attempts may have executed the request. */
+    int executions() {
+        return executions;
+    }
+
+    /** The target was chosen and cannot be used; nothing was sent. */
+    void failedAtUnused(TargetId unused) {
+        failedAt.add(unused);
     }
 
     /** The running attempt's target belongs to another cell now, under the name a registration gives the attempt. */
--- /dev/null
+++ b/kernel/src/main/java/org/marjoramswitch/kernel/entry/Placements.java
@@ -0,0 +1,259 @@
+package org.marjoramswitch.kernel.entry;
+
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.Objects;
+import java.util.Set;
+import java.util.TreeMap;
+import java.util.TreeSet;
+import org.jspecify.annotations.Nullable;
+import org.marjoramswitch.kernel.action.Action;
+import org.marjoramswitch.kernel.action.ActionSink;
+import org.marjoramswitch.kernel.message.PeerMessage;
+import org.marjoramswitch.kernel.message.PeerMessage.PlacementEnd;
+import org.marjoramswitch.kernel.misc.Rendezvous;
+import org.marjoramswitch.kernel.model.CellId;
+import org.marjoramswitch.kernel.model.InstanceId;
+import org.marjoramswitch.kernel.model.PlacementSpec;
+import org.marjoramswitch.kernel.model.PoolId;
+import org.marjoramswitch.kernel.model.PromptPart;
+import org.marjoramswitch.kernel.model.TargetId;
+
+/**
+ * This entry's questions to the arbiters of cells: where a request may run, and what became of it there.
+ *
+ * <p>Each question has a number of its own, and an answer is taken only for a question that is open, from the arbiter
+ * that it was last put to. When the cell's arbiter changes, or a new link to it came up, the open questions are put
+ * again, and the new arbiter is told what this entry has at the cell's targets. An answer of the former arbiter that
+ * was on its way is given back to it, so that its book comes out even.
+ */
+final class Placements {
+    private final InstanceId self;
+    private final FleetPlan plan;
+    private final Map<Long, Question> byNumber = new TreeMap<>();
+    private final Map<Long, Question> byRequest = new HashMap<>();
+    /** The arbiters that know what this entry has at the targets of a cell. */
+    private final Map<CellId, InstanceId> told = new TreeMap<>();
+
+    private long lastNumber;
+
+    Placements(InstanceId self, FleetPlan plan) {
+        this.self = self;
+        this.plan = plan;
+    }
+
+    /** Asks for a target; false where the pool has none, so that nothing is worth waiting for. */
+    boolean ask(EntryRequest request, long nowMs, ActionSink sink) {
+        CellId cell = cell(request);
+        InstanceId arbiter = cell == null ? null : plan.arbiter(cell);
+        if (cell == null || arbiter == null) {
+            return false;
+        }
+        Question question = new Question(++lastNumber, request, cell, arbiter);
+        byNumber.put(question.number, question);
+        byRequest.put(request.spec().requestId(), question);
+        tellHeld(cell, arbiter, sink);
+        put(question, nowMs, sink);
+        return true;
+    }
+
+    /** A request that waited ended otherwise. */
+    void withdraw(EntryRequest request, ActionSink sink) {
+        Question question = byRequest.get(request.spec().requestId());
+        if (question != null) {
+            close(question);
+            send(question, new PeerMessage.PlaceWithdrawn(question.cell, question.number), sink);
+        }
+    }
+
+    /** Takes a placement; null where it answers no open question, and then it is given back. */
+    @Nullable
+    EntryRequest placed(InstanceId from, PeerMessage.Placed placed, ActionSink sink) {
+        Question question = byNumber.get(placed.ask());
+        boolean open = question != null && !question.placed && from.equals(question.arbiter);
+        if (question == null || !open) {
+            giveBack(from, placed, sink);
+            return null;
+        }
+        question.placed = true;
+        return question.request;
+    }
+
+    /** The target of a placement cannot be used after all. */
+    void giveBack(InstanceId from, PeerMessage.Placed placed, ActionSink sink) {
+        sink.accept(new Action.SendPeer(
+                from, new PeerMessage.PlacementEnded(placed.cell(), placed.ask(), 0, PlacementEnd.NOT_RUN)));
+    }
+
+    /** Takes a refusal; null where it answers no open question. */
+    @Nullable
+    EntryRequest notPlaced(InstanceId from, PeerMessage.NotPlaced refused) {
+        Question question = byNumber.get(refused.ask());
+        if (question == null || question.placed || !from.equals(question.arbiter)) {
+            return null;
+        }
+        close(question);
+        return question.request;
+    }
+
+    /** The first byte of the running attempt's answer is there. */
+    void answering(EntryRequest request, ActionSink sink) {
+        Question question = byRequest.get(request.spec().requestId());
+        if (question == null || !question.placed || question.answering) {
+            return;
+        }
+        question.answering = true;
+        send(question, new PeerMessage.PlacementAnswering(question.cell, question.number), sink);
+    }
+
+    /** The running attempt ended. */
+    void ended(EntryRequest request, long outputTokens, PlacementEnd end, ActionSink sink) {
+        Question question = byRequest.get(request.spec().requestId());
+        if (question != null && question.placed) {
+            close(question);
+            send(question, new PeerMessage.PlacementEnded(question.cell, question.number, outputTokens, end), sink);
+        }
+    }
+
+    /** Follows arbiters and cells that have changed. */
+    void follow(long nowMs, ActionSink sink) {
+        told.entrySet().removeIf(known -> !known.getValue().equals(plan.arbiter(known.getKey())));
+        for (Question question : List.copyOf(byNumber.values())) {
+            CellId cell = plan.cells().targets(question.cell).isEmpty() ? cell(question.request) : question.cell;
+            InstanceId arbiter = cell == null ? null : plan.arbiter(cell);
+            if (cell != null && arbiter != null && question.isElsewhere(cell, arbiter)) {
+                move(question, cell, arbiter, nowMs, sink);
+            }
+        }
+    }
+
+    /** A new link to a peer came up: what was on the old one is lost, and the peer has forgotten what it was told. */
+    void connected(InstanceId peer, long nowMs, ActionSink sink) {
+        told.values().removeIf(peer::equals);
+        for (Question question : List.copyOf(byNumber.values())) {
+            if (peer.equals(question.arbiter)) {
+                tellHeld(question.cell, peer, sink);
+                put(question, nowMs, sink);
+            }
+        }
+    }
+
+    /** The arbiters that an answer is awaited from. */
+    Set<InstanceId> awaited() {
+        Set<InstanceId> awaited = new TreeSet<>();
+        for (Question question : byNumber.values()) {
+            if (!question.placed && !question.arbiter.equals(self)) {
+                awaited.add(question.arbiter);
+            }
+        }
+        return awaited;
+    }
+
+    private void move(Question question, CellId cell, InstanceId arbiter, long nowMs, ActionSink sink) {
+        if (!question.placed) {
+            send(question, new PeerMessage.PlaceWithdrawn(question.cell, question.number), sink);
+        }
+        question.cell = cell;
+        question.arbiter = arbiter;
+        tellHeld(cell, arbiter, sink);
+        put(question, nowMs, sink);
+    }
+
+    /** Tells an arbiter that is new to this entry what the entry has at the cell's targets. */
+    private void tellHeld(CellId cell, InstanceId arbiter, ActionSink sink) {
+        if (arbiter.equals(told.put(cell, arbiter))) {
+            return;
+        }
+        List<PeerMessage.HeldPlacement> held = new ArrayList<>();
+        for (Question question : byNumber.values()) {
+            TargetId target = question.request.target();
+            if (!question.placed || target == null || !cell.equals(question.cell)) {
+                continue;
+            }
+            question.arbiter = arbiter;
+            PlacementSpec spec = question.spec();
+            held.add(new PeerMessage.HeldPlacement(
+                    question.number,
+                    question.request.spec().customer(),
+                    target,
+                    spec.promptTokens(),
+                    spec.outputTokens(),
+                    question.answering));
+        }
+        if (!held.isEmpty()) {
+            sink.accept(new Action.SendPeer(arbiter, new PeerMessage.PlacementsHeld(cell, held)));
+        }
+    }
+
+    private void put(Question question, long nowMs, ActionSink sink) {
+        if (question.placed) {
+            return;
+        }
+        EntryRequest request = question.request;
+        PlacementSpec spec = question.spec();
+        send(
+                question,
+                new PeerMessage.Place(
+                        question.cell,
+                        question.number,
+                        request.spec().customer(),
+                        request.spec().urgency(),
+                        spec.prompt(),
+                        spec.outputTokens(),
+                        spec.objectiveAtMs() - nowMs,
+                        request.spec().deadlineMs() - nowMs,
+                        List.copyOf(request.failedTargets())),
+                sink);
+    }
+
+    private void close(Question question) {
+        byNumber.remove(question.number);
+        byRequest.remove(question.request.spec().requestId());
+    }
+
+    private static void send(Question question, PeerMessage message, ActionSink sink) {
+        sink.accept(new Action.SendPeer(question.arbiter, message));
+    }
+
+    /** The cell that a request is asked for at: a session's requests always at the same, so that they find its prompt. */
+    private @Nullable CellId cell(EntryRequest request) {
+        PoolId pool = request.spec().pool();
+        List<CellId> cells = plan.cells().cells(pool);
+        if (cells.size() < 2) {
+            return cells.isEmpty() ? null : cells.get(0);
+        }
+        List<PromptPart> prompt =
+                Objects.requireNonNull(request.spec().placement()).prompt();
+        String key = prompt.isEmpty()
+                ? Long.toString(request.spec().requestId())
+                : Long.toString(prompt.get(Math.max(0, prompt.size() - 2)).id());
+        return Rendezvous.rank(key, cells).get(0);
+    }
+
+    /** One question, from its putting until the request's end at the target. */
+    private static final class Question {
+        private final long number;
+        private final EntryRequest request;
+        private CellId cell;
+        private InstanceId arbiter;
+        private boolean placed;
+        private boolean answering;
+
+        private Question(long number, EntryRequest request, CellId cell, InstanceId arbiter) {
+            this.number = number;
+            this.request = request;
+            this.cell = cell;
+            this.arbiter = arbiter;
+        }
+
+        private PlacementSpec spec() {
+            return Objects.requireNonNull(request.spec().placement());
+        }
+
+        private boolean isElsewhere(CellId newCell, InstanceId newArbiter) {
+            return !newCell.equals(cell) || !newArbiter.equals(arbiter);
+        }
+    }
+}
--- a/kernel/src/main/java/org/marjoramswitch/kernel/entry/PoolQueues.java
+++ b/kernel/src/main/java/org/marjoramswitch/kernel/entry/PoolQueues.java
@@ -6,6 +6,7 @@
 import java.util.TreeMap;
 import org.jspecify.annotations.Nullable;
 import org.marjoramswitch.kernel.capacity.RetryBudget;
+import org.marjoramswitch.kernel.capacity.WindowedRetryBudget;
 import org.marjoramswitch.kernel.misc.Rendezvous;
 import org.marjoramswitch.kernel.model.CellId;
 import org.marjoramswitch.kernel.model.CustomerId;
@@ -17,6 +18,7 @@
     private final Map<CustomerId, CustomerQueue> waiting = new TreeMap<>();
     private final Map<CustomerId, DrainRate> rates = new TreeMap<>();
     private final RetryBudget retries = RetryBudget.create();
+    private final WindowedRetryBudget resends = WindowedRetryBudget.create();
     private final PrefixDirectory prefixes = new PrefixDirectory();
     private final Map<CustomerId, CellId> homes = new TreeMap<>();
     private final String instance;
@@ -35,6 +37,11 @@
         return retries;
     }
 
+    /** Second sends of placed requests. */
+    WindowedRetryBudget resends() {
+        return resends;
+    }
+
     PrefixDirectory prefixes() {
         return prefixes;
     }
--- a/kernel/src/main/java/org/marjoramswitch/kernel/event/Event.java
+++ b/kernel/src/main/java/org/marjoramswitch/kernel/event/Event.java
@@ -23,6 +23,9 @@
     /** The target has delivered {@code outputTokens} of the running attempt's answer so far. */
     record TargetProgress(long requestId, long outputTokens) implements Event {}
 
+    /** The first byte of the running attempt's answer is there. */
+    record TargetAnswering(long requestId) implements Event {}
+
     /** The running attempt of a request ended. */
     record TargetEnded(long requestId, TargetOutcome outcome, Usage usage) implements Event {}
 
--- a/kernel/src/main/java/org/marjoramswitch/kernel/message/PeerMessage.java
+++ b/kernel/src/main/java/org/marjoramswitch/kernel/message/PeerMessage.java
@@ -5,6 +5,7 @@
 import org.marjoramswitch.kernel.model.CellId;
 import org.marjoramswitch.kernel.model.CustomerId;
 import org.marjoramswitch.kernel.model.PoolId;
+import org.marjoramswitch.kernel.model.PromptPart;
 import org.marjoramswitch.kernel.model.TargetId;
 
 /**
@@ -105,6 +106,79 @@
     /** Bodies of a generation by team, as accepted: all, or those that the asker lacks. */
     record SettingsBodies(long generation, String digest, Map<String, String> bodyByTeam) implements PeerMessage {}
 
+    /**
+     * Entry to arbiter: this request waits for a target. Times are what is left, since clocks differ.
+     *
+     * @param ask names the question; unique within the entry's incarnation
+     * @param objectiveLeftMs until the first byte is late, negative where it is late already
+     * @param waitLeftMs until the entry refuses the request by itself
+     * @param excluded targets that failed the request before
+     */
+    record Place(
+            CellId cell,
+            long ask,
+            CustomerId customer,
+            int urgency,
+            List<PromptPart> parts,
+            long outputTokens,
+            long objectiveLeftMs,
+            long waitLeftMs,
+            List<TargetId> excluded)
+            implements PeerMessage {
+        @Override
+        public boolean prompt() {
+            return true;
+        }
+    }
+
+    /** Arbiter to entry: start the request of this question at the target. */
+    record Placed(CellId cell, long ask, TargetId target) implements PeerMessage {
+        @Override
+        public boolean prompt() {
+            return true;
+        }
+    }
+
+    /** Arbiter to entry: no target can serve the request in a useful time. */
+    record NotPlaced(CellId cell, long ask, long retryAfterMs) implements PeerMessage {
+        @Override
+        public boolean prompt() {
+            return true;
+        }
+    }
+
+    /** Entry to arbiter: a request that waits needs no target any more. */
+    record PlaceWithdrawn(CellId cell, long ask) implements PeerMessage {}
+
+    /** Entry to arbiter: the first byte of the answer is there, so the target has read the prompt. */
+    record PlacementAnswering(CellId cell, long ask) implements PeerMessage {}
+
+    /** Entry to arbiter: the request has ended at its target, whose place is free. */
+    record PlacementEnded(CellId cell, long ask, long outputTokens, PlacementEnd end) implements PeerMessage {
+        @Override
+        public boolean prompt() {
+            return true;
+        }
+    }
+
+    /** Entry to an arbiter that is new to it: the requests that it has at the cell's targets. */
+    record PlacementsHeld(CellId cell, List<HeldPlacement> held) implements PeerMessage {}
+
+    /** Part of {@link PlacementsHeld}. */
+    record HeldPlacement(
+            long ask, CustomerId customer, TargetId target, long promptTokens, long outputTokens, boolean answering) {}
+
+    /** How a placed request ended at its target. */
+    enum PlacementEnd {
+        SERVED,
+        /** By the target's fault. */
+        FAILED,
+        /** The target did not execute it. */
+        NOT_RUN,
+        /** Given up by its caller or at its deadline. */
+        GIVEN_UP
+    }
+
     /** Nothing to say; shows that the link still carries. */
     record Heartbeat() implements PeerMessage {}
 
--- a/kernel/src/main/java/org/marjoramswitch/kernel/model/RequestSpec.java
+++ b/kernel/src/main/java/org/marjoramswitch/kernel/model/RequestSpec.java
@@ -1,5 +1,7 @@
 package org.marjoramswitch.kernel.model;
 
+import org.jspecify.annotations.Nullable;
+
 /**
  * What the decisions know of a caller's request when it arrives; its cost is known only at its end.
  *
@@ -9,7 +11,8 @@
  * @param promptTokens estimated from the body's length
  * @param hintTokens the caller's guess of the output, 0 where none; rough and never trusted alone
  * @param prefixHash hash of the prompt's leading part, 0 where there is none to match
- * @param deadlineMs the time at which a request still waiting is refused
+ * @param deadlineMs the time at which a request still waiting is refused; one with a placement also ends then if it runs
+ * @param placement what its placement depends on, null for a request that is granted by numbers
  */
 public record RequestSpec(
         long requestId,
@@ -20,7 +23,22 @@
         long promptTokens,
         long hintTokens,
         long prefixHash,
-        long deadlineMs) {
+        long deadlineMs,
+        @Nullable PlacementSpec placement) {
     public static final int DEFAULT_URGENCY = 3;
     public static final int LOWEST_URGENCY = 7;
+
+    /** A request that is granted by numbers. */
+    public RequestSpec(
+            long requestId,
+            CustomerId customer,
+            PoolId pool,
+            int urgency,
+            boolean repeatable,
+            long promptTokens,
+            long hintTokens,
+            long prefixHash,
+            long deadlineMs) {
+        this(requestId, customer, pool, urgency, repeatable, promptTokens, hintTokens, prefixHash, deadlineMs, null);
+    }
 }
--- a/kernel/src/main/java/org/marjoramswitch/kernel/model/TargetOutcome.java
+++ b/kernel/src/main/java/org/marjoramswitch/kernel/model/TargetOutcome.java
@@ -14,6 +14,8 @@
     SILENT_BEFORE_ANSWER(false, true),
     /** No progress until the progress timeout, a part of the answer had reached the caller. */
     SILENT_IN_ANSWER(false, true),
+    /** The target's whole answer was read and says that it failed; it may go to the caller if nothing better comes. */
+    SERVER_ERROR(false, true),
     /** The entry cancelled the attempt because the caller was gone. */
     CANCELLED(false, false);
 
--- /dev/null
+++ b/kernel/src/main/java/org/marjoramswitch/kernel/placement/TargetChoice.java
@@ -0,0 +1,160 @@
+package org.marjoramswitch.kernel.placement;
+
+import java.util.Collection;
+import java.util.List;
+import org.jspecify.annotations.Nullable;
+import org.marjoramswitch.kernel.misc.Rendezvous;
+import org.marjoramswitch.kernel.model.PromptPart;
+
+/**
+ * Chooses the target of one request among those of a cell, by the time that each would cost.
+ *
+ * <p>For a model engine the cost is the wait until it can take the request, the reading of what it does not keep of the
+ * prompt, counted {@value #READING_WEIGHT} times since it also delays what runs there, and a little for its load. For a
+ * plain service it is the mean time of its requests, longer the fuller it is: a target that has become slow is avoided
+ * without anybody declaring it so.
+ *
+ * <p>The target of the least cost may not be free. It is waited for as long as the request can still be in time there;
+ * otherwise the best of the free ones is taken. So the requests of one session stay together until that would make one
+ * of them late, and a session that one engine cannot carry spreads by itself: once two engines have read it, both are
+ * candidates.
+ *
+ * <p>A session that no engine keeps goes to the one that rendezvous hashing names, which is the same for every arbiter:
+ * a new arbiter knows nothing of what engines keep, and would otherwise scatter all sessions anew.
+ *
+ * <p>Cost: linear in the targets, each with a look-up for each part of the prompt.
+ */
+final class TargetChoice {
+    /** Reading delays the tokens of all that run at the engine, and its own request's first byte. */
+    private static final double READING_WEIGHT = 2;
+    /** The difference between an empty and a full engine in the time of a request, by order of magnitude. */
+    private static final double LOAD_MS = 30;
+    /** An engine always has this much to read, so that it is not idle while the next request is on its way. */
+    private static final double DEPTH_MS = 40;
+    /** Predictions are off by about this factor; a wait that leaves less room is not risked. */
+    private static final double PREDICTION_MARGIN = 1.25;
+    /** A late request leaves this share of the slots to those that can be in time. */
+    private static final double LATE_MOST_LOAD = 0.75;
+    /** Of an unread session's reading time, what makes its home better than other engines. */
+    private static final double HOME_SHARE = 0.5;
+
+    private final FirstByteModel model;
+    private final double meanServiceMs;
+    private final long nowMs;
+    /** With most targets ejected the fault is elsewhere, and leaving out the few that are left would end the service. */
+    private final boolean ignoreHealth;
+
+    private TargetChoice(FirstByteModel model, double meanServiceMs, boolean ignoreHealth, long nowMs) {
+        this.model = model;
+        this.meanServiceMs = meanServiceMs;
+        this.ignoreHealth = ignoreHealth;
+        this.nowMs = nowMs;
+    }
+
+    static TargetChoice at(FirstByteModel model, double meanServiceMs, Collection<TargetLoad> targets, long nowMs) {
+        long ejected =
+                targets.stream().filter(target -> target.isEjected(nowMs)).count();
+        return new TargetChoice(model, meanServiceMs, 2 * ejected > targets.size(), nowMs);
+    }
+
+    /** The target to start the request at now, null where it has to wait. */
+    @Nullable
+    TargetLoad inTime(WaitingRequest request, Collection<TargetLoad> targets) {
+        TargetLoad home = home(request.prompt(), targets);
+        Candidate best = null;
+        Candidate bestFree = null;
+        for (TargetLoad target : candidates(request, targets)) {
+            Candidate candidate = candidate(request, target, home);
+            best = cheaper(best, candidate);
+            bestFree = candidate.waitMs() == 0 ? cheaper(bestFree, candidate) : bestFree;
+        }
+        if (best == null || bestFree == null) {
+            return null;
+        }
+        if (best.waitMs() == 0) {
+            return best.target();
+        }
+        double firstByteMs = PREDICTION_MARGIN * (best.waitMs() + model.expectedMs(best.uncachedTokens()));
+        return nowMs + firstByteMs <= request.objectiveAtMs() ? null : bestFree.target();
+    }
+
+    /** The target to start a late request at now: only one that those in time do not need. */
+    @Nullable
+    TargetLoad late(WaitingRequest request, Collection<TargetLoad> targets) {
+        TargetLoad home = home(request.prompt(), targets);
+        Candidate best = null;
+        for (TargetLoad target : candidates(request, targets)) {
+            Candidate candidate = candidate(request, target, home);
+            boolean spare = candidate.waitMs() == 0 && target.load() <= LATE_MOST_LOAD;
+            best = spare ? cheaper(best, candidate) : best;
+        }
+        return best == null ? null : best.target();
+    }
+
+    private static Collection<TargetLoad> candidates(WaitingRequest request, Collection<TargetLoad> targets) {
+        if (request.excluded().isEmpty()) {
+            return targets;
+        }
+        List<TargetLoad> left = targets.stream()
+                .filter(target -> !request.excluded().contains(target.settings().id()))
+                .toList();
+        // One that failed the request may serve it now; with no other left it is better than nothing.
+        return left.isEmpty() ? targets : left;
+    }
+
+    private Candidate candidate(WaitingRequest request, TargetLoad target, @Nullable TargetLoad home) {
+        if (request.prompt().isEmpty()) {
+            double serviceMs = target.meanServiceMs(meanServiceMs, nowMs);
+            return new Candidate(target, 0, slotWaitMs(request, target), serviceMs * (1 + target.load()));
+        }
+        long uncachedTokens = target.uncachedTokens(request.prompt());
+        double queuedMs = target.unreadTokens(nowMs, model) * model.msPerToken();
+        double waitMs = Math.max(0, queuedMs - DEPTH_MS) + slotWaitMs(request, target);
+        double readingMs = uncachedTokens * model.msPerToken();
+        double strangeMs = home == null || home == target ? 0 : HOME_SHARE * readingMs;
+        double workMs = READING_WEIGHT * readingMs + strangeMs + LOAD_MS * target.load();
+        return new Candidate(target, uncachedTokens, waitMs, workMs);
+    }
+
+    private double slotWaitMs(WaitingRequest request, TargetLoad target) {
+        return target.hasRoom(request.memoryTokens(), ignoreHealth, nowMs) ? 0 : Math.max(1, target.slotWaitMs());
+    }
+
+    /** The engine for a session that no engine keeps, null where one does. */
+    private static @Nullable TargetLoad home(List<PromptPart> prompt, Collection<TargetLoad> targets) {
+        if (prompt.size() < 2) {
+            return null;
+        }
+        List<PromptPart> session = prompt.subList(0, prompt.size() - 1);
+        if (targets.stream().anyMatch(target -> target.uncachedTokens(session) == 0)) {
+            return null;
+        }
+        String key = Long.toString(session.get(session.size() - 1).id());
+        TargetLoad home = null;
+        long most = Long.MIN_VALUE;
+        for (TargetLoad target : targets) {
+            long weight = Rendezvous.weight(key, target.settings().id().name());
+            if (home == null || weight > most) {
+                home = target;
+                most = weight;
+            }
+        }
+        return home;
+    }
+
+    private static Candidate cheaper(@Nullable Candidate best, Candidate candidate) {
+        return best == null || candidate.costMs() < best.costMs() ? candidate : best;
+    }
+
+    /**
+     * One target for one request.
+     *
+     * @param waitMs until the target can take the request, 0 where it can now
+     * @param workMs what the request costs there from then on
+     */
+    private record Candidate(TargetLoad target, long uncachedTokens, double waitMs, double workMs) {
+        double costMs() {
+            return waitMs + workMs;
+        }
+    }
+}
--- /dev/null
+++ b/kernel/src/main/java/org/marjoramswitch/kernel/placement/WaitingRequest.java
@@ -0,0 +1,47 @@
+package org.marjoramswitch.kernel.placement;
+
+import java.util.List;
+import java.util.Set;
+import org.marjoramswitch.kernel.model.CustomerId;
+import org.marjoramswitch.kernel.model.InstanceId;
+import org.marjoramswitch.kernel.model.PromptPart;
+import org.marjoramswitch.kernel.model.TargetId;
+
+/**
+ * A request that waits at an arbiter.
+ *
+ * @param ask the entry's name for it
+ * @param arrival its place in the order of arrival
+ * @param objectiveAtMs when its first byte is late
+ * @param endAtMs when its entry refuses it by itself
+ */
+record WaitingRequest(
+        InstanceId entry,
+        long ask,
+        long arrival,
+        CustomerId customer,
+        int urgency,
+        List<PromptPart> prompt,
+        long promptTokens,
+        long outputTokens,
+        long arrivedAtMs,
+        long objectiveAtMs,
+        long endAtMs,
+        Set<TargetId> excluded) {
+    /** A generated token takes an engine about twice the time of a read one; customers are charged by the same measure. */
+    private static final long OUTPUT_TOKEN_COST = 2;
+
+    /** What its customer is charged. */
+    long costTokens() {
+        return cost(promptTokens, outputTokens);
+    }
+
+    /** The memory that it takes at an engine. */
+    long memoryTokens() {
+        return promptTokens + outputTokens;
+    }
+
+    static long cost(long promptTokens, long outputTokens) {
+        return Math.max(1, promptTokens + OUTPUT_TOKEN_COST * outputTokens);
+    }
+}
--- a/kernel/src/main/java/org/marjoramswitch/kernel/wire/MessageCodec.java
+++ b/kernel/src/main/java/org/marjoramswitch/kernel/wire/MessageCodec.java
@@ -13,12 +13,21 @@
 import org.marjoramswitch.kernel.message.PeerMessage.Ended;
 import org.marjoramswitch.kernel.message.PeerMessage.Grant;
 import org.marjoramswitch.kernel.message.PeerMessage.Heartbeat;
+import org.marjoramswitch.kernel.message.PeerMessage.HeldPlacement;
 import org.marjoramswitch.kernel.message.PeerMessage.Holding;
 import org.marjoramswitch.kernel.message.PeerMessage.KeyQuery;
 import org.marjoramswitch.kernel.message.PeerMessage.KeyReply;
 import org.marjoramswitch.kernel.message.PeerMessage.KeyState;
 import org.marjoramswitch.kernel.message.PeerMessage.Load;
+import org.marjoramswitch.kernel.message.PeerMessage.NotPlaced;
 import org.marjoramswitch.kernel.message.PeerMessage.Offer;
+import org.marjoramswitch.kernel.message.PeerMessage.Place;
+import org.marjoramswitch.kernel.message.PeerMessage.PlaceWithdrawn;
+import org.marjoramswitch.kernel.message.PeerMessage.Placed;
+import org.marjoramswitch.kernel.message.PeerMessage.PlacementAnswering;
+import org.marjoramswitch.kernel.message.PeerMessage.PlacementEnd;
+import org.marjoramswitch.kernel.message.PeerMessage.PlacementEnded;
+import org.marjoramswitch.kernel.message.PeerMessage.PlacementsHeld;
 import org.marjoramswitch.kernel.message.PeerMessage.Probe;
 import org.marjoramswitch.kernel.message.PeerMessage.ProbeReply;
 import org.marjoramswitch.kernel.message.PeerMessage.Progress;
@@ -32,6 +41,7 @@
 import org.marjoramswitch.kernel.message.PeerMessage.WitnessQuery;
 import org.marjoramswitch.kernel.message.PeerMessage.WitnessReply;
 import org.marjoramswitch.kernel.message.PeerMessage.WitnessState;
+import org.marjoramswitch.kernel.model.PromptPart;
 import org.marjoramswitch.kernel.model.RequestSpec;
 
 /**
@@ -63,6 +73,9 @@
     private static final List<WitnessState> WITNESS_STATES =
             List.of(WitnessState.CANNOT_TELL, WitnessState.NEVER_GRANTED, WitnessState.GRANTED);
 
+    private static final List<PlacementEnd> PLACEMENT_ENDS =
+            List.of(PlacementEnd.SERVED, PlacementEnd.FAILED, PlacementEnd.NOT_RUN, PlacementEnd.GIVEN_UP);
+
     private static final Map<MessageType, Codec<?>> CODECS = new EnumMap<>(MessageType.class);
 
     static {
@@ -142,6 +155,45 @@
                 ProbeReply.class,
                 (out, message) -> out.number(message.number()),
                 in -> new ProbeReply(in.number()));
+        putPlacements();
+    }
+
+    private static void putPlacements() {
+        put(MessageType.PLACE, Place.class, MessageCodec::writePlace, MessageCodec::readPlace);
+        put(
+                MessageType.PLACED,
+                Placed.class,
+                (out, message) -> out.cell(message.cell()).number(message.ask()).target(message.target()),
+                in -> new Placed(in.cell(), in.number(), in.target()));
+        put(
+                MessageType.NOT_PLACED,
+                NotPlaced.class,
+                (out, message) -> out.cell(message.cell()).number(message.ask()).number(message.retryAfterMs()),
+                in -> new NotPlaced(in.cell(), in.number(), in.number()));
+        put(
+                MessageType.PLACE_WITHDRAWN,
+                PlaceWithdrawn.class,
+                (out, message) -> out.cell(message.cell()).number(message.ask()),
+                in -> new PlaceWithdrawn(in.cell(), in.number()));
+        put(
+                MessageType.PLACEMENT_ANSWERING,
+                PlacementAnswering.class,
+                (out, message) -> out.cell(message.cell()).number(message.ask()),
+                in -> new PlacementAnswering(in.cell(), in.number()));
+        put(
+                MessageType.PLACEMENT_ENDED,
+                PlacementEnded.class,
+                (out, message) -> out.cell(message.cell())
+                        .number(message.ask())
+                        .number(message.outputTokens())
+                        .number(PLACEMENT_ENDS.indexOf(message.end()), 0),
+                in -> new PlacementEnded(
+                        in.cell(), in.number(), in.number(), at(PLACEMENT_ENDS, in.number(0), PlacementEnd.GIVEN_UP)));
+        put(
+                MessageType.PLACEMENTS_HELD,
+                PlacementsHeld.class,
+                MessageCodec::writePlacementsHeld,
+                MessageCodec::readPlacementsHeld);
     }
 
     private MessageCodec() {}
@@ -247,6 +299,51 @@
         return new Load(in.cell(), in.target(), in.number(), in.intNumber(), in.intNumber(0), in.intNumber(0));
     }
 
+    private static void writePlace(MessageWriter out, Place message) {
+        out.cell(message.cell())
+                .customer(message.customer())
+                .number(message.ask())
+                .number(message.objectiveLeftMs())
+                .number(message.waitLeftMs())
+                .list(message.parts(), part -> out.item(2).put(part.id()).put(part.tokens()))
+                .list(message.excluded(), target -> out.item(1).put(target))
+                .number(message.outputTokens(), 0)
+                .number(message.urgency(), RequestSpec.DEFAULT_URGENCY);
+    }
+
+    private static Place readPlace(MessageReader in) throws IOException {
+        var cell = in.cell();
+        var customer = in.customer();
+        long ask = in.number();
+        long objectiveLeftMs = in.number();
+        long waitLeftMs = in.number();
+        var prompt = in.list(() -> new PromptPart(in.number(), in.intNumber()));
+        var excluded = in.list(in::target);
+        long outputTokens = in.number(0);
+        int urgency = in.intNumber(RequestSpec.DEFAULT_URGENCY);
+        return new Place(cell, ask, customer, urgency, prompt, outputTokens, objectiveLeftMs, waitLeftMs, excluded);
+    }
+
+    private static void writePlacementsHeld(MessageWriter out, PlacementsHeld message) {
+        out.cell(message.cell())
+                .list(
+                        message.held(),
+                        held -> out.item(6)
+                                .put(held.ask())
+                                .put(held.customer())
+                                .put(held.target())
+                                .put(held.promptTokens())
+                                .put(held.outputTokens())
+                                .put(held.answering() ? 1 : 0));
+    }
+
+    private static PlacementsHeld readPlacementsHeld(MessageReader in) throws IOException {
+        return new PlacementsHeld(
+                in.cell(),
+                in.list(() -> new HeldPlacement(
+                        in.number(), in.customer(), in.target(), in.number(), in.number(), in.number() != 0)));
+    }
+
     private static void writeWitnessQuery(MessageWriter out, WitnessQuery message) {
         out.number(message.queryId())
                 .cell(message.cell())
--- a/kernel/src/main/java/org/marjoramswitch/kernel/wire/MessageType.java
+++ b/kernel/src/main/java/org/marjoramswitch/kernel/wire/MessageType.java
@@ -29,7 +29,14 @@
     SETTINGS_BODIES(17, PeerMessage.SettingsBodies.class),
     HEARTBEAT(18, PeerMessage.Heartbeat.class),
     PROBE(19, PeerMessage.Probe.class),
-    PROBE_REPLY(20, PeerMessage.ProbeReply.class);
+    PROBE_REPLY(20, PeerMessage.ProbeReply.class),
+    PLACE(21, PeerMessage.Place.class),
+    PLACED(22, PeerMessage.Placed.class),
+    NOT_PLACED(23, PeerMessage.NotPlaced.class),
+    PLACE_WITHDRAWN(24, PeerMessage.PlaceWithdrawn.class),
+    PLACEMENT_ANSWERING(25, PeerMessage.PlacementAnswering.class),
+    PLACEMENT_ENDED(26, PeerMessage.PlacementEnded.class),
+    PLACEMENTS_HELD(27, PeerMessage.PlacementsHeld.class);
 
     private static final Map<Class<?>, MessageType> BY_CLASS =
             Arrays.stream(values()).collect(Collectors.toMap(type -> type.messageClass, Function.identity()));
--- a/kernel/src/test/java/org/marjoramswitch/kernel/wire/RandomMessages.java
+++ b/kernel/src/test/java/org/marjoramswitch/kernel/wire/RandomMessages.java
@@ -10,6 +10,7 @@
 import org.marjoramswitch.kernel.model.CellId;
 import org.marjoramswitch.kernel.model.CustomerId;
 import org.marjoramswitch.kernel.model.PoolId;
+import org.marjoramswitch.kernel.model.PromptPart;
 import org.marjoramswitch.kernel.model.TargetId;
 
 /** Random messages of every type, with names from a small set and numbers that are often extreme. */
@@ -25,7 +26,7 @@
     }
 
     PeerMessage next() {
-        return switch (random.nextInt(20)) {
+        return switch (random.nextInt(27)) {
             case 0 -> new PeerMessage.Register(cell(), offers(), holdings(), standings(), number());
             case 1 -> new PeerMessage.Unregister(cell());
             case 2 -> new PeerMessage.Demand(cell(), customer(), random.nextInt(4) - 1, random.nextInt(8));
@@ -45,6 +46,16 @@
             case 16 -> new PeerMessage.SettingsBodies(number(), "d", Map.of("team-a", "{}", "é", "x".repeat(900)));
             case 17 -> new PeerMessage.Probe(number());
             case 18 -> new PeerMessage.ProbeReply(number());
+            case 19 ->
+                new PeerMessage.Place(
+                        cell(), number(), customer(), 3, parts(), number(), number(), number(), List.of(target()));
+            case 20 -> new PeerMessage.Placed(cell(), number(), target());
+            case 21 -> new PeerMessage.NotPlaced(cell(), number(), number());
+            case 22 -> new PeerMessage.PlaceWithdrawn(cell(), number());
+            case 23 -> new PeerMessage.PlacementAnswering(cell(), number());
+            case 24 ->
+                new PeerMessage.PlacementEnded(cell(), number(), number(), any(PeerMessage.PlacementEnd.values()));
+            case 25 -> new PeerMessage.PlacementsHeld(cell(), held());
             default -> new PeerMessage.Heartbeat();
         };
     }
@@ -58,6 +69,17 @@
                 random.nextInt(4), () -> new PeerMessage.Holding(number(), customer(), target(), random.nextInt(999)));
     }
 
+    private List<PromptPart> parts() {
+        return list(random.nextInt(4), () -> PromptPart.of(number(), random.nextInt(9_000)));
+    }
+
+    private List<PeerMessage.HeldPlacement> held() {
+        return list(
+                random.nextInt(4),
+                () -> new PeerMessage.HeldPlacement(
+                        number(), customer(), target(), number(), number(), random.nextBoolean()));
+    }
+
     private List<PeerMessage.Standing> standings() {
         return list(random.nextInt(4), () -> new PeerMessage.Standing(customer(), number()));
     }
