--- a/daemon/src/main/java/org/marjoramswitch/daemon/DaemonMain.java
+++ b/daemon/src/main/java/org/marjoramswitch/daemon/DaemonMain.java
@@ -3,6 +3,7 @@
 import java.net.BindException;
 import java.nio.file.Path;
 import java.util.concurrent.atomic.AtomicInteger;
+import java.util.function.Supplier;
 import org.marjoramswitch.daemon.log.KeyValueLog;
 import org.marjoramswitch.daemon.settings.LocalSettings;
 import org.marjoramswitch.daemon.settings.LocalSettingsReader;
@@ -46,9 +47,14 @@
     }
 
     private static ExitCode serve(LocalSettings settings) {
+        return serve(() -> Daemon.start(settings));
+    }
+
+    /** Starts an instance and runs it to its end, by signals or by itself. */
+    public static ExitCode serve(Supplier<? extends RunningInstance> start) {
         KeyValueLog log = KeyValueLog.of(DaemonMain.class);
-        try (Daemon daemon = Daemon.start(settings)) {
-            return awaitEnd(daemon);
+        try (RunningInstance instance = start.get()) {
+            return awaitEnd(instance);
         } catch (RuntimeException fault) {
             ExitCode exitCode = isAddressUnavailable(fault) ? ExitCode.ADDRESS_UNAVAILABLE : ExitCode.INTERNAL;
             log.error(fault, "daemon_failed", "exit", exitCode, "status", exitCode.status());
@@ -56,17 +62,17 @@
         }
     }
 
-    private static ExitCode awaitEnd(Daemon daemon) {
+    private static ExitCode awaitEnd(RunningInstance instance) {
         AtomicInteger signals = new AtomicInteger();
-        TerminationSignals.onEach(() -> onSignal(daemon, signals.incrementAndGet()));
-        return daemon.drained().join() ? ExitCode.OK : ExitCode.CUT_SHORT;
+        TerminationSignals.onEach(() -> onSignal(instance, signals.incrementAndGet()));
+        return instance.drained().join() ? ExitCode.OK : ExitCode.CUT_SHORT;
     }
 
-    private static void onSignal(Daemon daemon, int count) {
+    private static void onSignal(RunningInstance instance, int count) {
         if (count == 1) {
-            daemon.drain();
+            instance.drain();
         } else {
-            daemon.cutDrainShort();
+            instance.cutDrainShort();
         }
     }
 
--- /dev/null
+++ b/daemon/src/main/java/org/marjoramswitch/daemon/ForwardingDaemon.java
@@ -0,0 +1,209 @@
+package org.marjoramswitch.daemon;
+
+import io.undertow.server.HttpHandler;
+import java.io.IOException;
+import java.util.Map;
+import java.util.TreeMap;
+import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.TimeUnit;
+import java.util.function.Function;
+import org.marjoramswitch.daemon.caller.AddressBook;
+import org.marjoramswitch.daemon.caller.CallerOptions;
+import org.marjoramswitch.daemon.caller.ForwardServer;
+import org.marjoramswitch.daemon.caller.Health;
+import org.marjoramswitch.daemon.configuration.RoutedSettingsDuty;
+import org.marjoramswitch.daemon.exchange.CallDecoder;
+import org.marjoramswitch.daemon.fleet.InstanceRegistration;
+import org.marjoramswitch.daemon.fleet.TargetList;
+import org.marjoramswitch.daemon.platform.FleetListReader;
+import org.marjoramswitch.daemon.platform.KeyValueStore;
+import org.marjoramswitch.daemon.route.RoutedSettings;
+import org.marjoramswitch.daemon.settings.HostPort;
+import org.marjoramswitch.daemon.settings.LocalSettings;
+import org.marjoramswitch.daemon.target.TargetClientOptions;
+import org.marjoramswitch.daemon.target.TargetProtocol;
+import org.marjoramswitch.daemon.target.UndertowTargetClient;
+import org.marjoramswitch.kernel.KernelOptions;
+import org.marjoramswitch.kernel.event.Event;
+import org.marjoramswitch.kernel.model.TargetId;
+import org.marjoramswitch.kernel.settings.FleetSettings;
+import org.marjoramswitch.kernel.settings.PoolSettings;
+import org.marjoramswitch.kernel.settings.TargetSettings;
+
+/**
+ * One instance on a platform with routes, targets and callers of its own ways: the same core as {@link Daemon}, with
+ * the parts that a {@link Platform} gives in place of the product's own interfaces.
+ */
+public final class ForwardingDaemon implements RunningInstance {
+    private static final String OPEN_CALLS = "caller.open_requests";
+    /** The pause before the list of instances is read anew. */
+    private static final long LIST_PAUSE_MS = 500;
+
+    private final Platform platform;
+    private final InstanceCore core;
+    private final RoutedSettingsDuty configuration;
+    private final ForwardServer callers;
+    private volatile RoutedSettings settings = RoutedSettings.NONE;
+    private volatile boolean refusing;
+    private Map<TargetId, TargetSettings> targets = Map.of();
+
+    private ForwardingDaemon(LocalSettings local, KernelOptions options, Platform platform, Parts parts)
+            throws IOException {
+        this.platform = platform;
+        this.core = InstanceCore.start(
+                local,
+                parts,
+                options.withMaxWaiting(local.maxWaiting()),
+                (worker, metrics) ->
+                        parts.add(UndertowTargetClient.start(worker, platform.targets(), platform.protocol(), metrics)),
+                platform.callers().times().addressKeepMs(),
+                metrics -> metrics.counter(OPEN_CALLS).getCount() == 0);
+        KeyValueStore store = parts.add(platform.store().apply(core));
+        this.callers = parts.add(ForwardServer.start(
+                new ForwardServer.Parts(
+                        local.callers(),
+                        platform.others().apply(new View(this)),
+                        platform.callers(),
+                        platform.decoder(),
+                        core.decisions(),
+                        () -> settings,
+                        () -> core.drainState().begun(),
+                        core.clock()),
+                core.worker(),
+                core.metrics()));
+        this.configuration = parts.add(RoutedSettingsDuty.start(
+                store,
+                platform.settingsKey(),
+                platform.settingsDecoder(),
+                core.peers(),
+                this::onSettings,
+                core.clock(),
+                core.metrics()));
+        core.join(
+                configuration::onMessage,
+                PeerRouter.Keys.NONE,
+                view -> {},
+                seen -> configuration.versionSeen(seen.instance(), seen.generation()));
+        parts.add(TargetList.start(
+                store, platform.targetPrefix(), platform.targetDecoder(), this::onTargets, core.clock()));
+        parts.add(FleetListReader.start(store, LIST_PAUSE_MS, core.clock().startMs(), core.metrics(), core::onList));
+        parts.add(InstanceRegistration.start(store, local));
+    }
+
+    /**
+     * What an instance needs of its platform.
+     *
+     * @param store starts the client of the key-value service
+     * @param settingsKey where the operators' settings stand
+     * @param targetPrefix where targets register themselves
+     * @param others the addresses beside the callers', each with what it serves
+     * @param stopAcceptingMs how long after the begin of a graceful shutdown requests are still taken: callers go on
+     *     with an address for as long as they were told to keep it
+     */
+    public record Platform(
+            Function<StoreContext, KeyValueStore> store,
+            String settingsKey,
+            RoutedSettingsDuty.Decoder settingsDecoder,
+            String targetPrefix,
+            TargetList.Decoder targetDecoder,
+            TargetProtocol protocol,
+            TargetClientOptions targets,
+            CallerOptions callers,
+            CallDecoder decoder,
+            Function<View, Map<HostPort, HttpHandler>> others,
+            long stopAcceptingMs) {}
+
+    /** What others may see of an instance. */
+    public record View(ForwardingDaemon instance) {
+        public Health health() {
+            return instance.health();
+        }
+
+        public AddressBook addresses() {
+            return instance.core.directory();
+        }
+    }
+
+    /**
+     * Starts an instance; it is ready once settings are in force.
+     *
+     * @throws RuntimeException where it cannot start, caused by a {@link java.net.BindException} where one of its
+     *     addresses cannot be bound
+     */
+    public static ForwardingDaemon start(LocalSettings local, KernelOptions options, Platform platform) {
+        return Parts.start(parts -> {
+            ForwardingDaemon daemon = new ForwardingDaemon(local, options, platform, parts);
+            daemon.core.logStarted(local.callers());
+            return daemon;
+        });
+    }
+
+    private synchronized void onSettings(RoutedSettings newest) {
+        settings = newest;
+        callers.limit(newest.limits());
+        core.announceGeneration(newest.version());
+        tellDecisions();
+    }
+
+    private synchronized void onTargets(Map<TargetId, TargetSettings> listed) {
+        targets = listed;
+        tellDecisions();
+    }
+
+    /** The decisions are told of routes' pools and the listed targets together, whichever of the two has changed. */
+    private void tellDecisions() {
+        RoutedSettings current = settings;
+        Map<TargetId, TargetSettings> known = new TreeMap<>();
+        for (TargetSettings target : targets.values()) {
+            PoolSettings pool = current.pools().get(target.pool());
+            if (pool != null) {
+                long memoryTokens = current.memoryTokens().getOrDefault(pool.id(), 0L);
+                known.put(target.id(), target.withMemoryTokens(memoryTokens));
+            }
+        }
+        core.decisions()
+                .offer(new Event.SettingsAccepted(
+                        FleetSettings.of(current.version(), current.customers(), current.pools(), known)));
+    }
+
+    private Health health() {
+        if (core.drainState().begun()) {
+            return Health.notReady("the instance is leaving");
+        }
+        return settings.version() == 0 ? Health.notReady("no settings yet") : Health.READY;
+    }
+
+    /**
+     * The instance says that it leaves and goes on to take requests for a while: callers keep addresses, and a request
+     * refused here would come back late elsewhere. Each answer closes its connection.
+     */
+    @Override
+    public void drain() {
+        if (!core.leave()) {
+            return;
+        }
+        core.worker().getIoThread().executeAfter(this::finish, platform.stopAcceptingMs(), TimeUnit.MILLISECONDS);
+    }
+
+    private void finish() {
+        if (!refusing) {
+            refusing = true;
+            core.finish();
+        }
+    }
+
+    @Override
+    public CompletableFuture<Boolean> drained() {
+        return core.drainState().whole();
+    }
+
+    @Override
+    public void cutDrainShort() {
+        core.drainState().close();
+    }
+
+    @Override
+    public void close() {
+        core.close();
+    }
+}
--- /dev/null
+++ b/daemon/src/main/java/org/marjoramswitch/daemon/InstanceCore.java
@@ -0,0 +1,310 @@
+package org.marjoramswitch.daemon;
+
+import com.codahale.metrics.MetricRegistry;
+import java.io.IOException;
+import java.nio.file.Path;
+import java.util.Map;
+import java.util.TreeMap;
+import java.util.TreeSet;
+import java.util.function.BiPredicate;
+import java.util.function.Consumer;
+import org.jspecify.annotations.Nullable;
+import org.marjoramswitch.daemon.core.DecisionDuty;
+import org.marjoramswitch.daemon.core.EventObserver;
+import org.marjoramswitch.daemon.core.EventRecorder;
+import org.marjoramswitch.daemon.core.KernelDriver;
+import org.marjoramswitch.daemon.exchange.TargetClient;
+import org.marjoramswitch.daemon.fleet.CustomerSpread;
+import org.marjoramswitch.daemon.fleet.FleetDirectory;
+import org.marjoramswitch.daemon.log.KeyValueLog;
+import org.marjoramswitch.daemon.membership.MembershipDuty;
+import org.marjoramswitch.daemon.peer.PeerLinks;
+import org.marjoramswitch.daemon.platform.FleetList;
+import org.marjoramswitch.daemon.settings.HostPort;
+import org.marjoramswitch.daemon.settings.LocalSettings;
+import org.marjoramswitch.kernel.InstanceKernel;
+import org.marjoramswitch.kernel.KernelOptions;
+import org.marjoramswitch.kernel.event.Event;
+import org.marjoramswitch.kernel.membership.ListedInstance;
+import org.marjoramswitch.kernel.membership.MemberAddress;
+import org.marjoramswitch.kernel.membership.MembershipAction.GenerationSeen;
+import org.marjoramswitch.kernel.message.PeerMessage;
+import org.marjoramswitch.kernel.model.FleetView;
+import org.marjoramswitch.kernel.model.InstanceId;
+import org.marjoramswitch.kernel.model.Member;
+import org.marjoramswitch.kernel.replay.RecordingHeader;
+import org.xnio.OptionMap;
+import org.xnio.Options;
+import org.xnio.Xnio;
+import org.xnio.XnioWorker;
+
+/**
+ * What every instance is made of, whatever its settings and callers come from: the deciding duty, the links and the
+ * membership among instances, and the graceful shutdown. An assembly starts the core, then its own duties, and calls
+ * {@link #join} once they can take what peers say.
+ */
+final class InstanceCore implements StoreContext {
+    private static final int IO_THREADS = 2;
+    private static final int TASK_THREADS = 2;
+    private static final KeyValueLog LOG = KeyValueLog.of(InstanceCore.class);
+
+    private final LocalSettings settings;
+    private final Parts parts;
+    private final InstanceClock clock = InstanceClock.start();
+    private final MetricRegistry metrics = new MetricRegistry();
+    private final LatePeerSender peers = new LatePeerSender();
+    private final Member self;
+    private final XnioWorker worker;
+    private final KernelDriver kernel;
+    private final DecisionDuty decisions;
+    private final FleetDirectory directory;
+    private final Drain drain;
+    private volatile @Nullable PeerLinks links;
+    /** Null only while the instance starts: the duties that tell it something are there before it. */
+    private volatile @Nullable MembershipDuty membership;
+
+    private volatile Consumer<FleetView> onView = view -> {};
+    private volatile long generation;
+
+    private InstanceCore(
+            LocalSettings settings, Parts parts, KernelOptions options, Targets targets, long addressKeepMs, Idle idle)
+            throws IOException {
+        this.settings = settings;
+        this.parts = parts;
+        this.self = Member.of(settings.instance(), clock.startMs(), settings.dataCentre(), false);
+        ProcessMetrics.register(metrics);
+        this.worker = startWorker();
+        this.kernel = KernelDriver.of(InstanceKernel.create(self, options));
+        this.decisions = parts.add(DecisionDuty.builder(kernel, clock, settings.maxWaiting(), metrics)
+                .peers(peers)
+                .targets(targets.start(worker, metrics))
+                .observer(recorder(RecordingHeader.of(self, options)))
+                .linkCutter(peers::cut)
+                .start());
+        this.directory = directory(addressKeepMs);
+        this.drain = parts.add(Drain.of(
+                () -> decisions.drained().isDone() && idle.isIdle(metrics), clock, settings.drainDeadlineMs()));
+    }
+
+    /** Starts the client of the targets. */
+    @FunctionalInterface
+    interface Targets {
+        TargetClient start(XnioWorker worker, MetricRegistry metrics);
+    }
+
+    /** Whether no caller's exchange is open any more. */
+    @FunctionalInterface
+    interface Idle {
+        boolean isIdle(MetricRegistry metrics);
+    }
+
+    /** @param addressKeepMs how long callers may use an address answer */
+    static InstanceCore start(
+            LocalSettings settings, Parts parts, KernelOptions options, Targets targets, long addressKeepMs, Idle idle)
+            throws IOException {
+        return new InstanceCore(settings, parts, options, targets, addressKeepMs, idle);
+    }
+
+    /**
+     * Opens the links to peers and takes part in the membership.
+     *
+     * @param messages takes a peer's message that is not about decisions; false for one that is
+     * @param views told of each new view, after the decisions were
+     * @param generationsSeen told of an instance that holds newer settings
+     */
+    void join(
+            BiPredicate<InstanceId, PeerMessage> messages,
+            PeerRouter.Keys keys,
+            Consumer<FleetView> views,
+            Consumer<GenerationSeen> generationsSeen)
+            throws IOException {
+        onView = views;
+        PeerRouter router = PeerRouter.of(directory, decisions, messages, keys, this::onLinkLost);
+        PeerLinks started = parts.add(PeerLinks.start(self, settings.peers(), settings.fleetKey(), router, metrics));
+        links = started;
+        peers.setLinks(started);
+        MembershipDuty joined = parts.add(MembershipDuty.start(
+                self, peersAddress(), settings.fleetKey(), this::onMembers, generationsSeen, metrics));
+        membership = joined;
+        // What the other duties told before there was a membership is made up for.
+        joined.announceGeneration(generation);
+        started.setPeers(joined.addresses());
+    }
+
+    void logStarted(HostPort callers) {
+        LOG.info(
+                "instance_started",
+                "instance",
+                self.id(),
+                "incarnation",
+                self.incarnation(),
+                "dataCentre",
+                self.dataCentre(),
+                "callers",
+                callers,
+                "peers",
+                peersAddress(),
+                "startMs",
+                clock.getAsLong() - clock.startMs());
+    }
+
+    LocalSettings settings() {
+        return settings;
+    }
+
+    Member self() {
+        return self;
+    }
+
+    InstanceClock clock() {
+        return clock;
+    }
+
+    @Override
+    public MetricRegistry metrics() {
+        return metrics;
+    }
+
+    @Override
+    public XnioWorker worker() {
+        return worker;
+    }
+
+    KernelDriver kernel() {
+        return kernel;
+    }
+
+    DecisionDuty decisions() {
+        return decisions;
+    }
+
+    FleetDirectory directory() {
+        return directory;
+    }
+
+    LatePeerSender peers() {
+        return peers;
+    }
+
+    Drain drainState() {
+        return drain;
+    }
+
+    HostPort peersAddress() {
+        PeerLinks current = links;
+        int port = current == null
+                ? settings.peers().port()
+                : current.boundAddress().getPort();
+        return HostPort.of(settings.peers().host(), port);
+    }
+
+    /** This generation of settings is in force here. */
+    void announceGeneration(long newGeneration) {
+        generation = newGeneration;
+        MembershipDuty current = membership;
+        if (current != null) {
+            current.announceGeneration(newGeneration);
+        }
+    }
+
+    /** The platform's list of instances was read. */
+    void onList(FleetList list) {
+        Map<InstanceId, ListedInstance> instances = new TreeMap<>();
+        list.instances()
+                .forEach((id, instance) -> instances.put(
+                        id,
+                        ListedInstance.of(
+                                MemberAddress.of(
+                                        instance.peers().host(),
+                                        instance.peers().port()),
+                                instance.dataCentre())));
+        MembershipDuty current = membership;
+        if (current != null) {
+            current.listRead(instances);
+        }
+        directory.setListed(list.instances());
+        decisions.offer(new Event.TargetsLeaving(new TreeSet<>(list.leavingTargets())));
+    }
+
+    /** Tells the peers that this instance leaves; false where it had been told before. */
+    boolean leave() {
+        if (!drain.begin()) {
+            return false;
+        }
+        LOG.info(
+                "drain_started",
+                "instance",
+                self.id(),
+                "openRequests",
+                kernel.status().openRequests());
+        MembershipDuty current = membership;
+        if (current != null) {
+            current.leave();
+        }
+        return true;
+    }
+
+    /** Refuses new requests from now on and waits for the end of the others. */
+    void finish() {
+        decisions.offer(new Event.DrainStarted());
+        drain.watch();
+    }
+
+    void close() {
+        LOG.info(
+                "instance_stopped",
+                "instance",
+                self.id(),
+                "openRequests",
+                kernel.status().openRequests());
+        decisions.close();
+        parts.close();
+    }
+
+    private XnioWorker startWorker() throws IOException {
+        XnioWorker started = Xnio.getInstance()
+                .createWorker(OptionMap.builder()
+                        .set(Options.WORKER_NAME, "duties")
+                        .set(Options.WORKER_IO_THREADS, IO_THREADS)
+                        .set(Options.WORKER_TASK_CORE_THREADS, TASK_THREADS)
+                        .set(Options.WORKER_TASK_MAX_THREADS, TASK_THREADS)
+                        .set(Options.TCP_NODELAY, true)
+                        .getMap());
+        return parts.add(started, started::shutdownNow);
+    }
+
+    private EventObserver recorder(RecordingHeader header) throws IOException {
+        String file = settings.recordFile();
+        return file == null ? EventObserver.NONE : parts.add(EventRecorder.start(Path.of(file), header));
+    }
+
+    private FleetDirectory directory(long addressKeepMs) {
+        CustomerSpread spread = CustomerSpread.of(self.id(), decisions::openRequests, addressKeepMs);
+        return FleetDirectory.of(
+                self,
+                settings.callers(),
+                (customer, eligible) -> spread.spread(customer, eligible, clock.getAsLong()),
+                this::onView);
+    }
+
+    private void onView(FleetView view) {
+        decisions.offer(new Event.ViewChanged(view));
+        onView.accept(view);
+    }
+
+    private void onMembers(FleetView members) {
+        MembershipDuty current = membership;
+        PeerLinks opened = links;
+        if (current != null && opened != null) {
+            opened.setPeers(current.addresses());
+        }
+        directory.setMembers(members);
+    }
+
+    private void onLinkLost(InstanceId peer) {
+        MembershipDuty current = membership;
+        if (current != null) {
+            current.linkLost(peer);
+        }
+    }
+}
--- a/daemon/src/main/java/org/marjoramswitch/daemon/Parts.java
+++ b/daemon/src/main/java/org/marjoramswitch/daemon/Parts.java
@@ -1,5 +1,7 @@
 package org.marjoramswitch.daemon;
 
+import java.io.IOException;
+import java.io.UncheckedIOException;
 import java.util.ArrayDeque;
 import java.util.Deque;
 import org.marjoramswitch.daemon.log.KeyValueLog;
@@ -10,6 +12,26 @@
 
     private final Deque<AutoCloseable> started = new ArrayDeque<>();
 
+    /** Starts an instance; what has started by then is closed where it cannot. */
+    static <T> T start(Start<T> start) {
+        Parts parts = new Parts();
+        try {
+            return start.with(parts);
+        } catch (IOException fault) {
+            parts.close();
+            throw new UncheckedIOException(fault);
+        } catch (RuntimeException fault) {
+            parts.close();
+            throw fault;
+        }
+    }
+
+    /** Starts an instance of these parts. */
+    @FunctionalInterface
+    interface Start<T> {
+        T with(Parts parts) throws IOException;
+    }
+
     <T extends AutoCloseable> T add(T part) {
         started.push(part);
         return part;
--- a/daemon/src/main/java/org/marjoramswitch/daemon/PeerRouter.java
+++ b/daemon/src/main/java/org/marjoramswitch/daemon/PeerRouter.java
@@ -1,8 +1,7 @@
 package org.marjoramswitch.daemon;
 
+import java.util.function.BiPredicate;
 import java.util.function.Consumer;
-import org.marjoramswitch.daemon.caller.RequestKeys;
-import org.marjoramswitch.daemon.configuration.ConfigurationDuty;
 import org.marjoramswitch.daemon.core.DecisionDuty;
 import org.marjoramswitch.daemon.fleet.FleetDirectory;
 import org.marjoramswitch.daemon.peer.PeerListener;
@@ -13,31 +12,42 @@
 final class PeerRouter implements PeerListener {
     private final FleetDirectory directory;
     private final DecisionDuty decisions;
-    private final ConfigurationDuty configuration;
-    private final RequestKeys keys;
+    private final BiPredicate<InstanceId, PeerMessage> settings;
+    private final Keys keys;
     private final Consumer<InstanceId> onLost;
 
     private PeerRouter(
             FleetDirectory directory,
             DecisionDuty decisions,
-            ConfigurationDuty configuration,
-            RequestKeys keys,
+            BiPredicate<InstanceId, PeerMessage> settings,
+            Keys keys,
             Consumer<InstanceId> onLost) {
         this.directory = directory;
         this.decisions = decisions;
-        this.configuration = configuration;
+        this.settings = settings;
         this.keys = keys;
         this.onLost = onLost;
     }
 
-    /** @param onLost told of a peer whose link broke or fell silent */
+    /** Takes a message about request keys; false for any other. */
+    @FunctionalInterface
+    interface Keys {
+        Keys NONE = (from, fromIncarnation, message) -> false;
+
+        boolean onMessage(InstanceId from, long fromIncarnation, PeerMessage message);
+    }
+
+    /**
+     * @param settings takes a message about settings; false for any other
+     * @param onLost told of a peer whose link broke or fell silent
+     */
     static PeerRouter of(
             FleetDirectory directory,
             DecisionDuty decisions,
-            ConfigurationDuty configuration,
-            RequestKeys keys,
+            BiPredicate<InstanceId, PeerMessage> settings,
+            Keys keys,
             Consumer<InstanceId> onLost) {
-        return new PeerRouter(directory, decisions, configuration, keys, onLost);
+        return new PeerRouter(directory, decisions, settings, keys, onLost);
     }
 
     @Override
@@ -45,8 +55,7 @@
         if (message instanceof PeerMessage.Heartbeat) {
             return;
         }
-        if (isOfSettings(message)) {
-            configuration.onMessage(from, message);
+        if (settings.test(from, message)) {
             return;
         }
         if (!keys.onMessage(from, fromIncarnation, message)) {
@@ -66,10 +75,4 @@
             onLost.accept(peer);
         }
     }
-
-    private static boolean isOfSettings(PeerMessage message) {
-        return message instanceof PeerMessage.SettingsHead
-                || message instanceof PeerMessage.SettingsQuery
-                || message instanceof PeerMessage.SettingsBodies;
-    }
 }
--- a/daemon/src/main/java/org/marjoramswitch/daemon/caller/AnswerWriter.java
+++ b/daemon/src/main/java/org/marjoramswitch/daemon/caller/AnswerWriter.java
@@ -44,6 +44,7 @@
     private final long requestId;
     private final Times times;
     private final Listener listener;
+    private final boolean unchanged;
     private final AtomicBoolean scheduled = new AtomicBoolean();
     private final AtomicBoolean dropped = new AtomicBoolean();
     private AnswerBuffer.@Nullable Cursor cursor;
@@ -60,7 +61,9 @@
     private long writtenAtLastTick;
     private long stalledMs;
 
-    private AnswerWriter(HttpServerExchange exchange, long requestId, Times times, Listener listener) {
+    private AnswerWriter(
+            HttpServerExchange exchange, long requestId, Times times, Listener listener, boolean unchanged) {
+        this.unchanged = unchanged;
         this.exchange = exchange;
         this.requestId = requestId;
         this.times = times;
@@ -72,6 +75,9 @@
 
     /** Follows the writing; called on the IO thread. */
     interface Listener {
+        /** A problem is about to be written; its head may still be changed. */
+        default void onRefusal(Failure failure) {}
+
         /** The head of the answer, or a problem, begins to be written. */
         void onHead(int status);
 
@@ -105,7 +111,12 @@
     }
 
     static AnswerWriter of(HttpServerExchange exchange, long requestId, Times times, Listener listener) {
-        return new AnswerWriter(exchange, requestId, times, listener);
+        return new AnswerWriter(exchange, requestId, times, listener, false);
+    }
+
+    /** A writer that adds nothing of its own to an answer: what the caller gets is what the target sent, or cut. */
+    static AnswerWriter unchanged(HttpServerExchange exchange, long requestId, Times times, Listener listener) {
+        return new AnswerWriter(exchange, requestId, times, listener, true);
     }
 
     /** Begins to follow the answer; false where its first bytes are not held any more. */
@@ -184,6 +195,7 @@
 
     private void refuse(Failure failure, Outcome outcome) {
         stopWatching();
+        listener.onRefusal(failure);
         listener.onHead(failure.type().httpStatus());
         long bytes = Replies.sendProblem(exchange, failure, requestId);
         end(new Result(outcome, failure, bytes));
@@ -201,7 +213,9 @@
             exchange.setResponseContentLength(knownLength);
         }
         String contentType = headers.getFirst(Headers.CONTENT_TYPE);
-        if (contentType != null && contentType.toLowerCase(Locale.ROOT).startsWith(EVENT_STREAM)) {
+        if (!unchanged
+                && contentType != null
+                && contentType.toLowerCase(Locale.ROOT).startsWith(EVENT_STREAM)) {
             framer = new EventFramer();
         }
         listener.onHead(head.status());
--- a/daemon/src/main/java/org/marjoramswitch/daemon/caller/ApiKeyIndex.java
+++ b/daemon/src/main/java/org/marjoramswitch/daemon/caller/ApiKeyIndex.java
@@ -8,6 +8,7 @@
 import java.util.Map;
 import org.jspecify.annotations.Nullable;
 import org.marjoramswitch.kernel.model.CustomerId;
+import org.marjoramswitch.kernel.settings.CustomerSettings;
 import org.marjoramswitch.kernel.settings.FleetSettings;
 
 /**
@@ -26,9 +27,13 @@
     }
 
     static ApiKeyIndex of(FleetSettings settings) {
+        return of(settings.generation(), settings.customers());
+    }
+
+    static ApiKeyIndex of(long generation, Map<CustomerId, CustomerSettings> customers) {
         Map<String, CustomerId> index = new HashMap<>();
-        settings.customers().forEach((id, customer) -> customer.apiKeysSha256().forEach(hash -> index.put(hash, id)));
-        return new ApiKeyIndex(settings.generation(), index);
+        customers.forEach((id, customer) -> customer.apiKeysSha256().forEach(hash -> index.put(hash, id)));
+        return new ApiKeyIndex(generation, index);
     }
 
     /** Whether the index was built from this generation of settings. */
--- a/daemon/src/main/java/org/marjoramswitch/daemon/caller/CallerExchange.java
+++ b/daemon/src/main/java/org/marjoramswitch/daemon/caller/CallerExchange.java
@@ -20,6 +20,7 @@
     private @Nullable CustomerId customer;
     private @Nullable PoolId pool;
     private long requestId;
+    private String callerName = NONE;
     private long headMs;
     private int status;
     private @Nullable StreamSourceChannel requestChannel;
@@ -51,6 +52,11 @@
         return customer;
     }
 
+    /** The caller's own name for the request, for the log. */
+    void named(String name) {
+        callerName = name;
+    }
+
     void assign(PoolId toPool) {
         pool = toPool;
     }
@@ -108,6 +114,8 @@
                 "request_ended",
                 "requestId",
                 requestId,
+                "caller",
+                callerName,
                 "customer",
                 customer == null ? NONE : customer,
                 "pool",
--- /dev/null
+++ b/daemon/src/main/java/org/marjoramswitch/daemon/caller/ForwardHandler.java
@@ -0,0 +1,332 @@
+package org.marjoramswitch.daemon.caller;
+
+import io.undertow.server.HttpHandler;
+import io.undertow.server.HttpServerExchange;
+import io.undertow.util.HeaderMap;
+import io.undertow.util.HeaderValues;
+import io.undertow.util.Headers;
+import io.undertow.util.SameThreadExecutor;
+import java.util.LinkedHashMap;
+import java.util.Locale;
+import java.util.Map;
+import java.util.Objects;
+import java.util.function.BooleanSupplier;
+import java.util.function.LongSupplier;
+import java.util.function.Supplier;
+import org.jspecify.annotations.Nullable;
+import org.marjoramswitch.daemon.exchange.AnswerListener;
+import org.marjoramswitch.daemon.exchange.CallDecoder;
+import org.marjoramswitch.daemon.exchange.CallDecoder.CallFacts;
+import org.marjoramswitch.daemon.exchange.RequestGate;
+import org.marjoramswitch.daemon.exchange.TargetCall;
+import org.marjoramswitch.daemon.route.Route;
+import org.marjoramswitch.daemon.route.RoutedSettings;
+import org.marjoramswitch.kernel.error.ErrorType;
+import org.marjoramswitch.kernel.error.Failure;
+import org.marjoramswitch.kernel.model.CustomerId;
+import org.marjoramswitch.kernel.model.PlacementSpec;
+import org.marjoramswitch.kernel.model.PoolId;
+import org.marjoramswitch.kernel.model.RequestSpec;
+import org.marjoramswitch.kernel.settings.PoolSettings;
+import org.marjoramswitch.kernel.settings.TargetKind;
+
+/**
+ * Takes calls on the operators' routes. A call is passed on as it came, and the target's answer as it went out; what the
+ * instance adds is who asks, and which target must answer.
+ *
+ * <p>A call keeps the version of settings that it began with: its route, its pool and its times do not change under it.
+ */
+final class ForwardHandler implements HttpHandler {
+    private static final long NOT_READY_RETRY_AFTER_MS = 1_000;
+    private static final long FULL_RETRY_AFTER_MS = 1_000;
+    private static final long NS_PER_MS = 1_000_000;
+    /**
+     * How long a target may be silent on a request that another one may serve as well. Callers give a stream up after two
+     * seconds of silence at the least; this leaves time for the other target.
+     */
+    private static final long REPEATABLE_SILENCE_MS = 1_200;
+    /** Requests of callers that need no key share one queue. */
+    private static final CustomerId NO_CUSTOMER = CustomerId.of("-");
+
+    private final CallerOptions options;
+    private final CallDecoder decoder;
+    private final RequestGate gate;
+    private final Supplier<RoutedSettings> settings;
+    private final RouteAuthenticator authenticator;
+    private final BooleanSupplier leaving;
+    private final MemoryBudget budget;
+    private final LongSupplier clockMs;
+    private final CallerMetrics metrics;
+
+    ForwardHandler(
+            CallerOptions options,
+            CallDecoder decoder,
+            RequestGate gate,
+            Supplier<RoutedSettings> settings,
+            BooleanSupplier leaving,
+            MemoryBudget budget,
+            LongSupplier clockMs,
+            CallerMetrics metrics) {
+        this.options = options;
+        this.decoder = decoder;
+        this.gate = gate;
+        this.settings = settings;
+        this.authenticator = new RouteAuthenticator();
+        this.leaving = leaving;
+        this.budget = budget;
+        this.clockMs = clockMs;
+        this.metrics = metrics;
+    }
+
+    @Override
+    public void handleRequest(HttpServerExchange exchange) {
+        CallerExchange caller = CallerExchange.begin(exchange, metrics, clockMs.getAsLong());
+        if (leaving.getAsBoolean()) {
+            // The caller finishes here and goes to another instance with its next request.
+            exchange.setPersistent(false);
+        }
+        RoutedSettings current = settings.get();
+        Route route = current.routes()
+                .find(exchange.getRequestHeaders().getFirst(Headers.HOST), pathOf(exchange.getRequestURI()));
+        Failure refusal = admit(caller, current, route);
+        if (refusal != null) {
+            exchange.dispatch(SameThreadExecutor.INSTANCE, () -> refuse(caller, refusal));
+            return;
+        }
+        Route found = Objects.requireNonNull(route);
+        exchange.dispatch(SameThreadExecutor.INSTANCE, () -> readBody(caller, current, found));
+    }
+
+    private @Nullable Failure admit(CallerExchange caller, RoutedSettings current, @Nullable Route route) {
+        HttpServerExchange exchange = caller.http();
+        if (current.version() == 0) {
+            return Failure.notRun(ErrorType.NOT_READY, NOT_READY_RETRY_AFTER_MS, "");
+        }
+        String framing = framingFault(exchange.getRequestHeaders());
+        if (framing != null) {
+            return Failure.notRun(ErrorType.MALFORMED_REQUEST, 0, framing);
+        }
+        if (route == null) {
+            return Failure.notRun(ErrorType.NO_ROUTE, 0, pathOf(exchange.getRequestURI()));
+        }
+        if (!exchange.isHttp11()) {
+            // An HTTP/1.0 answer ends with its connection, so a part could not be told from the whole.
+            return Failure.notRun(ErrorType.MALFORMED_REQUEST, 0, "HTTP/1.1 is needed");
+        }
+        if (route.open() || !current.keysNeeded()) {
+            caller.identify(NO_CUSTOMER);
+        } else {
+            CustomerId customer =
+                    authenticator.customer(current, exchange.getRequestHeaders().getFirst(Headers.AUTHORIZATION));
+            if (customer == null) {
+                return Failure.notRun(ErrorType.UNKNOWN_API_KEY, 0, "");
+            }
+            caller.identify(customer);
+        }
+        return metrics.openRequests() > options.maxRequests()
+                ? Failure.notRun(ErrorType.ENTRY_QUEUE_FULL, FULL_RETRY_AFTER_MS, "")
+                : null;
+    }
+
+    /** A body whose length is told twice may be read in two ways, and a second request smuggled in the difference. */
+    private static @Nullable String framingFault(HeaderMap headers) {
+        HeaderValues lengths = headers.get(Headers.CONTENT_LENGTH);
+        boolean chunked = headers.contains(Headers.TRANSFER_ENCODING);
+        if (lengths != null && (chunked || lengths.size() > 1)) {
+            return "the length of the body is told more than once";
+        }
+        return null;
+    }
+
+    private void readBody(CallerExchange caller, RoutedSettings current, Route route) {
+        BodyReader.read(
+                caller,
+                current.limits().maxBodyBytes(),
+                options.times().bodyTimeoutMs(),
+                budget,
+                new BodyReader.Listener() {
+                    @Override
+                    public void onBody(byte[] body) {
+                        take(caller, current, route, body);
+                    }
+
+                    @Override
+                    public void onRefused(Failure failure) {
+                        refuse(caller, failure);
+                    }
+                });
+    }
+
+    private void take(CallerExchange caller, RoutedSettings current, Route route, byte[] body) {
+        Map<String, String> headers = endToEnd(caller.http().getRequestHeaders());
+        CallFacts facts = decoder.read(headers);
+        long requestId = gate.nextRequestId();
+        PoolId poolId = route.pool(facts.requestId().hashCode());
+        PoolSettings pool = current.pools().get(poolId);
+        caller.assign(poolId);
+        caller.assign(requestId);
+        caller.named(facts.requestId());
+        if (pool == null) {
+            budget.release(body.length);
+            refuse(caller, Failure.notRun(ErrorType.NO_TARGET_IN_TIME, NOT_READY_RETRY_AFTER_MS, poolId.name()));
+            return;
+        }
+        AnswerBuffer buffer = AnswerBuffer.create(
+                new AnswerBuffer.Limits(options.maxUnreadBytes(), 0),
+                false,
+                budget,
+                (end, bytes) -> budget.release(body.length));
+        AnswerWriter.Times times = new AnswerWriter.Times(
+                options.times().keepAliveMs(), options.times().idleTimeoutMs());
+        AnswerWriter.unchanged(caller.http(), requestId, times, new CallListener(caller, requestId))
+                .start(buffer);
+        submit(caller, current, route, pool, facts, headers, body, requestId, buffer);
+    }
+
+    private void submit(
+            CallerExchange caller,
+            RoutedSettings current,
+            Route route,
+            PoolSettings pool,
+            CallFacts facts,
+            Map<String, String> headers,
+            byte[] body,
+            long requestId,
+            AnswerBuffer buffer) {
+        CustomerId customer = caller.customer();
+        CustomerId asked = customer == null ? NO_CUSTOMER : customer;
+        long nowMs = clockMs.getAsLong();
+        long withinMs = facts.patienceMs() > 0 ? Math.min(facts.patienceMs(), route.timeoutMs()) : route.timeoutMs();
+        long patienceMs = facts.patienceMs() > 0 ? facts.patienceMs() : route.timeoutMs();
+        RequestSpec spec = new RequestSpec(
+                requestId,
+                asked,
+                pool.id(),
+                current.priorities().getOrDefault(asked, route.priority()),
+                route.kind().repeatable(),
+                facts.prompt().stream().mapToLong(part -> part.tokens()).sum(),
+                facts.likelyOutputTokens(),
+                0,
+                nowMs + withinMs,
+                placement(route, pool, facts, nowMs));
+        TargetCall call = TargetCall.of(
+                        pool.kind(),
+                        caller.http().getRequestMethod().toString(),
+                        pathAndQuery(caller.http()),
+                        decoder.forTarget(headers, asked.equals(NO_CUSTOMER) ? null : asked),
+                        body,
+                        route.kind().streaming())
+                .within(
+                        System.nanoTime() + patienceMs * NS_PER_MS,
+                        route.kind().repeatable() ? REPEATABLE_SILENCE_MS : route.timeoutMs());
+        gate.submit(spec, call, new AnswerRelay(buffer));
+    }
+
+    private static PlacementSpec placement(Route route, PoolSettings pool, CallFacts facts, long nowMs) {
+        long objectiveAtMs = nowMs + route.objectiveMs();
+        if (pool.kind() != TargetKind.MODEL_ENGINE) {
+            return PlacementSpec.plain(objectiveAtMs, route.attempts());
+        }
+        long outputTokens = facts.likelyOutputTokens() > 0 ? facts.likelyOutputTokens() : facts.mostOutputTokens();
+        return new PlacementSpec(
+                facts.prompt(),
+                outputTokens,
+                objectiveAtMs,
+                route.attempts(),
+                route.kind().repeatable() && route.kind().streaming());
+    }
+
+    private void refuse(CallerExchange caller, Failure failure) {
+        tellWhenToComeBack(caller.http(), failure);
+        caller.refuse(failure, clockMs.getAsLong());
+    }
+
+    private void tellWhenToComeBack(HttpServerExchange exchange, Failure failure) {
+        if (failure.retryAfterMs() > 0) {
+            exchange.getResponseHeaders().put(Headers.RETRY_AFTER, decoder.retryAfter(failure.retryAfterMs()));
+        }
+    }
+
+    private static Map<String, String> endToEnd(HeaderMap received) {
+        Map<String, String> headers = new LinkedHashMap<>();
+        for (HeaderValues values : received) {
+            String name = values.getHeaderName().toString().toLowerCase(Locale.ROOT);
+            if (!ForwardedHeaders.isHopByHop(name, received)) {
+                headers.put(name, String.join(", ", values));
+            }
+        }
+        return headers;
+    }
+
+    private static String pathOf(String requestUri) {
+        int query = requestUri.indexOf('?');
+        return query < 0 ? requestUri : requestUri.substring(0, query);
+    }
+
+    /** As the caller wrote it. */
+    private static String pathAndQuery(HttpServerExchange exchange) {
+        String query = exchange.getQueryString();
+        String path = pathOf(exchange.getRequestURI());
+        return query.isEmpty() ? path : path + '?' + query;
+    }
+
+    /** Follows the writing to the caller. */
+    private final class CallListener implements AnswerWriter.Listener {
+        private final CallerExchange caller;
+        private final long requestId;
+
+        CallListener(CallerExchange caller, long requestId) {
+            this.caller = caller;
+            this.requestId = requestId;
+        }
+
+        @Override
+        public void onRefusal(Failure failure) {
+            tellWhenToComeBack(caller.http(), failure);
+        }
+
+        @Override
+        public void onHead(int status) {
+            caller.headAt(status, clockMs.getAsLong());
+        }
+
+        @Override
+        public Failure onInputEnded() {
+            gate.callerGone(requestId);
+            return Failure.unknown(ErrorType.CALLER_GONE, "");
+        }
+
+        @Override
+        public void onEnd(AnswerWriter.Result result) {
+            boolean abandoned = result.outcome() == AnswerWriter.Outcome.CALLER_GONE
+                    || result.outcome() == AnswerWriter.Outcome.SLOW_CALLER;
+            if (abandoned) {
+                gate.callerGone(requestId);
+            }
+            caller.end(result, clockMs.getAsLong());
+        }
+    }
+
+    /** Passes the target's answer on. */
+    private record AnswerRelay(AnswerBuffer buffer) implements AnswerListener {
+        @Override
+        public void onHead(int status, Map<String, String> headers) {
+            buffer.onHead(status, ForwardedHeaders.toCaller(headers));
+        }
+
+        @Override
+        public void onBytes(byte[] bytes) {
+            buffer.onBytes(bytes);
+        }
+
+        @Override
+        public void onComplete() {
+            buffer.onComplete();
+        }
+
+        @Override
+        public void onFailure(Failure failure) {
+            buffer.onFailure(TruthfulStatus.of(failure));
+        }
+    }
+}
--- /dev/null
+++ b/daemon/src/main/java/org/marjoramswitch/daemon/caller/ForwardServer.java
@@ -0,0 +1,99 @@
+package org.marjoramswitch.daemon.caller;
+
+import com.codahale.metrics.MetricRegistry;
+import io.undertow.Undertow;
+import io.undertow.UndertowOptions;
+import io.undertow.server.HttpHandler;
+import java.util.Map;
+import java.util.function.BooleanSupplier;
+import java.util.function.LongSupplier;
+import java.util.function.Supplier;
+import org.marjoramswitch.daemon.exchange.CallDecoder;
+import org.marjoramswitch.daemon.exchange.RequestGate;
+import org.marjoramswitch.daemon.route.CallerLimits;
+import org.marjoramswitch.daemon.route.RoutedSettings;
+import org.marjoramswitch.daemon.settings.HostPort;
+import org.xnio.OptionMap;
+import org.xnio.Options;
+import org.xnio.XnioWorker;
+
+/** The HTTP server of an instance that forwards calls on the operators' routes. */
+public final class ForwardServer implements AutoCloseable {
+    private static final int MAX_HEADERS = 100;
+    private static final int BUFFER_BYTES = 16 << 10;
+
+    private final Undertow undertow;
+
+    private ForwardServer(Undertow undertow) {
+        this.undertow = undertow;
+    }
+
+    /**
+     * What the server serves and with what.
+     *
+     * @param callers where callers connect
+     * @param others further addresses, each with what it serves
+     * @param leaving whether the instance is in its graceful shutdown
+     */
+    public record Parts(
+            HostPort callers,
+            Map<HostPort, HttpHandler> others,
+            CallerOptions options,
+            CallDecoder decoder,
+            RequestGate gate,
+            Supplier<RoutedSettings> settings,
+            BooleanSupplier leaving,
+            LongSupplier clockMs) {}
+
+    /**
+     * Binds and serves.
+     *
+     * @throws RuntimeException where an address cannot be bound
+     */
+    public static ForwardServer start(Parts parts, XnioWorker worker, MetricRegistry metrics) {
+        MemoryBudget budget = MemoryBudget.of(parts.options().maxBufferedBytes());
+        ForwardHandler forward = new ForwardHandler(
+                parts.options(),
+                parts.decoder(),
+                parts.gate(),
+                parts.settings(),
+                parts.leaving(),
+                budget,
+                parts.clockMs(),
+                CallerMetrics.of(metrics, budget));
+        Undertow.Builder builder = Undertow.builder()
+                .setWorker(worker)
+                .setBufferSize(BUFFER_BYTES)
+                .setDirectBuffers(true)
+                .setSocketOption(Options.CONNECTION_HIGH_WATER, parts.options().maxConnections())
+                .setSocketOption(Options.CONNECTION_LOW_WATER, parts.options().maxConnections())
+                .setSocketOption(Options.TCP_NODELAY, true)
+                .addHttpListener(parts.callers().port(), parts.callers().host(), forward);
+        parts.others().forEach((address, handler) -> builder.addHttpListener(address.port(), address.host(), handler));
+        Undertow undertow = builder.build();
+        undertow.start();
+        ForwardServer server = new ForwardServer(undertow);
+        server.limit(CallerLimits.DEFAULT);
+        return server;
+    }
+
+    /** Holds new connections to these limits; a body's is looked at with each request. */
+    public void limit(CallerLimits limits) {
+        OptionMap options = OptionMap.builder()
+                .set(UndertowOptions.MAX_HEADER_SIZE, limits.maxHeadBytes())
+                .set(UndertowOptions.MAX_HEADERS, MAX_HEADERS)
+                .set(UndertowOptions.REQUEST_PARSE_TIMEOUT, limits.headTimeoutMs())
+                .set(UndertowOptions.NO_REQUEST_TIMEOUT, limits.idleTimeoutMs())
+                .set(UndertowOptions.MAX_ENTITY_SIZE, limits.maxBodyBytes() + 2 * LingeringRefusal.MAX_DRAINED_BYTES)
+                .set(UndertowOptions.DECODE_URL, false)
+                .set(UndertowOptions.ALWAYS_SET_DATE, true)
+                .getMap();
+        undertow.getListenerInfo().forEach(listener -> listener.setServerOptions(options));
+    }
+
+    /** Closes every connection at once. */
+    @Override
+    public void close() {
+        undertow.stop();
+    }
+}
--- a/daemon/src/main/java/org/marjoramswitch/daemon/caller/ForwardedHeaders.java
+++ b/daemon/src/main/java/org/marjoramswitch/daemon/caller/ForwardedHeaders.java
@@ -2,10 +2,12 @@
 
 import io.undertow.util.HeaderMap;
 import io.undertow.util.HeaderValues;
+import io.undertow.util.Headers;
 import java.util.Locale;
 import java.util.Map;
 import java.util.Set;
 import java.util.TreeMap;
+import java.util.stream.Stream;
 import org.marjoramswitch.kernel.model.CustomerId;
 
 /** Chooses the headers that pass the router. */
@@ -47,6 +49,18 @@
         return forwarded;
     }
 
+    /** Whether a header, by its lower-case name, is of the connection alone: always, or as the caller's head says. */
+    static boolean isHopByHop(String name, HeaderMap head) {
+        if (HOP_BY_HOP.contains(name)) {
+            return true;
+        }
+        HeaderValues named = head.get(Headers.CONNECTION);
+        return named != null
+                && named.stream()
+                        .flatMap(value -> Stream.of(value.split(",")))
+                        .anyMatch(token -> token.trim().equalsIgnoreCase(name));
+    }
+
     static Map<String, String> toCaller(Map<String, String> headers) {
         Map<String, String> forwarded = new TreeMap<>(String.CASE_INSENSITIVE_ORDER);
         headers.forEach((name, value) -> {
--- a/daemon/src/main/java/org/marjoramswitch/daemon/caller/Replies.java
+++ b/daemon/src/main/java/org/marjoramswitch/daemon/caller/Replies.java
@@ -29,7 +29,7 @@
     static long sendProblem(HttpServerExchange exchange, Failure failure, long requestId, IoCallback then) {
         byte[] body = Problem.body(failure, requestId);
         long retryAfterSeconds = Problem.retryAfterSeconds(failure);
-        if (retryAfterSeconds > 0) {
+        if (retryAfterSeconds > 0 && !exchange.getResponseHeaders().contains(Headers.RETRY_AFTER)) {
             exchange.getResponseHeaders().put(Headers.RETRY_AFTER, retryAfterSeconds);
         }
         if (failure.type() == ErrorType.UNKNOWN_API_KEY) {
--- /dev/null
+++ b/daemon/src/main/java/org/marjoramswitch/daemon/caller/TruthfulStatus.java
@@ -0,0 +1,34 @@
+package org.marjoramswitch.daemon.caller;
+
+import org.marjoramswitch.kernel.error.ErrorType;
+import org.marjoramswitch.kernel.error.Failure;
+import org.marjoramswitch.kernel.model.RunState;
+
+/**
+ * Gives a failure the status that says no more than is known. Callers on routes know no problem bodies; they go by the
+ * status alone, where 503 and 429 promise that the request has not run and never will, and 502 and 504 promise nothing.
+ */
+final class TruthfulStatus {
+    private static final int FIRST_SERVER_ERROR = 500;
+    private static final int GATEWAY_TIMEOUT = 504;
+    private static final long RETRY_AFTER_MS = 1_000;
+
+    private TruthfulStatus() {}
+
+    static Failure of(Failure failure) {
+        int status = failure.type().httpStatus();
+        boolean promises = status == 503 || status == 429;
+        if (failure.run() == RunState.UNKNOWN && promises) {
+            return new Failure(
+                    ErrorType.TARGET_BROKE, RunState.UNKNOWN, 0, failure.type().name());
+        }
+        if (failure.run() == RunState.NOT_RUN
+                && status >= FIRST_SERVER_ERROR
+                && !promises
+                && status <= GATEWAY_TIMEOUT) {
+            return Failure.notRun(
+                    ErrorType.NO_TARGET_IN_TIME, RETRY_AFTER_MS, failure.type().name());
+        }
+        return failure;
+    }
+}
--- a/daemon/src/main/java/org/marjoramswitch/daemon/configuration/ConfigurationDuty.java
+++ b/daemon/src/main/java/org/marjoramswitch/daemon/configuration/ConfigurationDuty.java
@@ -69,15 +69,18 @@
         return duty;
     }
 
-    /** Takes a peer's message; those that are not about settings are passed over. */
-    public void onMessage(InstanceId from, PeerMessage message) {
+    /** Takes a peer's message about settings; false for any other. */
+    public boolean onMessage(InstanceId from, PeerMessage message) {
         if (message instanceof PeerMessage.SettingsHead head) {
             offer(nowMs -> spreader.onHead(from, head, nowMs));
         } else if (message instanceof PeerMessage.SettingsQuery query) {
             offer(nowMs -> spreader.onQuery(from, query));
         } else if (message instanceof PeerMessage.SettingsBodies bodies) {
             offer(nowMs -> spreader.onBodies(from, bodies, nowMs));
+        } else {
+            return false;
         }
+        return true;
     }
 
     /** Takes a new membership view. */
--- a/daemon/src/main/java/org/marjoramswitch/daemon/core/ActionRunner.java
+++ b/daemon/src/main/java/org/marjoramswitch/daemon/core/ActionRunner.java
@@ -90,7 +90,7 @@
         request.setEndOutstanding(true);
         AttemptRelay relay = AttemptRelay.of(request, dispatch.attempt(), events);
         try {
-            request.setRunning(targets.start(target, pool, request.call(), relay));
+            request.setRunning(targets.start(target, pool, request.nextCall(), relay));
         } catch (RuntimeException fault) {
             LOG.error(fault, "attempt_failed", "error", ErrorType.INTERNAL.number(), "request", request.id());
             // How far the attempt came is not known, so it must not count as refused.
@@ -116,6 +116,7 @@
         if (request == null) {
             return;
         }
+        request.releaseError();
         // The answer went to the caller as the target's whole answer came in. A caller that has none by now would wait
         // for ever.
         if (!request.answered() && request.fail(Failure.unknown(ErrorType.INTERNAL, "no answer"))) {
--- a/daemon/src/main/java/org/marjoramswitch/daemon/core/AttemptRelay.java
+++ b/daemon/src/main/java/org/marjoramswitch/daemon/core/AttemptRelay.java
@@ -17,6 +17,7 @@
     private final OpenRequest request;
     private final int attempt;
     private final EventSink events;
+    private boolean answering;
     private long reportedTokens;
     private long reportedNs = System.nanoTime();
 
@@ -38,6 +39,15 @@
     @Override
     public void onBytes(byte[] bytes) {
         request.onBytes(attempt, bytes);
+        if (!answering) {
+            answering = true;
+            events.offer(new Event.TargetAnswering(request.id()));
+        }
+    }
+
+    @Override
+    public void onPosition(String lastEventId) {
+        request.onPosition(attempt, lastEventId);
     }
 
     @Override
@@ -58,8 +68,9 @@
     public void onEnd(TargetOutcome outcome, Usage usage) {
         // The end of a void attempt must not pass for the running one's: the kernel would free the wrong slot and
         // could start the request once more.
-        if (request.onAttemptEnd(attempt, outcome == TargetOutcome.COMPLETED)) {
-            events.offer(new Event.TargetEnded(request.id(), outcome, usage));
+        TargetOutcome heard = request.onAttemptEnd(attempt, outcome);
+        if (heard != null) {
+            events.offer(new Event.TargetEnded(request.id(), heard, usage));
         }
     }
 }
--- a/daemon/src/main/java/org/marjoramswitch/daemon/core/OpenRequest.java
+++ b/daemon/src/main/java/org/marjoramswitch/daemon/core/OpenRequest.java
@@ -1,5 +1,7 @@
 package org.marjoramswitch.daemon.core;
 
+import java.util.ArrayList;
+import java.util.List;
 import java.util.Map;
 import java.util.concurrent.atomic.AtomicBoolean;
 import org.jspecify.annotations.Nullable;
@@ -8,7 +10,9 @@
 import org.marjoramswitch.daemon.exchange.TargetClient.Attempt;
 import org.marjoramswitch.kernel.error.ErrorType;
 import org.marjoramswitch.kernel.error.Failure;
+import org.marjoramswitch.kernel.model.PlacementSpec;
 import org.marjoramswitch.kernel.model.RequestSpec;
+import org.marjoramswitch.kernel.model.TargetOutcome;
 
 /**
  * One request from its arrival to its end, and the gate between its attempts at targets and its caller.
@@ -19,9 +23,16 @@
  * connection is in.
  *
  * <p>A head is held back until the first byte or the whole answer is there. Until then the caller has seen nothing, so
- * that another attempt may still answer it.
+ * that another attempt may still answer it. For the same reason an answer that reports a failure of the target is held
+ * back whole where the request may be repeated.
+ *
+ * <p>An answer that may be resumed goes on with the next attempt from the last whole event that the caller got. The
+ * caller sees one answer, with the head of the first.
  */
 final class OpenRequest {
+    private static final String LAST_EVENT_ID = "last-event-id";
+    private static final int FIRST_SERVER_ERROR = 500;
+
     private final RequestSpec spec;
     private final TargetCall call;
     private final AnswerListener caller;
@@ -38,6 +49,14 @@
     private boolean answered;
     private boolean over;
     private @Nullable Head heldHead;
+    /** The body of an answer that reports a failure, kept until it is clear that no other attempt will do better. */
+    private final List<byte[]> heldError = new ArrayList<>();
+
+    private int answeredStatus;
+    /** The running attempt's answer is no continuation of the one that the caller is reading. */
+    private boolean strange;
+
+    private String position = "";
 
     private OpenRequest(RequestSpec spec, TargetCall call, AnswerListener caller) {
         this.spec = spec;
@@ -57,10 +76,6 @@
         return spec;
     }
 
-    TargetCall call() {
-        return call;
-    }
-
     /** True the first time only. */
     boolean markCallerGone() {
         return callerGone.compareAndSet(false, true);
@@ -68,12 +83,14 @@
 
     /** Makes {@code number} the only attempt that is listened to; false where the caller has its end already. */
     synchronized boolean beginAttempt(int number) {
-        if (over || answering) {
+        if (over || (answering && !isResumable())) {
             return false;
         }
         attempt = number;
         attemptRunning = true;
         heldHead = null;
+        heldError.clear();
+        strange = false;
         caller.onSent();
         return true;
     }
@@ -108,32 +125,94 @@
     }
 
     synchronized void onHead(int number, int status, Map<String, String> headers) {
-        if (isCurrent(number)) {
+        if (!isCurrent(number)) {
+            return;
+        }
+        strange = answering && status != answeredStatus;
+        if (!answering) {
             heldHead = new Head(status, headers);
         }
     }
 
+    synchronized void onPosition(int number, String lastEventId) {
+        if (isCurrent(number) && !strange && !lastEventId.isEmpty()) {
+            position = lastEventId;
+        }
+    }
+
     synchronized void onBytes(int number, byte[] bytes) {
-        if (!isCurrent(number)) {
+        if (!isCurrent(number) || strange) {
+            return;
+        }
+        if (holdsError()) {
+            heldError.add(bytes);
             return;
         }
         releaseHead();
         caller.onBytes(bytes);
     }
 
-    /** Ends the attempt and, where it brought a whole answer, the caller's wait; false for an attempt that is void. */
-    synchronized boolean onAttemptEnd(int number, boolean whole) {
+    /**
+     * Ends the attempt and, where it brought a whole answer, the caller's wait.
+     *
+     * @return the outcome as the decisions are to hear it, null for an attempt that is void
+     */
+    synchronized @Nullable TargetOutcome onAttemptEnd(int number, TargetOutcome outcome) {
         if (number != attempt || !attemptRunning) {
-            return false;
+            return null;
         }
         attemptRunning = false;
-        if (whole && !over) {
-            releaseHead();
-            over = true;
-            answered = true;
-            caller.onComplete();
+        if (outcome != TargetOutcome.COMPLETED) {
+            return outcome;
         }
-        return true;
+        if (strange) {
+            return TargetOutcome.BROKEN_IN_ANSWER;
+        }
+        if (holdsError()) {
+            return TargetOutcome.SERVER_ERROR;
+        }
+        deliverEnd();
+        return outcome;
+    }
+
+    /** No other attempt will follow: an answer that reports a failure and was held back goes to the caller. */
+    synchronized void releaseError() {
+        if (over || !holdsError()) {
+            return;
+        }
+        releaseHead();
+        heldError.forEach(caller::onBytes);
+        heldError.clear();
+        deliverEnd();
+    }
+
+    /** The call of the next attempt: the whole of it, or the rest after what the caller has read. */
+    synchronized TargetCall nextCall() {
+        return position.isEmpty() ? call : call.withHeader(LAST_EVENT_ID, position);
+    }
+
+    private void deliverEnd() {
+        if (over) {
+            return;
+        }
+        releaseHead();
+        over = true;
+        answered = true;
+        caller.onComplete();
+    }
+
+    private boolean holdsError() {
+        Head head = heldHead;
+        return !answering
+                && head != null
+                && head.status() >= FIRST_SERVER_ERROR
+                && spec.placement() != null
+                && spec.repeatable();
+    }
+
+    private boolean isResumable() {
+        PlacementSpec placement = spec.placement();
+        return placement != null && placement.resumable();
     }
 
     /** The failure reaches the caller unless an end already has. */
@@ -167,6 +246,7 @@
         answering = true;
         Head head = heldHead;
         if (head != null) {
+            answeredStatus = head.status();
             caller.onHead(head.status(), head.headers());
         }
     }
--- a/daemon/src/main/java/org/marjoramswitch/daemon/exchange/TargetClient.java
+++ b/daemon/src/main/java/org/marjoramswitch/daemon/exchange/TargetClient.java
@@ -23,6 +23,9 @@
 
         void onBytes(byte[] bytes);
 
+        /** All whole events so far have gone to the listener; the last of them has this id, empty where it has none. */
+        default void onPosition(String lastEventId) {}
+
         /** The answer holds {@code outputTokens} so far. */
         void onProgress(long outputTokens);
 
--- a/daemon/src/main/java/org/marjoramswitch/daemon/platform/GatewayCall.java
+++ b/daemon/src/main/java/org/marjoramswitch/daemon/platform/GatewayCall.java
@@ -18,27 +18,35 @@
         record Cut(String reason) implements Outcome {}
     }
 
+    private final String method;
     private final String path;
     private final String body;
-    private final boolean write;
+    private final boolean once;
     private final long deadlineMs;
     private final Consumer<Outcome> end;
     private int limited;
 
-    private GatewayCall(String path, String body, boolean write, long deadlineMs, Consumer<Outcome> end) {
+    private GatewayCall(String method, String path, String body, boolean once, long deadlineMs, Consumer<Outcome> end) {
+        this.method = method;
         this.path = path;
         this.body = body;
-        this.write = write;
+        this.once = once;
         this.deadlineMs = deadlineMs;
         this.end = end;
     }
 
-    static GatewayCall read(String path, String body, long deadlineMs, Consumer<Outcome> end) {
-        return new GatewayCall(path, body, false, deadlineMs, end);
+    /** A call that may be made again where no answer came. */
+    static GatewayCall repeatable(String method, String path, String body, long deadlineMs, Consumer<Outcome> end) {
+        return new GatewayCall(method, path, body, false, deadlineMs, end);
     }
 
-    static GatewayCall write(String path, String body, long deadlineMs, Consumer<Outcome> end) {
-        return new GatewayCall(path, body, true, deadlineMs, end);
+    /** A call whose first attempt has all the time there is, and of which no second is made once it may have arrived. */
+    static GatewayCall once(String method, String path, String body, long deadlineMs, Consumer<Outcome> end) {
+        return new GatewayCall(method, path, body, true, deadlineMs, end);
+    }
+
+    String method() {
+        return method;
     }
 
     String path() {
@@ -49,8 +57,8 @@
         return body;
     }
 
-    boolean isWrite() {
-        return write;
+    boolean isOnce() {
+        return once;
     }
 
     long remainingMs(long nowMs) {
--- a/daemon/src/main/java/org/marjoramswitch/daemon/platform/GatewayCaller.java
+++ b/daemon/src/main/java/org/marjoramswitch/daemon/platform/GatewayCaller.java
@@ -119,12 +119,12 @@
             return;
         }
         long remainingMs = call.remainingMs(runtime.nowMs());
-        long limitMs = call.isWrite()
+        long limitMs = call.isOnce()
                 ? remainingMs
                 : Math.min(remainingMs, runtime.options().timeouts().attemptMs());
         Attempt attempt = new Attempt(call, link);
         attempt.timer = runtime.after(limitMs, () -> attempt.cut("no answer in time"));
-        link.post(call.path(), call.body(), attempt);
+        link.send(call.method(), call.path(), call.body(), attempt);
     }
 
     private void answered(GatewayCall call, HostPort address, int status, byte[] body) {
@@ -153,7 +153,7 @@
 
     private void failed(GatewayCall call, HostPort address, String reason) {
         addressFailed(address, reason);
-        if (call.isWrite() || call.remainingMs(runtime.nowMs()) <= 0) {
+        if (call.isOnce() || call.remainingMs(runtime.nowMs()) <= 0) {
             call.end(new GatewayCall.Outcome.Cut(reason));
             return;
         }
--- a/daemon/src/main/java/org/marjoramswitch/daemon/platform/GatewayConnections.java
+++ b/daemon/src/main/java/org/marjoramswitch/daemon/platform/GatewayConnections.java
@@ -122,8 +122,8 @@
             return address;
         }
 
-        void post(String path, String body, GatewayExchange.Listener listener) {
-            exchange = GatewayExchange.post(connection, buffers, address, path, body, listener);
+        void send(String method, String path, String body, GatewayExchange.Listener listener) {
+            exchange = GatewayExchange.send(connection, buffers, address, method, path, body, listener);
         }
 
         /** Closes the connection; the exchange on it, if any, hears no more. */
--- a/daemon/src/main/java/org/marjoramswitch/daemon/platform/GatewayExchange.java
+++ b/daemon/src/main/java/org/marjoramswitch/daemon/platform/GatewayExchange.java
@@ -7,6 +7,7 @@
 import io.undertow.connector.ByteBufferPool;
 import io.undertow.connector.PooledByteBuffer;
 import io.undertow.util.Headers;
+import io.undertow.util.HttpString;
 import io.undertow.util.Methods;
 import io.undertow.util.StringWriteChannelListener;
 import java.io.IOException;
@@ -44,20 +45,24 @@
         this.listener = listener;
     }
 
-    /** Sends a POST; must be called on the connection's IO thread. */
-    static GatewayExchange post(
+    /** Sends a request; must be called on the connection's IO thread. */
+    static GatewayExchange send(
             ClientConnection connection,
             ByteBufferPool buffers,
             HostPort address,
+            String method,
             String path,
             String body,
             Listener listener) {
         GatewayExchange exchange = new GatewayExchange(connection, buffers, listener);
-        ClientRequest request = new ClientRequest().setMethod(Methods.POST).setPath(path);
-        request.getRequestHeaders()
-                .put(Headers.HOST, address.toString())
-                .put(Headers.CONTENT_TYPE, "application/json")
-                .put(Headers.CONTENT_LENGTH, body.length());
+        ClientRequest request =
+                new ClientRequest().setMethod(HttpString.tryFromString(method)).setPath(path);
+        request.getRequestHeaders().put(Headers.HOST, address.toString());
+        if (!method.equals(Methods.GET_STRING)) {
+            request.getRequestHeaders()
+                    .put(Headers.CONTENT_TYPE, "application/json")
+                    .put(Headers.CONTENT_LENGTH, body.length());
+        }
         connection.sendRequest(request, exchange.sending(body));
         return exchange;
     }
@@ -77,6 +82,11 @@
             @Override
             public void completed(ClientExchange exchange) {
                 exchange.setResponseListener(receiving());
+                if (body.isEmpty()) {
+                    // An empty body goes out with the head.
+                    requestWritten = true;
+                    return;
+                }
                 new BodyWriter(body).setup(exchange.getRequestChannel());
             }
 
--- a/daemon/src/main/java/org/marjoramswitch/daemon/platform/GatewayWatch.java
+++ b/daemon/src/main/java/org/marjoramswitch/daemon/platform/GatewayWatch.java
@@ -1,6 +1,7 @@
 package org.marjoramswitch.daemon.platform;
 
 import com.fasterxml.jackson.databind.JsonNode;
+import io.undertow.util.Methods;
 import java.io.ByteArrayOutputStream;
 import java.io.IOException;
 import java.nio.ByteBuffer;
@@ -217,7 +218,7 @@
                 fail("budget");
                 return;
             }
-            connected.post(PATH, GatewayCodec.watchRequest(prefix, deliveredRevision + 1), this);
+            connected.send(Methods.POST_STRING, PATH, GatewayCodec.watchRequest(prefix, deliveredRevision + 1), this);
         }
 
         @Override
--- a/daemon/src/main/java/org/marjoramswitch/daemon/platform/PlatformMetrics.java
+++ b/daemon/src/main/java/org/marjoramswitch/daemon/platform/PlatformMetrics.java
@@ -3,9 +3,13 @@
 import com.codahale.metrics.Meter;
 import com.codahale.metrics.MetricRegistry;
 import java.util.concurrent.atomic.AtomicLong;
+import java.util.regex.Pattern;
 
 /** The counts of what passes between this instance and the platform's service. */
 final class PlatformMetrics {
+    /** What differs between two calls of one kind, the numbers of leases and the queries, and what is the same in all. */
+    private static final Pattern NAMES_OF_ONE_CALL = Pattern.compile("^/v3|^/-|/[0-9]+$|\\?.*$");
+
     private final MetricRegistry registry;
     private final AtomicLong calls = new AtomicLong();
     private final Meter budgetSpent;
@@ -25,7 +29,8 @@
 
     void sent(String path) {
         calls.incrementAndGet();
-        registry.meter("platform.calls" + path.replace("/v3/", ".").replace('/', '.'))
+        registry.meter("platform.calls"
+                        + NAMES_OF_ONE_CALL.matcher(path).replaceAll("").replace('/', '.'))
                 .mark();
     }
 
--- /dev/null
+++ b/daemon/src/main/java/org/marjoramswitch/daemon/platform/PrefixFollower.java
@@ -0,0 +1,173 @@
+package org.marjoramswitch.daemon.platform;
+
+import java.util.Collection;
+import java.util.Map;
+import java.util.Random;
+import java.util.TreeMap;
+import java.util.concurrent.ExecutionException;
+import java.util.concurrent.TimeUnit;
+import java.util.concurrent.locks.LockSupport;
+import org.jctools.queues.MpscArrayQueue;
+import org.jspecify.annotations.Nullable;
+import org.marjoramswitch.daemon.log.KeyValueLog;
+import org.marjoramswitch.daemon.platform.KeyValueStore.Entry;
+import org.marjoramswitch.daemon.platform.KeyValueStore.Range;
+import org.marjoramswitch.daemon.platform.KeyValueStore.WatchEvent;
+import org.marjoramswitch.kernel.error.ErrorType;
+
+/**
+ * Follows the entries of one prefix: reads them once and watches them from there. A watch brings a change at once and
+ * costs bytes for changes only, where polling would carry all of it each time. When the watch breaks, the prefix is read
+ * anew after a pause. While the service does not answer, what was read last stays.
+ */
+public final class PrefixFollower implements AutoCloseable {
+    private static final KeyValueLog LOG = KeyValueLog.of(PrefixFollower.class);
+    private static final double LEAST_JITTER = 0.75;
+    private static final double JITTER_SPAN = 0.5;
+    private static final int MAX_EVENTS = 2_048;
+    /** A listener that keeps something for a time is told again this often. */
+    private static final long REMIND_MS = 500;
+
+    private final KeyValueStore store;
+    private final String prefix;
+    private final long pauseMs;
+    private final Random random;
+    private final Listener listener;
+    private final Thread thread;
+
+    private PrefixFollower(KeyValueStore store, String prefix, long pauseMs, long seed, Listener listener) {
+        this.store = store;
+        this.prefix = prefix;
+        this.pauseMs = pauseMs;
+        this.random = new Random(seed);
+        this.listener = listener;
+        this.thread = new Thread(this::run, "follow-" + prefix);
+        thread.setDaemon(true);
+    }
+
+    /** Hears of the prefix, on the follower's thread. */
+    public interface Listener {
+        /** These are the entries now: read, changed, or told once more after a while. */
+        void onEntries(Collection<Entry> entries);
+
+        /** The prefix cannot be read now. */
+        default void onUnreadable(String reason) {}
+    }
+
+    /**
+     * Starts to follow.
+     *
+     * @param pauseMs the mean pause before the prefix is read anew after a failure or a broken watch; each one is a
+     *     random 0.75 to 1.25 of it
+     */
+    public static PrefixFollower start(KeyValueStore store, String prefix, long pauseMs, long seed, Listener listener) {
+        PrefixFollower follower = new PrefixFollower(store, prefix, pauseMs, seed, listener);
+        follower.thread.start();
+        return follower;
+    }
+
+    @Override
+    public void close() {
+        thread.interrupt();
+    }
+
+    private void run() {
+        try {
+            while (true) {
+                Range range = read();
+                if (range != null) {
+                    follow(range);
+                }
+                double jitter = LEAST_JITTER + JITTER_SPAN * random.nextDouble();
+                TimeUnit.MILLISECONDS.sleep((long) (pauseMs * jitter));
+            }
+        } catch (InterruptedException e) {
+            Thread.currentThread().interrupt();
+        }
+    }
+
+    private @Nullable Range read() throws InterruptedException {
+        try {
+            KeyValueResult<Range> result = store.range(prefix).get();
+            if (result instanceof KeyValueResult.Answered<Range> answered) {
+                return answered.value();
+            }
+            listener.onUnreadable(result.toString());
+        } catch (ExecutionException e) {
+            listener.onUnreadable(String.valueOf(e.getCause()));
+        }
+        return null;
+    }
+
+    /** Hands on the entries as read and as they change, until the watch breaks. */
+    private void follow(Range range) throws InterruptedException {
+        Following following = new Following(range);
+        tell(following);
+        AutoCloseable watch = store.watch(prefix, range.revision(), following::offer);
+        try {
+            while (following.await()) {
+                tell(following);
+            }
+        } finally {
+            close(watch);
+        }
+    }
+
+    private void tell(Following following) {
+        try {
+            listener.onEntries(following.entries.values());
+        } catch (RuntimeException fault) {
+            // The next change is told all the same; ending here would freeze what the listener knows.
+            LOG.error(fault, "followed_prefix_not_taken", "error", ErrorType.INTERNAL.number(), "prefix", prefix);
+        }
+    }
+
+    private static void close(AutoCloseable watch) throws InterruptedException {
+        try {
+            watch.close();
+        } catch (InterruptedException e) {
+            throw e;
+        } catch (Exception e) {
+            LOG.debug("followed_prefix_watch_not_closed", "reason", e);
+        }
+    }
+
+    /** The entries between one read and the break of the watch that follows it. */
+    private final class Following {
+        private final Map<String, Entry> entries = new TreeMap<>();
+        private final MpscArrayQueue<WatchEvent> events = new MpscArrayQueue<>(MAX_EVENTS);
+        private volatile boolean broken;
+
+        private Following(Range range) {
+            range.entries().forEach(entry -> entries.put(entry.key(), entry));
+        }
+
+        /** Takes an event in, on the watch's thread. Where the ring is full the prefix is read anew, so none is lost. */
+        private void offer(WatchEvent event) {
+            if (event instanceof WatchEvent.Broken || !events.offer(event)) {
+                broken = true;
+            }
+            LockSupport.unpark(thread);
+        }
+
+        /** Waits for changes, but not for ever, and applies them; false once the watch is broken. */
+        private boolean await() throws InterruptedException {
+            if (events.isEmpty() && !broken) {
+                LockSupport.parkNanos(this, TimeUnit.MILLISECONDS.toNanos(REMIND_MS));
+                if (Thread.interrupted()) {
+                    throw new InterruptedException();
+                }
+            }
+            events.drain(this::apply);
+            return !broken;
+        }
+
+        private void apply(WatchEvent event) {
+            if (event instanceof WatchEvent.Put put) {
+                entries.put(put.entry().key(), put.entry());
+            } else if (event instanceof WatchEvent.Deleted deleted) {
+                entries.remove(deleted.key());
+            }
+        }
+    }
+}
--- a/daemon/src/main/java/org/marjoramswitch/daemon/platform/SerialExecutor.java
+++ b/daemon/src/main/java/org/marjoramswitch/daemon/platform/SerialExecutor.java
@@ -4,9 +4,13 @@
 import java.util.Queue;
 import java.util.concurrent.Executor;
 import org.jspecify.annotations.Nullable;
+import org.marjoramswitch.daemon.log.KeyValueLog;
+import org.marjoramswitch.kernel.error.ErrorType;
 
 /** Runs tasks one after another, in their order, on threads of another executor. */
 final class SerialExecutor implements Executor {
+    private static final KeyValueLog LOG = KeyValueLog.of(SerialExecutor.class);
+
     private final Executor executor;
     private final Queue<Runnable> waiting = new ArrayDeque<>();
     private boolean running;
@@ -31,7 +35,16 @@
 
     private void drain() {
         for (Runnable task = next(); task != null; task = next()) {
+            runSafely(task);
+        }
+    }
+
+    /** A task that throws would otherwise leave those after it waiting for good: a watch without its later events. */
+    private static void runSafely(Runnable task) {
+        try {
             task.run();
+        } catch (RuntimeException fault) {
+            LOG.error(fault, "platform_listener_failed", "error", ErrorType.INTERNAL.number());
         }
     }
 
--- a/daemon/src/main/java/org/marjoramswitch/daemon/settings/LocalSettings.java
+++ b/daemon/src/main/java/org/marjoramswitch/daemon/settings/LocalSettings.java
@@ -54,4 +54,19 @@
                 DEFAULT_MAX_WAITING,
                 null);
     }
+
+    public LocalSettings withDrainDeadlineMs(long deadlineMs) {
+        return new LocalSettings(
+                instance,
+                dataCentre,
+                callers,
+                peers,
+                platform,
+                fleetKey,
+                logLevel,
+                deadlineMs,
+                maxBodyBytes,
+                maxWaiting,
+                recordFile);
+    }
 }
--- a/daemon/src/main/java/org/marjoramswitch/daemon/target/AnswerDelivery.java
+++ b/daemon/src/main/java/org/marjoramswitch/daemon/target/AnswerDelivery.java
@@ -78,6 +78,7 @@
         held.write(bytes, 0, wholeEvents);
         if (wholeEvents > 0) {
             flush();
+            listener.onPosition(scanner.lastEventId());
         }
         held.write(bytes, wholeEvents, bytes.length - wholeEvents);
         flushIfTooLarge();
--- a/daemon/src/main/java/org/marjoramswitch/daemon/target/AnswerReader.java
+++ b/daemon/src/main/java/org/marjoramswitch/daemon/target/AnswerReader.java
@@ -10,7 +10,6 @@
 import java.util.Map;
 import org.jspecify.annotations.Nullable;
 import org.marjoramswitch.daemon.exchange.TargetCall;
-import org.marjoramswitch.kernel.settings.TargetKind;
 import org.xnio.channels.StreamSourceChannel;
 
 /**
@@ -28,6 +27,7 @@
     private final StreamSourceChannel channel;
     private final int status;
     private final Map<String, String> headers;
+    private final TargetProtocol protocol;
     private final @Nullable String echoedId;
     private final boolean crossed;
     private final boolean framed;
@@ -45,11 +45,12 @@
         this.channel = exchange.getResponseChannel();
         this.status = response.getResponseCode();
         this.headers = CallHeaders.answer(received);
-        this.echoedId = headers.get(CallHeaders.REQUEST_ID);
-        this.crossed = echoedId != null && !echoedId.equals(spec.requestId());
+        this.protocol = spec.protocol();
+        this.echoedId = headers.get(protocol.idHeader());
+        this.crossed = isCrossed(spec);
         this.framed = isFramed(spec.call(), status, received);
-        this.manner = manner(spec.call(), status, headers);
-        this.fromEngine = spec.call().kind() == TargetKind.MODEL_ENGINE;
+        this.manner = manner(spec);
+        this.fromEngine = spec.isEngineCall();
     }
 
     static AnswerReader of(
@@ -78,7 +79,7 @@
 
     /** Whether the connection stands at the end of this answer, so that the next one can be told from it. */
     boolean isReusable() {
-        return readWhole;
+        return readWhole && framed;
     }
 
     /** Reads no more, whatever comes. */
@@ -128,13 +129,13 @@
     }
 
     private Progress ended() {
-        readWhole = framed && (manner != Manner.STREAMED || delivery.hasEndMark());
+        readWhole = (framed || protocol.endsWithConnection()) && isStreamWhole();
         if (!readWhole) {
             return Progress.BROKEN;
         }
         if (manner == Manner.MAY_REFUSE
                 && !delivery.hasBegun()
-                && connector.refusalRule().saysNotStarted(status, headers, delivery.heldBytes())) {
+                && protocol.refusals().saysNotStarted(status, headers, delivery.heldBytes())) {
             return Progress.NOT_STARTED;
         }
         if (isStopping()) {
@@ -152,14 +153,33 @@
         return fromEngine && manner == Manner.MAY_REFUSE && !delivery.hasBegun() && delivery.heldBytes().length == 0;
     }
 
-    private static Manner manner(TargetCall call, int status, Map<String, String> headers) {
-        if (RefusalRule.mayRefuse(status)) {
+    /** A stream that stops in the middle of an event is not whole, however its connection ended. */
+    private boolean isStreamWhole() {
+        if (manner != Manner.STREAMED) {
+            return true;
+        }
+        return protocol.forwarding() ? delivery.heldBytes().length == 0 : delivery.hasEndMark();
+    }
+
+    /** An answer of another request, or one that names none where each must, as a late second answer. */
+    private boolean isCrossed(AttemptSpec spec) {
+        if (echoedId != null) {
+            return !echoedId.equals(spec.requestId());
+        }
+        return protocol.idNeeded() && !protocol.refusals().saysNotStarted(status, headers, new byte[0]);
+    }
+
+    private Manner manner(AttemptSpec spec) {
+        if (protocol.refusals().mayRefuse(status)) {
             return Manner.MAY_REFUSE;
         }
-        if (call.kind() != TargetKind.MODEL_ENGINE || status != OK) {
+        boolean events = headers.getOrDefault("content-type", "").startsWith(EVENT_STREAM);
+        if (protocol.forwarding()) {
+            return events ? Manner.STREAMED : Manner.PASSED;
+        }
+        if (!spec.isEngineCall() || status != OK) {
             return Manner.PASSED;
         }
-        boolean events = headers.getOrDefault("content-type", "").startsWith(EVENT_STREAM);
         return events ? Manner.STREAMED : Manner.WHOLE;
     }
 
--- a/daemon/src/main/java/org/marjoramswitch/daemon/target/AttemptSpec.java
+++ b/daemon/src/main/java/org/marjoramswitch/daemon/target/AttemptSpec.java
@@ -12,13 +12,25 @@
  *
  * @param requestId what the answer has to echo, where it echoes anything
  * @param progressTimeoutMs how long the target may be silent
+ * @param protocol how the target is spoken to
  */
-record AttemptSpec(Purpose purpose, TargetSettings target, TargetCall call, String requestId, long progressTimeoutMs) {
+record AttemptSpec(
+        Purpose purpose,
+        TargetSettings target,
+        TargetCall call,
+        String requestId,
+        long progressTimeoutMs,
+        TargetProtocol protocol) {
     private static final String RESUME_PATH = "/v1/resume/";
 
     static AttemptSpec of(
-            Purpose purpose, TargetSettings target, TargetCall call, String requestId, long progressTimeoutMs) {
-        return new AttemptSpec(purpose, target, call, requestId, progressTimeoutMs);
+            Purpose purpose,
+            TargetSettings target,
+            TargetCall call,
+            String requestId,
+            long progressTimeoutMs,
+            TargetProtocol protocol) {
+        return new AttemptSpec(purpose, target, call, requestId, progressTimeoutMs, protocol);
     }
 
     TargetAddress address() {
@@ -33,7 +45,12 @@
 
     /** Whether the target can be asked what became of the request. */
     boolean isAskable() {
-        return purpose == Purpose.CALL && call.kind() == TargetKind.MODEL_ENGINE;
+        return purpose == Purpose.CALL && isEngineCall();
+    }
+
+    /** Whether the call speaks the product's own protocol of model engines. */
+    boolean isEngineCall() {
+        return call.kind() == TargetKind.MODEL_ENGINE && !protocol.forwarding();
     }
 
     /** What an attempt is for; the two are counted and logged apart. */
--- a/daemon/src/main/java/org/marjoramswitch/daemon/target/CallHeaders.java
+++ b/daemon/src/main/java/org/marjoramswitch/daemon/target/CallHeaders.java
@@ -15,10 +15,7 @@
 
 /** The heads of requests and answers as they cross from one connection to the other. */
 final class CallHeaders {
-    /** Names the request at the target; the answer echoes it. */
-    static final String REQUEST_ID = "x-request-id";
-
-    private static final HttpString REQUEST_ID_HEADER = HttpString.tryFromString("X-Request-Id");
+    private static final String HOST = "host";
     /** Of one connection only, or set from the body; in lower case. */
     private static final Set<String> NOT_PASSED_ON = Set.of(
             "connection",
@@ -36,19 +33,27 @@
 
     private CallHeaders() {}
 
-    static ClientRequest request(TargetAddress address, TargetCall call, String requestId) {
+    static ClientRequest request(AttemptSpec spec, TargetCall call, long nowNs) {
+        TargetProtocol protocol = spec.protocol();
         ClientRequest request = new ClientRequest()
                 .setMethod(HttpString.tryFromString(call.method()))
                 .setPath(call.path())
                 .setProtocol(Protocols.HTTP_1_1);
         HeaderMap headers = request.getRequestHeaders();
         call.headers().forEach((name, value) -> {
-            if (!NOT_PASSED_ON.contains(lowerCase(name))) {
+            String lowerCase = lowerCase(name);
+            boolean hostOfCaller = protocol.forwarding() && lowerCase.equals(HOST);
+            if (hostOfCaller || !NOT_PASSED_ON.contains(lowerCase)) {
                 headers.put(HttpString.tryFromString(name), value);
             }
         });
-        headers.put(Headers.HOST, address.toString());
-        headers.put(REQUEST_ID_HEADER, requestId);
+        if (!headers.contains(Headers.HOST)) {
+            headers.put(Headers.HOST, spec.address().toString());
+        }
+        headers.put(HttpString.tryFromString(protocol.idHeader()), spec.requestId());
+        protocol.headers()
+                .of(spec.target(), call, call.leftMs(nowNs))
+                .forEach((name, value) -> headers.put(HttpString.tryFromString(name), value));
         if (call.body().length > 0 || !Methods.GET.equalToString(call.method())) {
             headers.put(Headers.CONTENT_LENGTH, call.body().length);
         }
--- a/daemon/src/main/java/org/marjoramswitch/daemon/target/HttpAttempt.java
+++ b/daemon/src/main/java/org/marjoramswitch/daemon/target/HttpAttempt.java
@@ -153,7 +153,7 @@
             return;
         }
         usable.sendRequest(
-                CallHeaders.request(address, sending, spec.requestId()), callback(usable, this::requestOpened));
+                CallHeaders.request(spec, sending, System.nanoTime()), callback(usable, this::requestOpened));
     }
 
     private void requestOpened(ClientConnection carrier, ClientExchange exchange) {
--- a/daemon/src/main/java/org/marjoramswitch/daemon/target/RefusalRule.java
+++ b/daemon/src/main/java/org/marjoramswitch/daemon/target/RefusalRule.java
@@ -12,7 +12,11 @@
     boolean saysNotStarted(int status, Map<String, String> headers, byte[] body);
 
     /** Whether an answer with the status can be a refusal at all, so that its body is worth holding back. */
-    static boolean mayRefuse(int status) {
+    default boolean mayRefuse(int status) {
+        return isOverload(status);
+    }
+
+    private static boolean isOverload(int status) {
         return status == 503 || status == 429;
     }
 
@@ -24,7 +28,7 @@
     static RefusalRule explicit() {
         ObjectMapper json = new ObjectMapper();
         return (status, headers, body) ->
-                mayRefuse(status) && ("not-run".equals(headers.get("x-run")) || bodySaysSo(json, body));
+                isOverload(status) && ("not-run".equals(headers.get("x-run")) || bodySaysSo(json, body));
     }
 
     private static boolean bodySaysSo(ObjectMapper json, byte[] body) {
--- a/daemon/src/main/java/org/marjoramswitch/daemon/target/SseScanner.java
+++ b/daemon/src/main/java/org/marjoramswitch/daemon/target/SseScanner.java
@@ -20,6 +20,7 @@
     private static final int INITIAL_LINE_BYTES = 256;
     private static final ObjectMapper JSON = new ObjectMapper();
     private static final String DATA = "data:";
+    private static final String ID = "id:";
     private static final String DONE = "[DONE]";
     private static final String USAGE = "\"usage\"";
 
@@ -28,6 +29,8 @@
     private long unfinishedChunks;
     private boolean done;
     private TokenUsage usage = TokenUsage.NONE;
+    private String eventId = "";
+    private String lastEventId = "";
 
     /** Returns how many of the bytes, with what came before, end with a whole event. */
     int scan(byte[] bytes) {
@@ -52,6 +55,11 @@
         return wholeChunks;
     }
 
+    /** The id of the last whole event, empty where no event had one. */
+    String lastEventId() {
+        return lastEventId;
+    }
+
     long outputTokens() {
         return usage.isKnown() ? usage.outputTokens() : wholeChunks;
     }
@@ -80,10 +88,13 @@
         if (text.isEmpty()) {
             wholeChunks += unfinishedChunks;
             unfinishedChunks = 0;
+            lastEventId = eventId;
             return true;
         }
         if (text.startsWith(DATA)) {
             takeData(text.substring(DATA.length()).strip());
+        } else if (text.startsWith(ID)) {
+            eventId = text.substring(ID.length()).strip();
         }
         return false;
     }
--- a/daemon/src/main/java/org/marjoramswitch/daemon/target/TargetConnector.java
+++ b/daemon/src/main/java/org/marjoramswitch/daemon/target/TargetConnector.java
@@ -32,14 +32,15 @@
     private final XnioWorker worker;
     private final TargetClientOptions options;
     private final TargetMetrics metrics;
-    private final RefusalRule refusalRule = RefusalRule.explicit();
+    private final TargetProtocol protocol;
     private final ByteBufferPool bufferPool = new DefaultByteBufferPool(true, READ_BUFFER_BYTES, 256, 4);
     private final ConnectionPool pool;
     private final String idPrefix = Long.toString(ID_SEED.nextLong() >>> 1, 36) + "-";
     private final AtomicLong lastId = new AtomicLong();
 
-    TargetConnector(XnioWorker worker, TargetClientOptions options, TargetMetrics metrics) {
+    TargetConnector(XnioWorker worker, TargetClientOptions options, TargetProtocol protocol, TargetMetrics metrics) {
         this.worker = worker;
+        this.protocol = protocol;
         this.options = options;
         this.metrics = metrics;
         this.pool = new ConnectionPool(options, metrics);
@@ -63,8 +64,8 @@
         return metrics;
     }
 
-    RefusalRule refusalRule() {
-        return refusalRule;
+    TargetProtocol protocol() {
+        return protocol;
     }
 
     ByteBufferPool bufferPool() {
--- a/daemon/src/main/java/org/marjoramswitch/daemon/target/TargetQuestion.java
+++ b/daemon/src/main/java/org/marjoramswitch/daemon/target/TargetQuestion.java
@@ -58,7 +58,7 @@
     private static AttemptSpec spec(
             TargetConnector connector, TargetSettings target, String method, String path, long timeoutMs) {
         TargetCall call = TargetCall.of(TargetKind.MODEL_ENGINE, method, path, Map.of(), new byte[0], false);
-        return AttemptSpec.of(Purpose.QUESTION, target, call, connector.nextId(), timeoutMs);
+        return AttemptSpec.of(Purpose.QUESTION, target, call, connector.nextId(), timeoutMs, connector.protocol());
     }
 
     @Override
--- a/daemon/src/main/java/org/marjoramswitch/daemon/target/UndertowTargetClient.java
+++ b/daemon/src/main/java/org/marjoramswitch/daemon/target/UndertowTargetClient.java
@@ -31,7 +31,13 @@
 
     /** Uses the worker's IO threads and no thread of its own. */
     public static UndertowTargetClient start(XnioWorker worker, TargetClientOptions options, MetricRegistry registry) {
-        TargetConnector connector = new TargetConnector(worker, options, TargetMetrics.in(registry));
+        return start(worker, options, TargetProtocol.own(), registry);
+    }
+
+    /** As the other {@code start}, for targets that speak another protocol than the product's own. */
+    public static UndertowTargetClient start(
+            XnioWorker worker, TargetClientOptions options, TargetProtocol protocol, MetricRegistry registry) {
+        TargetConnector connector = new TargetConnector(worker, options, protocol, TargetMetrics.in(registry));
         Gauge<Integer> open = () -> connector.pool().openConnections();
         Gauge<Integer> idle = () -> connector.pool().idleConnections();
         registry.register("targets.connections.open", open);
@@ -41,7 +47,8 @@
 
     @Override
     public Attempt start(TargetSettings target, PoolSettings pool, TargetCall call, AttemptListener listener) {
-        AttemptSpec spec = AttemptSpec.of(Purpose.CALL, target, call, requestId(call), pool.progressTimeoutMs());
+        long silenceMs = call.silenceMs() > 0 ? call.silenceMs() : pool.progressTimeoutMs();
+        AttemptSpec spec = AttemptSpec.of(Purpose.CALL, target, call, requestId(call), silenceMs, connector.protocol());
         return HttpAttempt.start(connector, spec, listener);
     }
 
@@ -59,7 +66,7 @@
     /** The id that the call bears, which a plain service's caller may have set, or a new one. */
     private String requestId(TargetCall call) {
         for (Map.Entry<String, String> header : call.headers().entrySet()) {
-            if (header.getKey().equalsIgnoreCase(CallHeaders.REQUEST_ID)) {
+            if (header.getKey().equalsIgnoreCase(connector.protocol().idHeader())) {
                 return header.getValue();
             }
         }
--- a/kernel/src/main/java/org/marjoramswitch/kernel/settings/TargetSettings.java
+++ b/kernel/src/main/java/org/marjoramswitch/kernel/settings/TargetSettings.java
@@ -32,4 +32,8 @@
             boolean checksFencing) {
         this(id, pool, host, port, dataCentre, slots, checksFencing, 0);
     }
+
+    public TargetSettings withMemoryTokens(long tokens) {
+        return new TargetSettings(id, pool, host, port, dataCentre, slots, checksFencing, tokens);
+    }
 }
