--- a/daemon/src/main/java/org/marjoramswitch/daemon/caller/ForwardHandler.java
+++ b/daemon/src/main/java/org/marjoramswitch/daemon/caller/ForwardHandler.java
@@ -41,10 +41,15 @@
     private static final long FULL_RETRY_AFTER_MS = 1_000;
     private static final long NS_PER_MS = 1_000_000;
     /**
-     * How long a target may be silent on a request that another one may serve as well. Callers give a stream up after two
-     * seconds of silence at the least; this leaves time for the other target.
+     * Of the silence after which callers give a request up, what a target may take before a request that another may
+     * serve as well is taken there. Callers are patient for two seconds, four objectives or eight pauses, whichever is
+     * longest; what is left of it is for the other target.
      */
-    private static final long REPEATABLE_SILENCE_MS = 1_200;
+    private static final double SILENCE_SHARE = 0.6;
+
+    private static final long CALLERS_PATIENCE_MS = 2_000;
+    private static final int CALLERS_PATIENCE_OBJECTIVES = 4;
+    private static final int CALLERS_PATIENCE_PAUSES = 8;
     /** Requests of callers that need no key share one queue. */
     private static final CustomerId NO_CUSTOMER = CustomerId.of("-");
 
@@ -216,12 +221,20 @@
                         decoder.forTarget(headers, asked.equals(NO_CUSTOMER) ? null : asked),
                         body,
                         route.kind().streaming())
-                .within(
-                        System.nanoTime() + patienceMs * NS_PER_MS,
-                        route.kind().repeatable() ? REPEATABLE_SILENCE_MS : route.timeoutMs());
+                .within(System.nanoTime() + patienceMs * NS_PER_MS, silenceMs(route));
         gate.submit(spec, call, new AnswerRelay(buffer));
     }
 
+    private static long silenceMs(Route route) {
+        if (!route.kind().repeatable()) {
+            return route.timeoutMs();
+        }
+        long patienceMs = Math.max(
+                CALLERS_PATIENCE_MS,
+                Math.max(CALLERS_PATIENCE_OBJECTIVES * route.objectiveMs(), CALLERS_PATIENCE_PAUSES * route.pauseMs()));
+        return Math.round(SILENCE_SHARE * patienceMs);
+    }
+
     private static PlacementSpec placement(Route route, PoolSettings pool, CallFacts facts, long nowMs) {
         long objectiveAtMs = nowMs + route.objectiveMs();
         if (pool.kind() != TargetKind.MODEL_ENGINE) {
--- a/kernel/src/main/java/org/marjoramswitch/kernel/entry/Entry.java
+++ b/kernel/src/main/java/org/marjoramswitch/kernel/entry/Entry.java
@@ -49,6 +49,8 @@
     private static final int MOST_ATTEMPTS = 4;
 
     private static final long RETRY_AFTER_MS = 1_000;
+    /** Another instance can take the request at once. */
+    private static final long LEAVING_RETRY_AFTER_MS = 100;
 
     private final KernelOptions options;
     private final FleetPlan plan;
@@ -281,7 +283,7 @@
 
     private @Nullable Failure refusal(RequestSpec spec) {
         if (draining) {
-            return Failure.notRun(ErrorType.INSTANCE_LEAVING, RETRY_AFTER_MS, self.name());
+            return Failure.notRun(ErrorType.INSTANCE_LEAVING, LEAVING_RETRY_AFTER_MS, self.name());
         }
         if (waitingInAll >= options.maxWaiting()) {
             return Failure.notRun(ErrorType.ENTRY_QUEUE_FULL, RETRY_AFTER_MS, self.name());
