--- a/daemon/src/main/java/org/marjoramswitch/daemon/caller/ForwardHandler.java
+++ b/daemon/src/main/java/org/marjoramswitch/daemon/caller/ForwardHandler.java
@@ -2,6 +2,8 @@
 
 import io.undertow.server.HttpHandler;
 import io.undertow.server.HttpServerExchange;
+import io.undertow.server.ServerConnection;
+import io.undertow.util.AttachmentKey;
 import io.undertow.util.HeaderMap;
 import io.undertow.util.HeaderValues;
 import io.undertow.util.Headers;
@@ -10,6 +12,7 @@
 import java.util.Locale;
 import java.util.Map;
 import java.util.Objects;
+import java.util.concurrent.ConcurrentHashMap;
 import java.util.function.BooleanSupplier;
 import java.util.function.LongSupplier;
 import java.util.function.Supplier;
@@ -37,6 +40,10 @@
  * <p>A call keeps the version of settings that it began with: its route, its pool and its times do not change under it.
  */
 final class ForwardHandler implements HttpHandler {
+    private static final AttachmentKey<Integer> REQUESTS = AttachmentKey.create(Integer.class);
+    /** A new connection costs a caller one round trip; spread over so many requests it is a small part of their time. */
+    private static final int REQUESTS_PER_CONNECTION = 16;
+
     private static final long NOT_READY_RETRY_AFTER_MS = 1_000;
     private static final long FULL_RETRY_AFTER_MS = 1_000;
     private static final long NS_PER_MS = 1_000_000;
@@ -60,6 +67,7 @@
     private final RouteAuthenticator authenticator;
     private final BooleanSupplier leaving;
     private final MemoryBudget budget;
+    private final Map<String, UsualPatience> patience = new ConcurrentHashMap<>();
     private final LongSupplier clockMs;
     private final CallerMetrics metrics;
 
@@ -86,8 +94,8 @@
     @Override
     public void handleRequest(HttpServerExchange exchange) {
         CallerExchange caller = CallerExchange.begin(exchange, metrics, clockMs.getAsLong());
-        if (leaving.getAsBoolean()) {
-            // The caller finishes here and goes to another instance with its next request.
+        if (leaving.getAsBoolean() || isUsedUp(exchange.getConnection())) {
+            // The caller finishes here and chooses an instance anew for its next request.
             exchange.setPersistent(false);
         }
         RoutedSettings current = settings.get();
@@ -102,6 +110,17 @@
         exchange.dispatch(SameThreadExecutor.INSTANCE, () -> readBody(caller, current, found));
     }
 
+    /**
+     * A caller chooses among the instances for each new connection only. One that sends much keeps its few connections
+     * busy and with them one instance, which carries several times its part and takes all of it along when it dies.
+     */
+    private static boolean isUsedUp(ServerConnection connection) {
+        Integer before = connection.getAttachment(REQUESTS);
+        int requests = before == null ? 1 : before + 1;
+        connection.putAttachment(REQUESTS, requests);
+        return requests >= REQUESTS_PER_CONNECTION;
+    }
+
     private @Nullable Failure admit(CallerExchange caller, RoutedSettings current, @Nullable Route route) {
         HttpServerExchange exchange = caller.http();
         if (current.version() == 0) {
@@ -213,7 +232,7 @@
                 facts.likelyOutputTokens(),
                 0,
                 nowMs + withinMs,
-                placement(route, pool, facts, nowMs));
+                placement(route, pool, facts, nowMs - elapsedMs(route, facts)));
         TargetCall call = TargetCall.of(
                         pool.kind(),
                         caller.http().getRequestMethod().toString(),
@@ -235,8 +254,14 @@
         return Math.round(SILENCE_SHARE * patienceMs);
     }
 
-    private static PlacementSpec placement(Route route, PoolSettings pool, CallFacts facts, long nowMs) {
-        long objectiveAtMs = nowMs + route.objectiveMs();
+    /** How long ago the caller asked for the first time; a try that comes after a refusal is late sooner. */
+    private long elapsedMs(Route route, CallFacts facts) {
+        return patience.computeIfAbsent(route.name(), missing -> new UsualPatience())
+                .elapsedMs(facts.patienceMs());
+    }
+
+    private static PlacementSpec placement(Route route, PoolSettings pool, CallFacts facts, long askedAtMs) {
+        long objectiveAtMs = askedAtMs + route.objectiveMs();
         if (pool.kind() != TargetKind.MODEL_ENGINE) {
             return PlacementSpec.plain(objectiveAtMs, route.attempts());
         }
--- a/kernel/src/main/java/org/marjoramswitch/kernel/entry/Entry.java
+++ b/kernel/src/main/java/org/marjoramswitch/kernel/entry/Entry.java
@@ -152,7 +152,7 @@
             return;
         }
         // The arbiter does not know yet that the target is gone or leaving; it is asked to leave that target out.
-        placements.ended(request, 0, PlacementEnd.NOT_RUN, sink);
+        placements.ended(request, PlacementEnd.NOT_RUN, sink);
         request.failedAtUnused(placed.target());
         askAgain(request, nowMs, sink);
     }
@@ -209,7 +209,7 @@
         PoolQueues pool = pool(request.spec().pool());
         CellLink link = linkOf(request);
         settle(request, outcome, usage, link, sink);
-        placements.ended(request, usage.outputTokens(), placementEnd(outcome), sink);
+        placements.ended(request, placementEnd(outcome), sink);
         if (!outcome.notRun()) {
             request.markMayHaveRun();
         }
@@ -407,7 +407,7 @@
 
     private static PlacementEnd placementEnd(TargetOutcome outcome) {
         if (outcome.notRun()) {
-            return PlacementEnd.NOT_RUN;
+            return PlacementEnd.REFUSED;
         }
         if (outcome == TargetOutcome.CANCELLED) {
             return PlacementEnd.GIVEN_UP;
@@ -527,7 +527,7 @@
             return;
         }
         sink.accept(new Action.CancelAttempt(request.spec().requestId(), target));
-        placements.ended(request, 0, PlacementEnd.GIVEN_UP, sink);
+        placements.ended(request, PlacementEnd.GIVEN_UP, sink);
         request.markMayHaveRun();
         fail(request, ErrorType.REQUEST_TIMEOUT, 0, target.name(), sink);
     }
--- a/kernel/src/main/java/org/marjoramswitch/kernel/entry/Placements.java
+++ b/kernel/src/main/java/org/marjoramswitch/kernel/entry/Placements.java
@@ -108,11 +108,15 @@
         send(question, new PeerMessage.PlacementAnswering(question.cell, question.number), sink);
     }
 
-    /** The running attempt ended. */
-    void ended(EntryRequest request, long outputTokens, PlacementEnd end, ActionSink sink) {
+    /**
+     * The running attempt ended. A stream tells events and not tokens, of which an event may hold several, so what was
+     * expected counts as made where the whole answer came.
+     */
+    void ended(EntryRequest request, PlacementEnd end, ActionSink sink) {
         Question question = byRequest.get(request.spec().requestId());
         if (question != null && question.placed) {
             close(question);
+            long outputTokens = end == PlacementEnd.SERVED ? question.spec().outputTokens() : 0;
             send(question, new PeerMessage.PlacementEnded(question.cell, question.number, outputTokens, end), sink);
         }
     }
--- a/kernel/src/main/java/org/marjoramswitch/kernel/message/PeerMessage.java
+++ b/kernel/src/main/java/org/marjoramswitch/kernel/message/PeerMessage.java
@@ -173,8 +173,10 @@
         SERVED,
         /** By the target's fault. */
         FAILED,
-        /** The target did not execute it. */
+        /** Nothing was sent to the target. */
         NOT_RUN,
+        /** The target could not be reached, or did not execute it and said so. */
+        REFUSED,
         /** Given up by its caller or at its deadline. */
         GIVEN_UP
     }
--- a/kernel/src/main/java/org/marjoramswitch/kernel/placement/PlacementArbiter.java
+++ b/kernel/src/main/java/org/marjoramswitch/kernel/placement/PlacementArbiter.java
@@ -374,15 +374,15 @@
     }
 
     private void settle(RunningRequest request, PeerMessage.PlacementEnded ended, long nowMs) {
-        long spent = ended.end() == PlacementEnd.NOT_RUN
-                ? 0
-                : WaitingRequest.cost(request.promptTokens(), ended.outputTokens());
+        boolean ran = ended.end() != PlacementEnd.NOT_RUN && ended.end() != PlacementEnd.REFUSED;
+        long spent = ran ? WaitingRequest.cost(request.promptTokens(), ended.outputTokens()) : 0;
         shares.charge(request.customer(), spent - request.costTokens());
         TargetLoad target = targets.get(request.target());
         if (target == null) {
             return;
         }
-        if (ended.end() == PlacementEnd.FAILED) {
+        if (ended.end() == PlacementEnd.FAILED || ended.end() == PlacementEnd.REFUSED) {
+            // A target that refuses at once frees its slots soonest, and would draw the whole queue through itself.
             target.health().failed(nowMs);
         } else if (ended.end() == PlacementEnd.SERVED) {
             long tookMs = nowMs - request.startedAtMs();
--- a/kernel/src/main/java/org/marjoramswitch/kernel/wire/MessageCodec.java
+++ b/kernel/src/main/java/org/marjoramswitch/kernel/wire/MessageCodec.java
@@ -73,8 +73,12 @@
     private static final List<WitnessState> WITNESS_STATES =
             List.of(WitnessState.CANNOT_TELL, WitnessState.NEVER_GRANTED, WitnessState.GRANTED);
 
-    private static final List<PlacementEnd> PLACEMENT_ENDS =
-            List.of(PlacementEnd.SERVED, PlacementEnd.FAILED, PlacementEnd.NOT_RUN, PlacementEnd.GIVEN_UP);
+    private static final List<PlacementEnd> PLACEMENT_ENDS = List.of(
+            PlacementEnd.SERVED,
+            PlacementEnd.FAILED,
+            PlacementEnd.NOT_RUN,
+            PlacementEnd.GIVEN_UP,
+            PlacementEnd.REFUSED);
 
     private static final Map<MessageType, Codec<?>> CODECS = new EnumMap<>(MessageType.class);
 
