--- a/daemon/src/main/java/org/marjoramswitch/daemon/fleet/TargetList.java
+++ b/daemon/src/main/java/org/marjoramswitch/daemon/fleet/TargetList.java
@@ -71,6 +71,11 @@
                         list.onEntries(entries);
                     }
 
+                    @Override
+                    public boolean wantsReminder() {
+                        return clockMs.getAsLong() < list.keepLapsedUntilMs + LAPSED_KEPT_MS;
+                    }
+
                     @Override
                     public void onUnreadable(String reason) {
                         list.onUnreadable(reason);
--- a/daemon/src/main/java/org/marjoramswitch/daemon/platform/KeyValueOptions.java
+++ b/daemon/src/main/java/org/marjoramswitch/daemon/platform/KeyValueOptions.java
@@ -64,6 +64,12 @@
         return new KeyValueOptions(timeouts, changed, pool, backoff, watchMaxAgeMs, maxAnswerBytes, seed);
     }
 
+    /** With other waits after failures. */
+    public KeyValueOptions withBackoff(long firstMs, long maxMs) {
+        Backoff changed = new Backoff(firstMs, maxMs);
+        return new KeyValueOptions(timeouts, budget, pool, changed, watchMaxAgeMs, maxAnswerBytes, seed);
+    }
+
     public KeyValueOptions withWatchMaxAge(long changedMs) {
         return new KeyValueOptions(timeouts, budget, pool, backoff, changedMs, maxAnswerBytes, seed);
     }
--- a/daemon/src/main/java/org/marjoramswitch/daemon/platform/PrefixFollower.java
+++ b/daemon/src/main/java/org/marjoramswitch/daemon/platform/PrefixFollower.java
@@ -25,8 +25,7 @@
     private static final double LEAST_JITTER = 0.75;
     private static final double JITTER_SPAN = 0.5;
     private static final int MAX_EVENTS = 2_048;
-    /** A listener that keeps something for a time is told again this often. */
-    private static final long REMIND_MS = 500;
+    private static final long REMIND_MS = 250;
 
     private final KeyValueStore store;
     private final String prefix;
@@ -47,9 +46,14 @@
 
     /** Hears of the prefix, on the follower's thread. */
     public interface Listener {
-        /** These are the entries now: read, changed, or told once more after a while. */
+        /** These are the entries now: read, changed, or told once more. */
         void onEntries(Collection<Entry> entries);
 
+        /** Whether the entries are to be told once more in a moment, changed or not. */
+        default boolean wantsReminder() {
+            return false;
+        }
+
         /** The prefix cannot be read now. */
         default void onUnreadable(String reason) {}
     }
@@ -150,18 +154,24 @@
             LockSupport.unpark(thread);
         }
 
-        /** Waits for changes, but not for ever, and applies them; false once the watch is broken. */
+        /** Waits for changes, or for the time of a reminder, and applies them; false once the watch is broken. */
         private boolean await() throws InterruptedException {
-            if (events.isEmpty() && !broken) {
-                LockSupport.parkNanos(this, TimeUnit.MILLISECONDS.toNanos(REMIND_MS));
-                if (Thread.interrupted()) {
-                    throw new InterruptedException();
-                }
+            boolean reminded = listener.wantsReminder();
+            long deadlineNs = System.nanoTime() + TimeUnit.MILLISECONDS.toNanos(REMIND_MS);
+            while (events.isEmpty() && !broken && !(reminded && System.nanoTime() - deadlineNs >= 0)) {
+                park(reminded ? deadlineNs - System.nanoTime() : Long.MAX_VALUE);
             }
             events.drain(this::apply);
             return !broken;
         }
 
+        private void park(long atMostNs) throws InterruptedException {
+            LockSupport.parkNanos(this, Math.max(1, atMostNs));
+            if (Thread.interrupted()) {
+                throw new InterruptedException();
+            }
+        }
+
         private void apply(WatchEvent event) {
             if (event instanceof WatchEvent.Put put) {
                 entries.put(put.entry().key(), put.entry());
