Refuse late requests at once before full targets, and spread when they come back

The prediction has a margin of 1.3 now, the objective is shorter by the caller's own way, a late request is held only where a target has time, and callers come back after a quarter of what they have left, each at another moment.

--- a/daemon/src/main/java/org/marjoramswitch/daemon/caller/ForwardHandler.java
+++ b/daemon/src/main/java/org/marjoramswitch/daemon/caller/ForwardHandler.java
@@ -57,6 +57,8 @@
     private static final long CALLERS_PATIENCE_MS = 2_000;
     private static final int CALLERS_PATIENCE_OBJECTIVES = 4;
     private static final int CALLERS_PATIENCE_PAUSES = 8;
+    /** Of a route's objective, what passes between the caller and this instance: a connection, the way here and back. */
+    private static final long CALLER_WAY_MS = 10;
     /** Requests of callers that need no key share one queue. */
     private static final CustomerId NO_CUSTOMER = CustomerId.of("-");
 
@@ -261,7 +263,7 @@
     }
 
     private static PlacementSpec placement(Route route, PoolSettings pool, CallFacts facts, long askedAtMs) {
-        long objectiveAtMs = askedAtMs + route.objectiveMs();
+        long objectiveAtMs = askedAtMs + route.objectiveMs() - CALLER_WAY_MS;
         if (pool.kind() != TargetKind.MODEL_ENGINE) {
             return PlacementSpec.plain(objectiveAtMs, route.attempts());
         }
--- a/kernel/src/main/java/org/marjoramswitch/kernel/placement/PlacementArbiter.java
+++ b/kernel/src/main/java/org/marjoramswitch/kernel/placement/PlacementArbiter.java
@@ -51,7 +51,17 @@
     private static final int LATE_HOLD_DIVISOR = 4;
 
     private static final long MOST_LATE_HOLD_MS = 1_500;
-    private static final long RETRY_AFTER_MS = 1_000;
+    /** One first byte in four takes this much longer than predicted, or more. */
+    private static final double PREDICTION_MARGIN = 1.3;
+    /** Of the time that a caller has left, when it is told to come back: overload lasts for seconds. */
+    private static final int RETRY_DIVISOR = 4;
+
+    private static final long LEAST_RETRY_AFTER_MS = 500;
+    private static final long MOST_RETRY_AFTER_MS = 4_000;
+    /** Refused together, callers should not come back together; each comes within so much of its time. */
+    private static final double RETRY_SPREAD = 0.5;
+
+    private static final int SPREAD_PLACES = 16;
     private static final double INITIAL_SERVICE_MS = 50;
     private static final double SERVICE_GAIN = 0.05;
 
@@ -190,7 +200,8 @@
     }
 
     private void add(WaitingRequest request, long nowMs) {
-        long lateAtMs = request.objectiveAtMs() - Math.round(model.expectedMs(leastUncached(request)));
+        double firstByteMs = PREDICTION_MARGIN * model.expectedMs(leastUncached(request));
+        long lateAtMs = request.objectiveAtMs() - Math.round(firstByteMs);
         if (lateAtMs <= nowMs) {
             addLate(request, nowMs);
             return;
@@ -201,7 +212,13 @@
 
     private void addLate(WaitingRequest request, long nowMs) {
         long holdMs = Math.min(MOST_LATE_HOLD_MS, (request.endAtMs() - nowMs) / LATE_HOLD_DIVISOR);
-        waiting.addLate(request, waiting.lateCount() < mostLate() ? nowMs + holdMs : nowMs);
+        boolean worthHolding = waiting.lateCount() < mostLate() && hasSpare();
+        waiting.addLate(request, worthHolding ? nowMs + holdMs : nowMs);
+    }
+
+    /** Whether any target has time for late requests; where none has, holding one tells its caller later, no more. */
+    private boolean hasSpare() {
+        return targets.values().stream().anyMatch(target -> target.load() <= TargetChoice.SPARE_LOAD);
     }
 
     private double mostLate() {
@@ -232,9 +249,16 @@
         }
     }
 
+    private static long retryAfterMs(WaitingRequest request, long nowMs) {
+        long partMs = (request.endAtMs() - nowMs) / RETRY_DIVISOR;
+        long meanMs = Math.max(LEAST_RETRY_AFTER_MS, Math.min(MOST_RETRY_AFTER_MS, partMs));
+        double place = (double) (request.arrival() % SPREAD_PLACES) / SPREAD_PLACES;
+        return Math.round(meanMs * (1 - RETRY_SPREAD / 2 + RETRY_SPREAD * place));
+    }
+
     private void refuse(WaitingRequest request, long nowMs, ActionSink sink) {
-        sink.accept(
-                new Action.SendPeer(request.entry(), new PeerMessage.NotPlaced(cell, request.ask(), RETRY_AFTER_MS)));
+        sink.accept(new Action.SendPeer(
+                request.entry(), new PeerMessage.NotPlaced(cell, request.ask(), retryAfterMs(request, nowMs))));
         sink.accept(new Action.Decided(Decision.of(
                 "not_placed",
                 "cell",
--- a/kernel/src/main/java/org/marjoramswitch/kernel/placement/TargetChoice.java
+++ b/kernel/src/main/java/org/marjoramswitch/kernel/placement/TargetChoice.java
@@ -36,7 +36,7 @@
     /** Predictions are off by about this factor; a wait that leaves less room is not risked. */
     private static final double PREDICTION_MARGIN = 1.25;
     /** Up to this load a target has time to spare. */
-    private static final double SPARE_LOAD = 0.75;
+    static final double SPARE_LOAD = 0.75;
     /** What a request may cost more at a full target than at its best one, about a quarter of its own time. */
     private static final double DEAR_MS = 15;
     /** Of an unread session's reading time, what makes its home better than other engines. */
--- a/kernel/src/test/java/org/marjoramswitch/kernel/placement/PlacementArbiterTest.java
+++ b/kernel/src/test/java/org/marjoramswitch/kernel/placement/PlacementArbiterTest.java
@@ -7,6 +7,7 @@
 
 import java.util.ArrayList;
 import java.util.HashMap;
+import java.util.HashSet;
 import java.util.List;
 import java.util.Map;
 import java.util.Set;
@@ -167,6 +168,38 @@
         assertTrue(refused.get(waiting) > 0);
     }
 
+    /** Nothing is gained by holding it: every target is full, and its caller could ask elsewhere or later. */
+    @Test
+    void aLateRequestIsNotHeldBeforeFullTargets() {
+        targets("t1");
+        place();
+        place();
+        ask(ENTRY, CUSTOMER, List.of(), -100, List.of());
+        assertTrue(refused.get(asks) > 0);
+    }
+
+    @Test
+    void aLateRequestIsServedWhereATargetHasTime() {
+        targets("t1");
+        ask(ENTRY, CUSTOMER, List.of(), -100, List.of());
+        assertEquals(TargetId.of("t1"), placed.get(asks));
+    }
+
+    /** Callers refused together do not come back together, and the one with more time left comes back later. */
+    @Test
+    void refusedCallersAreToldDifferentTimes() {
+        targets("t1");
+        place();
+        place();
+        Set<Long> told = new HashSet<>();
+        for (int i = 0; i < 8; i++) {
+            ask(ENTRY, CUSTOMER, List.of(), -100, List.of());
+            told.add(refused.get(asks));
+        }
+        assertEquals(8, told.size());
+        assertTrue(told.stream().allMatch(retryAfterMs -> retryAfterMs >= 1_500 && retryAfterMs <= 2_500));
+    }
+
     @Test
     void aTargetThatFailedARequestIsLeftOutForIt() {
         targets("t1", "t2");
--- a/kernel/src/test/java/org/marjoramswitch/kernel/placement/PlacementSimulation.java
+++ b/kernel/src/test/java/org/marjoramswitch/kernel/placement/PlacementSimulation.java
@@ -224,7 +224,7 @@
                                 request.prompt(),
                                 request.kind().outputTokens,
                                 Math.round(request.kind().objectiveMs - (nowMs - request.firstAskedMs())),
-                                10_000,
+                                request.kind() == Kind.QUESTION ? 2_500 : 13_000,
                                 List.of()),
                         Math.round(nowMs)));
     }
