--- a/daemon/src/main/java/org/marjoramswitch/daemon/Daemon.java
+++ b/daemon/src/main/java/org/marjoramswitch/daemon/Daemon.java
@@ -216,6 +216,12 @@
         core.drainState().close();
     }
 
+    /** The file holds addresses and names, which are the instance's for its whole life. */
+    @Override
+    public void reload() {
+        core.logReload("kept", "the file is read at the start only");
+    }
+
     @Override
     public void close() {
         core.close();
--- a/daemon/src/main/java/org/marjoramswitch/daemon/DaemonMain.java
+++ b/daemon/src/main/java/org/marjoramswitch/daemon/DaemonMain.java
@@ -64,7 +64,7 @@
 
     private static ExitCode awaitEnd(RunningInstance instance) {
         AtomicInteger signals = new AtomicInteger();
-        TerminationSignals.onEach(() -> onSignal(instance, signals.incrementAndGet()));
+        ProcessSignals.handle(() -> onSignal(instance, signals.incrementAndGet()), instance::reload);
         return instance.drained().join() ? ExitCode.OK : ExitCode.CUT_SHORT;
     }
 
--- a/daemon/src/main/java/org/marjoramswitch/daemon/ForwardingDaemon.java
+++ b/daemon/src/main/java/org/marjoramswitch/daemon/ForwardingDaemon.java
@@ -7,6 +7,7 @@
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.TimeUnit;
 import java.util.function.Function;
+import java.util.function.Supplier;
 import org.marjoramswitch.daemon.caller.AddressBook;
 import org.marjoramswitch.daemon.caller.CallerOptions;
 import org.marjoramswitch.daemon.caller.ForwardServer;
@@ -20,6 +21,7 @@
 import org.marjoramswitch.daemon.route.RoutedSettings;
 import org.marjoramswitch.daemon.settings.HostPort;
 import org.marjoramswitch.daemon.settings.LocalSettings;
+import org.marjoramswitch.daemon.settings.LocalSettingsResult;
 import org.marjoramswitch.daemon.target.TargetClientOptions;
 import org.marjoramswitch.daemon.target.TargetProtocol;
 import org.marjoramswitch.daemon.target.UndertowTargetClient;
@@ -97,6 +99,7 @@
      * @param settingsKey where the operators' settings stand
      * @param targetPrefix where targets register themselves
      * @param others the addresses beside the callers', each with what it serves
+     * @param reload reads the settings file once more
      * @param stopAcceptingMs how long after the begin of a graceful shutdown requests are still taken: callers go on
      *     with an address for as long as they were told to keep it
      */
@@ -111,6 +114,7 @@
             CallerOptions callers,
             CallDecoder decoder,
             Function<View, Map<HostPort, HttpHandler>> others,
+            Supplier<LocalSettingsResult> reload,
             long stopAcceptingMs) {}
 
     /** What others may see of an instance. */
@@ -202,6 +206,17 @@
         core.drainState().close();
     }
 
+    @Override
+    public void reload() {
+        LocalSettingsResult read = platform.reload().get();
+        if (read instanceof LocalSettingsResult.Invalid invalid) {
+            invalid.faults().forEach(fault -> core.logReload("refused", fault.pointer() + ' ' + fault.reason()));
+            return;
+        }
+        boolean same = ((LocalSettingsResult.Valid) read).settings().equals(core.settings());
+        core.logReload(same ? "unchanged" : "kept", same ? "" : "changed addresses and names hold from the next start");
+    }
+
     @Override
     public void close() {
         core.close();
--- a/daemon/src/main/java/org/marjoramswitch/daemon/InstanceCore.java
+++ b/daemon/src/main/java/org/marjoramswitch/daemon/InstanceCore.java
@@ -152,6 +152,10 @@
         return settings;
     }
 
+    void logReload(String outcome, String reason) {
+        LOG.info("settings_file_reload", "instance", self.id(), "outcome", outcome, "reason", reason);
+    }
+
     Member self() {
         return self;
     }
--- a/daemon/src/main/java/org/marjoramswitch/daemon/TerminationSignals.java
+++ b/daemon/src/main/java/org/marjoramswitch/daemon/ProcessSignals.java
@@ -5,21 +5,25 @@
 import java.util.List;
 
 /**
- * Hears SIGTERM and SIGINT. A shutdown hook would not do: once hooks run, the virtual machine ignores further signals,
- * and a second one has to end a graceful shutdown. The platform's only interface to signals is {@code sun.misc.Signal},
- * which cannot be compiled against without a warning; so it is reached by name.
+ * Hears the signals that drive a process: SIGTERM and SIGINT, which end it, and SIGHUP, which says that its settings file
+ * has changed; unheard, SIGHUP ends the process at once with all its requests. A shutdown hook would not do: once hooks
+ * run, the virtual machine ignores further signals, and a second one has to end a graceful shutdown. The platform's only
+ * interface to signals is {@code sun.misc.Signal}, which cannot be compiled against without a warning; so it is reached
+ * by name.
  */
-final class TerminationSignals {
-    private static final List<String> NAMES = List.of("TERM", "INT");
+final class ProcessSignals {
+    private static final List<String> ENDING = List.of("TERM", "INT");
+    private static final String HANG_UP = "HUP";
 
-    private TerminationSignals() {}
+    private ProcessSignals() {}
 
-    /** Runs the handler on a thread of its own for each signal from now on; false where signals cannot be heard. */
-    static boolean onEach(Runnable handler) {
+    /** Runs a handler on a thread of its own for each signal from now on; false where signals cannot be heard. */
+    static boolean handle(Runnable onEnding, Runnable onHangUp) {
         try {
-            for (String name : NAMES) {
-                register(name, handler);
+            for (String name : ENDING) {
+                register(name, onEnding);
             }
+            register(HANG_UP, onHangUp);
             return true;
         } catch (ReflectiveOperationException unsupported) {
             return false;
@@ -44,7 +48,7 @@
             }
             case "equals" -> proxy == arguments[0];
             case "hashCode" -> System.identityHashCode(proxy);
-            default -> "termination handler";
+            default -> "signal handler";
         };
     }
 }
--- a/daemon/src/main/java/org/marjoramswitch/daemon/RunningInstance.java
+++ b/daemon/src/main/java/org/marjoramswitch/daemon/RunningInstance.java
@@ -13,6 +13,9 @@
     /** Ends a graceful shutdown where it stands. */
     void cutDrainShort();
 
+    /** The file with the instance's own settings may have changed; nothing that runs is cut by it. */
+    void reload();
+
     /** Ends the instance at once; requests still open fail towards their callers. */
     @Override
     void close();
