--- a/daemon/src/main/java/org/marjoramswitch/daemon/fleet/TargetList.java
+++ b/daemon/src/main/java/org/marjoramswitch/daemon/fleet/TargetList.java
@@ -2,8 +2,10 @@
 
 import java.util.Collection;
 import java.util.HashMap;
+import java.util.HashSet;
 import java.util.Map;
 import java.util.Optional;
+import java.util.Set;
 import java.util.TreeMap;
 import java.util.function.Consumer;
 import java.util.function.LongSupplier;
@@ -20,8 +22,8 @@
  * Follows the list in which targets register themselves.
  *
  * <p>A target whose entry says that it leaves, or whose entry is gone, gets no new request. While the service was away
- * entries lapse that their targets could not renew; a target that lives writes its own again soon after. So those that
- * are missing right after an outage are kept for that time, or a store that comes back would empty every pool.
+ * entries lapse that their targets could not renew; a target that lives writes its own again soon after. So targets may
+ * be kept for that time, see {@link LapsedTargets}.
  */
 public final class TargetList implements AutoCloseable {
     private static final KeyValueLog LOG = KeyValueLog.of(TargetList.class);
@@ -106,7 +108,7 @@
             LOG.info("target_list_readable", "entries", entries.size());
         }
         Map<TargetId, TargetSettings> ready = new TreeMap<>();
-        Map<TargetId, Boolean> listed = new HashMap<>();
+        Set<TargetId> listed = new HashSet<>();
         for (Entry entry : entries) {
             Optional<ListedTarget> target = decoder.decode(entry);
             if (target.isEmpty()) {
@@ -114,17 +116,13 @@
                 continue;
             }
             TargetSettings settings = target.get().settings();
-            listed.put(settings.id(), target.get().ready());
+            listed.add(settings.id());
             if (target.get().ready()) {
                 ready.put(settings.id(), settings);
             }
         }
         if (nowMs < keepLapsedUntilMs) {
-            known.forEach((id, settings) -> {
-                if (!listed.containsKey(id)) {
-                    ready.put(id, settings);
-                }
-            });
+            ready.putAll(LapsedTargets.kept(known, listed));
         }
         tell(ready);
     }
--- /dev/null
+++ b/daemon/src/test/java/org/marjoramswitch/daemon/fleet/LapsedTargetsTest.java
@@ -0,0 +1,49 @@
+package org.marjoramswitch.daemon.fleet;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+
+import java.util.Map;
+import java.util.Set;
+import java.util.TreeMap;
+import org.junit.jupiter.api.Test;
+import org.marjoramswitch.kernel.model.DataCentreId;
+import org.marjoramswitch.kernel.model.PoolId;
+import org.marjoramswitch.kernel.model.TargetId;
+import org.marjoramswitch.kernel.settings.TargetSettings;
+
+class LapsedTargetsTest {
+    private static final Map<TargetId, TargetSettings> KNOWN = known("a1", "a2", "a3", "a4", "b1", "b2");
+
+    /** The service was away and every entry has lapsed: callers must still be served until they are back. */
+    @Test
+    void aPoolThatIsMissingAsAWholeIsKept() {
+        assertEquals(KNOWN, LapsedTargets.kept(KNOWN, Set.of()));
+    }
+
+    /** This instance alone was cut off: a target that left meanwhile gets no request after the list was read. */
+    @Test
+    void fewMissingTargetsHaveLeft() {
+        assertEquals(Map.of(), LapsedTargets.kept(KNOWN, ids("a1", "a2", "a3", "b1")));
+    }
+
+    @Test
+    void eachPoolIsJudgedByItself() {
+        assertEquals(
+                Set.of(TargetId.of("b1"), TargetId.of("b2")),
+                LapsedTargets.kept(KNOWN, ids("a1", "a2", "a3")).keySet());
+    }
+
+    private static Set<TargetId> ids(String... names) {
+        return known(names).keySet();
+    }
+
+    private static Map<TargetId, TargetSettings> known(String... names) {
+        Map<TargetId, TargetSettings> targets = new TreeMap<>();
+        for (String name : names) {
+            TargetId id = TargetId.of(name);
+            PoolId pool = PoolId.of(name.substring(0, 1));
+            targets.put(id, new TargetSettings(id, pool, "10.0.0.1", 80, DataCentreId.of("dc"), 4, false));
+        }
+        return targets;
+    }
+}
