--- a/daemon/src/main/java/org/marjoramswitch/daemon/Daemon.java
+++ b/daemon/src/main/java/org/marjoramswitch/daemon/Daemon.java
@@ -4,7 +4,6 @@
 import java.io.IOException;
 import java.util.List;
 import java.util.Objects;
-import java.util.concurrent.CompletableFuture;
 import org.jspecify.annotations.Nullable;
 import org.marjoramswitch.daemon.caller.CallerOptions;
 import org.marjoramswitch.daemon.caller.CallerServer;
@@ -42,7 +41,7 @@
  * has its decisions carried out by them. The duties start from the inside out, so that none speaks before what it
  * speaks to is there, and close in the reverse order.
  */
-public final class Daemon implements RunningInstance {
+public final class Daemon extends BaseInstance {
     /** The settings' schema allows no pool a longer wait for a target. */
     private static final long LONGEST_WAIT_MS = 300_000;
 
@@ -206,16 +205,6 @@
         }
     }
 
-    @Override
-    public CompletableFuture<Boolean> drained() {
-        return core.drainState().whole();
-    }
-
-    @Override
-    public void cutDrainShort() {
-        core.drainState().close();
-    }
-
     /** The file holds addresses and names, which are the instance's for its whole life. */
     @Override
     public void reload() {
@@ -223,7 +212,7 @@
     }
 
     @Override
-    public void close() {
-        core.close();
+    InstanceCore core() {
+        return core;
     }
 }
--- a/daemon/src/main/java/org/marjoramswitch/daemon/ForwardingDaemon.java
+++ b/daemon/src/main/java/org/marjoramswitch/daemon/ForwardingDaemon.java
@@ -4,7 +4,6 @@
 import java.io.IOException;
 import java.util.Map;
 import java.util.TreeMap;
-import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.TimeUnit;
 import java.util.function.Function;
 import java.util.function.Supplier;
@@ -12,6 +11,7 @@
 import org.marjoramswitch.daemon.caller.CallerOptions;
 import org.marjoramswitch.daemon.caller.ForwardServer;
 import org.marjoramswitch.daemon.caller.Health;
+import org.marjoramswitch.daemon.caller.InfoHandlers;
 import org.marjoramswitch.daemon.configuration.RoutedSettingsDuty;
 import org.marjoramswitch.daemon.exchange.CallDecoder;
 import org.marjoramswitch.daemon.fleet.InstanceRegistration;
@@ -36,7 +36,7 @@
  * One instance on a platform with routes, targets and callers of its own ways: the same core as {@link Daemon}, with
  * the parts that a {@link Platform} gives in place of the product's own interfaces.
  */
-public final class ForwardingDaemon implements RunningInstance {
+public final class ForwardingDaemon extends BaseInstance {
     private static final String OPEN_CALLS = "caller.open_requests";
     /** The pause before the list of instances is read anew. */
     private static final long LIST_PAUSE_MS = 500;
@@ -126,6 +126,11 @@
         public AddressBook addresses() {
             return instance.core.directory();
         }
+
+        /** Serves the instance's counters and histograms. */
+        public HttpHandler metrics() {
+            return InfoHandlers.metrics(instance.core.metrics());
+        }
     }
 
     /**
@@ -196,16 +201,6 @@
         }
     }
 
-    @Override
-    public CompletableFuture<Boolean> drained() {
-        return core.drainState().whole();
-    }
-
-    @Override
-    public void cutDrainShort() {
-        core.drainState().close();
-    }
-
     @Override
     public void reload() {
         LocalSettingsResult read = platform.reload().get();
@@ -218,7 +213,7 @@
     }
 
     @Override
-    public void close() {
-        core.close();
+    InstanceCore core() {
+        return core;
     }
 }
--- a/daemon/src/main/java/org/marjoramswitch/daemon/caller/CallIntake.java
+++ b/daemon/src/main/java/org/marjoramswitch/daemon/caller/CallIntake.java
@@ -2,12 +2,11 @@
 
 import io.undertow.util.Headers;
 import io.undertow.util.HttpString;
-import java.util.Map;
 import java.util.Objects;
 import java.util.concurrent.CompletableFuture;
 import java.util.function.LongSupplier;
+import java.util.function.UnaryOperator;
 import org.jspecify.annotations.Nullable;
-import org.marjoramswitch.daemon.exchange.AnswerListener;
 import org.marjoramswitch.daemon.exchange.RequestGate;
 import org.marjoramswitch.kernel.error.ErrorType;
 import org.marjoramswitch.kernel.error.Failure;
@@ -237,7 +236,11 @@
                 call.hintTokens(),
                 call.prefixHash(),
                 clockMs.getAsLong() + call.pool().waitTimeoutMs());
-        gate.submit(spec, call.targetCall(), new AnswerRelay(buffer, requestId, keyed ? keys : null));
+        gate.submit(
+                spec,
+                call.targetCall(),
+                new AnswerRelay(
+                        buffer, keyed ? noted(requestId) : AnswerRelay.Progress.NONE, UnaryOperator.identity()));
     }
 
     private void refuse(CallerExchange caller, Call call, Failure failure) {
@@ -337,37 +340,18 @@
         }
     }
 
-    /** Passes an answer on from the gate: without the headers that are not for the caller, noted in the book. */
-    private record AnswerRelay(
-            AnswerBuffer buffer, long requestId, @Nullable RequestKeys keys) implements AnswerListener {
-        @Override
-        public void onSent() {
-            if (keys != null) {
+    /** Notes in the book how far a request with a key has come. */
+    private AnswerRelay.Progress noted(long requestId) {
+        return new AnswerRelay.Progress() {
+            @Override
+            public void onSent() {
                 keys.sent(requestId);
             }
-        }
 
-        @Override
-        public void onHead(int status, Map<String, String> headers) {
-            if (keys != null) {
+            @Override
+            public void onAnswering() {
                 keys.answering(requestId);
             }
-            buffer.onHead(status, ForwardedHeaders.toCaller(headers));
-        }
-
-        @Override
-        public void onBytes(byte[] bytes) {
-            buffer.onBytes(bytes);
-        }
-
-        @Override
-        public void onComplete() {
-            buffer.onComplete();
-        }
-
-        @Override
-        public void onFailure(Failure failure) {
-            buffer.onFailure(failure);
-        }
+        };
     }
 }
--- a/daemon/src/main/java/org/marjoramswitch/daemon/caller/ForwardHandler.java
+++ b/daemon/src/main/java/org/marjoramswitch/daemon/caller/ForwardHandler.java
@@ -17,21 +17,16 @@
 import java.util.function.LongSupplier;
 import java.util.function.Supplier;
 import org.jspecify.annotations.Nullable;
-import org.marjoramswitch.daemon.exchange.AnswerListener;
 import org.marjoramswitch.daemon.exchange.CallDecoder;
 import org.marjoramswitch.daemon.exchange.CallDecoder.CallFacts;
 import org.marjoramswitch.daemon.exchange.RequestGate;
-import org.marjoramswitch.daemon.exchange.TargetCall;
 import org.marjoramswitch.daemon.route.Route;
 import org.marjoramswitch.daemon.route.RoutedSettings;
 import org.marjoramswitch.kernel.error.ErrorType;
 import org.marjoramswitch.kernel.error.Failure;
 import org.marjoramswitch.kernel.model.CustomerId;
-import org.marjoramswitch.kernel.model.PlacementSpec;
 import org.marjoramswitch.kernel.model.PoolId;
-import org.marjoramswitch.kernel.model.RequestSpec;
 import org.marjoramswitch.kernel.settings.PoolSettings;
-import org.marjoramswitch.kernel.settings.TargetKind;
 
 /**
  * Takes calls on the operators' routes. A call is passed on as it came, and the target's answer as it went out; what the
@@ -46,21 +41,6 @@
 
     private static final long NOT_READY_RETRY_AFTER_MS = 1_000;
     private static final long FULL_RETRY_AFTER_MS = 1_000;
-    private static final long NS_PER_MS = 1_000_000;
-    /**
-     * Of the silence after which callers give a request up, what a target may take before a request that another may
-     * serve as well is taken there. Callers are patient for two seconds, four objectives or eight pauses, whichever is
-     * longest; what is left of it is for the other target.
-     */
-    private static final double SILENCE_SHARE = 0.6;
-
-    private static final long CALLERS_PATIENCE_MS = 2_000;
-    private static final int CALLERS_PATIENCE_OBJECTIVES = 4;
-    private static final int CALLERS_PATIENCE_PAUSES = 8;
-    /** Of a route's objective, what passes between the caller and this instance: a connection, the way here and back. */
-    private static final long CALLER_WAY_MS = 10;
-    /** Requests of callers that need no key share one queue. */
-    private static final CustomerId NO_CUSTOMER = CustomerId.of("-");
 
     private final CallerOptions options;
     private final CallDecoder decoder;
@@ -140,7 +120,7 @@
             return Failure.notRun(ErrorType.MALFORMED_REQUEST, 0, "HTTP/1.1 is needed");
         }
         if (route.open() || !current.keysNeeded()) {
-            caller.identify(NO_CUSTOMER);
+            caller.identify(RoutedCall.NO_CUSTOMER);
         } else {
             CustomerId customer =
                     authenticator.customer(current, exchange.getRequestHeaders().getFirst(Headers.AUTHORIZATION));
@@ -206,54 +186,12 @@
                 options.times().keepAliveMs(), options.times().idleTimeoutMs());
         AnswerWriter.unchanged(caller.http(), requestId, times, new CallListener(caller, requestId))
                 .start(buffer);
-        submit(caller, current, route, pool, facts, headers, body, requestId, buffer);
-    }
-
-    private void submit(
-            CallerExchange caller,
-            RoutedSettings current,
-            Route route,
-            PoolSettings pool,
-            CallFacts facts,
-            Map<String, String> headers,
-            byte[] body,
-            long requestId,
-            AnswerBuffer buffer) {
-        CustomerId customer = caller.customer();
-        CustomerId asked = customer == null ? NO_CUSTOMER : customer;
-        long nowMs = clockMs.getAsLong();
-        long withinMs = facts.patienceMs() > 0 ? Math.min(facts.patienceMs(), route.timeoutMs()) : route.timeoutMs();
-        long patienceMs = facts.patienceMs() > 0 ? facts.patienceMs() : route.timeoutMs();
-        RequestSpec spec = new RequestSpec(
-                requestId,
-                asked,
-                pool.id(),
-                current.priorities().getOrDefault(asked, route.priority()),
-                route.kind().repeatable(),
-                facts.prompt().stream().mapToLong(part -> part.tokens()).sum(),
-                facts.likelyOutputTokens(),
-                0,
-                nowMs + withinMs,
-                placement(route, pool, facts, nowMs - elapsedMs(route, facts)));
-        TargetCall call = TargetCall.of(
-                        pool.kind(),
-                        caller.http().getRequestMethod().toString(),
-                        pathAndQuery(caller.http()),
-                        decoder.forTarget(headers, asked.equals(NO_CUSTOMER) ? null : asked),
-                        body,
-                        route.kind().streaming())
-                .within(System.nanoTime() + patienceMs * NS_PER_MS, silenceMs(route));
-        gate.submit(spec, call, new AnswerRelay(buffer));
-    }
-
-    private static long silenceMs(Route route) {
-        if (!route.kind().repeatable()) {
-            return route.timeoutMs();
-        }
-        long patienceMs = Math.max(
-                CALLERS_PATIENCE_MS,
-                Math.max(CALLERS_PATIENCE_OBJECTIVES * route.objectiveMs(), CALLERS_PATIENCE_PAUSES * route.pauseMs()));
-        return Math.round(SILENCE_SHARE * patienceMs);
+        RoutedCall call =
+                new RoutedCall(requestId, Objects.requireNonNull(caller.customer()), current, route, pool, facts);
+        gate.submit(
+                call.spec(clockMs.getAsLong(), elapsedMs(route, facts)),
+                call.toTarget(caller.http(), decoder, headers, body, System.nanoTime()),
+                new AnswerRelay(buffer, AnswerRelay.Progress.NONE, TruthfulStatus::of));
     }
 
     /** How long ago the caller asked for the first time; a try that comes after a refusal is late sooner. */
@@ -262,20 +200,6 @@
                 .elapsedMs(facts.patienceMs());
     }
 
-    private static PlacementSpec placement(Route route, PoolSettings pool, CallFacts facts, long askedAtMs) {
-        long objectiveAtMs = askedAtMs + route.objectiveMs() - CALLER_WAY_MS;
-        if (pool.kind() != TargetKind.MODEL_ENGINE) {
-            return PlacementSpec.plain(objectiveAtMs, route.attempts());
-        }
-        long outputTokens = facts.likelyOutputTokens() > 0 ? facts.likelyOutputTokens() : facts.mostOutputTokens();
-        return new PlacementSpec(
-                facts.prompt(),
-                outputTokens,
-                objectiveAtMs,
-                route.attempts(),
-                route.kind().repeatable() && route.kind().streaming());
-    }
-
     private void refuse(CallerExchange caller, Failure failure) {
         tellWhenToComeBack(caller.http(), failure);
         caller.refuse(failure, clockMs.getAsLong());
@@ -298,18 +222,11 @@
         return headers;
     }
 
-    private static String pathOf(String requestUri) {
+    static String pathOf(String requestUri) {
         int query = requestUri.indexOf('?');
         return query < 0 ? requestUri : requestUri.substring(0, query);
     }
 
-    /** As the caller wrote it. */
-    private static String pathAndQuery(HttpServerExchange exchange) {
-        String query = exchange.getQueryString();
-        String path = pathOf(exchange.getRequestURI());
-        return query.isEmpty() ? path : path + '?' + query;
-    }
-
     /** Follows the writing to the caller. */
     private final class CallListener implements AnswerWriter.Listener {
         private final CallerExchange caller;
@@ -346,27 +263,4 @@
             caller.end(result, clockMs.getAsLong());
         }
     }
-
-    /** Passes the target's answer on. */
-    private record AnswerRelay(AnswerBuffer buffer) implements AnswerListener {
-        @Override
-        public void onHead(int status, Map<String, String> headers) {
-            buffer.onHead(status, ForwardedHeaders.toCaller(headers));
-        }
-
-        @Override
-        public void onBytes(byte[] bytes) {
-            buffer.onBytes(bytes);
-        }
-
-        @Override
-        public void onComplete() {
-            buffer.onComplete();
-        }
-
-        @Override
-        public void onFailure(Failure failure) {
-            buffer.onFailure(TruthfulStatus.of(failure));
-        }
-    }
 }
--- a/daemon/src/main/java/org/marjoramswitch/daemon/caller/InfoHandlers.java
+++ b/daemon/src/main/java/org/marjoramswitch/daemon/caller/InfoHandlers.java
@@ -17,7 +17,7 @@
 import org.marjoramswitch.kernel.settings.TargetKind;
 
 /** The endpoints that answer at once, from what this instance knows. */
-final class InfoHandlers {
+public final class InfoHandlers {
     private static final String PROMETHEUS = "text/plain; version=0.0.4; charset=utf-8";
     private static final int OK = 200;
     private static final int SERVICE_UNAVAILABLE = 503;
@@ -90,7 +90,8 @@
         Replies.send(exchange, good ? OK : SERVICE_UNAVAILABLE, Replies.JSON, Json.bytes(answer));
     }
 
-    static HttpHandler metrics(MetricRegistry registry) {
+    /** Counters and histograms as text; as JSON where the query asks for it. */
+    public static HttpHandler metrics(MetricRegistry registry) {
         return exchange -> {
             Deque<String> format = exchange.getQueryParameters().get("format");
             if (format != null && format.contains("json")) {
--- a/kernel/src/main/java/org/marjoramswitch/kernel/InstanceKernel.java
+++ b/kernel/src/main/java/org/marjoramswitch/kernel/InstanceKernel.java
@@ -22,7 +22,6 @@
 import org.marjoramswitch.kernel.model.InstanceId;
 import org.marjoramswitch.kernel.model.Member;
 import org.marjoramswitch.kernel.model.TargetId;
-import org.marjoramswitch.kernel.placement.PlacementArbiter;
 import org.marjoramswitch.kernel.settings.FleetSettings;
 import org.marjoramswitch.kernel.settings.PoolSettings;
 import org.marjoramswitch.kernel.settings.TargetSettings;
@@ -44,7 +43,7 @@
     private final Map<CellId, Arbiter> arbiters = new TreeMap<>();
     private final Map<CellId, Long> assignedSinceMs = new TreeMap<>();
     private final Set<CellId> touched = new TreeSet<>();
-    private final Map<CellId, PlacementArbiter> placementArbiters = new TreeMap<>();
+    private final PlacementArbiters placements;
     private final Deque<PeerMessage> toSelf = new ArrayDeque<>();
     private final PeerWatch entryWatch = PeerWatch.create();
     private boolean draining;
@@ -56,6 +55,7 @@
         this.options = options;
         this.plan = FleetPlan.of(FleetView.of(List.of(self)));
         this.entry = Entry.create(self.id(), options, plan);
+        this.placements = PlacementArbiters.of(plan);
     }
 
     public static InstanceKernel create(Member self) {
@@ -145,14 +145,7 @@
             List<CellId> cells = List.copyOf(touched);
             touched.clear();
             cells.forEach(cell -> grantFree(cell, nowMs, sink));
-            cells.forEach(cell -> decidePlacements(cell, nowMs, sink));
-        }
-    }
-
-    private void decidePlacements(CellId cell, long nowMs, ActionSink sink) {
-        PlacementArbiter arbiter = placementArbiters.get(cell);
-        if (arbiter != null) {
-            arbiter.decide(nowMs, sink);
+            cells.forEach(cell -> placements.decide(cell, nowMs, sink));
         }
     }
 
@@ -244,37 +237,17 @@
     private boolean receivedPlacement(InstanceId from, PeerMessage message, long nowMs, ActionSink sink) {
         if (message instanceof PeerMessage.Placed placed) {
             entry.placed(from, placed, nowMs, sink);
-        } else if (message instanceof PeerMessage.NotPlaced refused) {
+            return true;
+        }
+        if (message instanceof PeerMessage.NotPlaced refused) {
             entry.notPlaced(from, refused, sink);
-        } else if (message instanceof PeerMessage.Place place) {
-            placementArbiter(place.cell()).place(from, place, nowMs);
-            touched.add(place.cell());
-        } else if (message instanceof PeerMessage.PlacementsHeld held) {
-            placementArbiter(held.cell()).held(from, held, nowMs);
-        } else if (message instanceof PeerMessage.PlaceWithdrawn withdrawn) {
-            placementArbiter(withdrawn.cell()).withdrawn(from, withdrawn.ask());
-        } else if (message instanceof PeerMessage.PlacementAnswering answering) {
-            placementArbiter(answering.cell()).answering(from, answering.ask(), nowMs);
-            touched.add(answering.cell());
-        } else if (message instanceof PeerMessage.PlacementEnded ended) {
-            placementArbiter(ended.cell()).ended(from, ended, nowMs);
-            touched.add(ended.cell());
-        } else {
-            return false;
+            return true;
         }
-        return true;
-    }
-
-    private PlacementArbiter placementArbiter(CellId cell) {
-        PlacementArbiter known = placementArbiters.get(cell);
-        if (known != null) {
-            return known;
+        CellId cell = placements.received(from, message, nowMs);
+        if (cell != null) {
+            touched.add(cell);
         }
-        PoolSettings pool = plan.settings().pools().getOrDefault(cell.pool(), PoolSettings.modelEngines(cell.pool()));
-        PlacementArbiter created = PlacementArbiter.create(cell, pool, plan::weight);
-        created.targets(plan.cells().targets(cell), plan.leavingTargets());
-        placementArbiters.put(cell, created);
-        return created;
+        return cell != null;
     }
 
     private void heard(InstanceId from, PeerMessage message, long nowMs, ActionSink sink) {
@@ -379,8 +352,8 @@
     }
 
     private void forgetPlacements(InstanceId gone, long nowMs) {
-        placementArbiters.values().forEach(arbiter -> arbiter.forget(gone, nowMs));
-        touched.addAll(placementArbiters.keySet());
+        placements.forget(gone, nowMs);
+        touched.addAll(placements.cells());
     }
 
     /**
@@ -424,11 +397,8 @@
             arbiter.targets(plan.cells().targets(arbiter.cell()), plan.leavingTargets());
             touched.add(arbiter.cell());
         }
-        placementArbiters.keySet().removeIf(cell -> plan.cells().targets(cell).isEmpty());
-        for (PlacementArbiter arbiter : placementArbiters.values()) {
-            arbiter.targets(plan.cells().targets(arbiter.cell()), plan.leavingTargets());
-            touched.add(arbiter.cell());
-        }
+        placements.refreshTargets();
+        touched.addAll(placements.cells());
     }
 
     private void targetReported(Event.TargetReported reported, long nowMs) {
@@ -454,7 +424,7 @@
         watchEntries(nowMs, sink);
         arbiters.values().removeIf(arbiter -> !arbiter.inUse());
         touched.addAll(arbiters.keySet());
-        touched.addAll(placementArbiters.keySet());
+        touched.addAll(placements.cells());
         arbiters.values().forEach(arbiter -> tellCharges(arbiter, nowMs, sink));
         if (nowMs >= nextReachMs) {
             nextReachMs = nowMs + REACH_AGAIN_MS;
--- /dev/null
+++ b/kernel/src/main/java/org/marjoramswitch/kernel/PlacementArbiters.java
@@ -0,0 +1,88 @@
+package org.marjoramswitch.kernel;
+
+import java.util.Collection;
+import java.util.Map;
+import java.util.TreeMap;
+import org.jspecify.annotations.Nullable;
+import org.marjoramswitch.kernel.action.ActionSink;
+import org.marjoramswitch.kernel.entry.FleetPlan;
+import org.marjoramswitch.kernel.message.PeerMessage;
+import org.marjoramswitch.kernel.model.CellId;
+import org.marjoramswitch.kernel.model.InstanceId;
+import org.marjoramswitch.kernel.placement.PlacementArbiter;
+import org.marjoramswitch.kernel.settings.PoolSettings;
+
+/** The arbiters of the cells that entries have asked this instance to place requests in. */
+final class PlacementArbiters {
+    private final FleetPlan plan;
+    private final Map<CellId, PlacementArbiter> byCell = new TreeMap<>();
+
+    private PlacementArbiters(FleetPlan plan) {
+        this.plan = plan;
+    }
+
+    static PlacementArbiters of(FleetPlan plan) {
+        return new PlacementArbiters(plan);
+    }
+
+    Collection<CellId> cells() {
+        return byCell.keySet();
+    }
+
+    /** Takes an entry's message; its cell, or null for a message that is not for an arbiter of placements. */
+    @Nullable
+    CellId received(InstanceId from, PeerMessage message, long nowMs) {
+        if (message instanceof PeerMessage.Place place) {
+            arbiter(place.cell()).place(from, place, nowMs);
+            return place.cell();
+        }
+        if (message instanceof PeerMessage.PlacementsHeld held) {
+            arbiter(held.cell()).held(from, held, nowMs);
+            return held.cell();
+        }
+        if (message instanceof PeerMessage.PlaceWithdrawn withdrawn) {
+            arbiter(withdrawn.cell()).withdrawn(from, withdrawn.ask());
+            return withdrawn.cell();
+        }
+        if (message instanceof PeerMessage.PlacementAnswering answering) {
+            arbiter(answering.cell()).answering(from, answering.ask(), nowMs);
+            return answering.cell();
+        }
+        if (message instanceof PeerMessage.PlacementEnded ended) {
+            arbiter(ended.cell()).ended(from, ended, nowMs);
+            return ended.cell();
+        }
+        return null;
+    }
+
+    void decide(CellId cell, long nowMs, ActionSink sink) {
+        PlacementArbiter arbiter = byCell.get(cell);
+        if (arbiter != null) {
+            arbiter.decide(nowMs, sink);
+        }
+    }
+
+    /** An entry is gone, or its link is new and it tells its state anew. */
+    void forget(InstanceId entry, long nowMs) {
+        byCell.values().forEach(arbiter -> arbiter.forget(entry, nowMs));
+    }
+
+    /** Targets have come, left or moved to other cells. */
+    void refreshTargets() {
+        byCell.keySet().removeIf(cell -> plan.cells().targets(cell).isEmpty());
+        byCell.values()
+                .forEach(arbiter -> arbiter.targets(plan.cells().targets(arbiter.cell()), plan.leavingTargets()));
+    }
+
+    private PlacementArbiter arbiter(CellId cell) {
+        PlacementArbiter known = byCell.get(cell);
+        if (known != null) {
+            return known;
+        }
+        PoolSettings pool = plan.settings().pools().getOrDefault(cell.pool(), PoolSettings.modelEngines(cell.pool()));
+        PlacementArbiter created = PlacementArbiter.create(cell, pool, plan::weight);
+        created.targets(plan.cells().targets(cell), plan.leavingTargets());
+        byCell.put(cell, created);
+        return created;
+    }
+}
--- a/kernel/src/main/java/org/marjoramswitch/kernel/entry/Entry.java
+++ b/kernel/src/main/java/org/marjoramswitch/kernel/entry/Entry.java
@@ -19,7 +19,6 @@
 import org.marjoramswitch.kernel.model.CellId;
 import org.marjoramswitch.kernel.model.CustomerId;
 import org.marjoramswitch.kernel.model.InstanceId;
-import org.marjoramswitch.kernel.model.PlacementSpec;
 import org.marjoramswitch.kernel.model.PoolId;
 import org.marjoramswitch.kernel.model.RequestSpec;
 import org.marjoramswitch.kernel.model.RunState;
@@ -45,9 +44,6 @@
  * through a change of arbiter; the entry registers anew afterwards and the arbiter accounts for it.
  */
 public final class Entry {
-    /** Attempts per request at most, whatever the retry budget holds. */
-    private static final int MOST_ATTEMPTS = 4;
-
     private static final long RETRY_AFTER_MS = 1_000;
     /** Another instance can take the request at once. */
     private static final long LEAVING_RETRY_AFTER_MS = 100;
@@ -209,7 +205,7 @@
         PoolQueues pool = pool(request.spec().pool());
         CellLink link = linkOf(request);
         settle(request, outcome, usage, link, sink);
-        placements.ended(request, placementEnd(outcome), sink);
+        placements.ended(request, AttemptRules.placementEnd(outcome), sink);
         if (!outcome.notRun()) {
             request.markMayHaveRun();
         }
@@ -405,16 +401,6 @@
                 sink);
     }
 
-    private static PlacementEnd placementEnd(TargetOutcome outcome) {
-        if (outcome.notRun()) {
-            return PlacementEnd.REFUSED;
-        }
-        if (outcome == TargetOutcome.CANCELLED) {
-            return PlacementEnd.GIVEN_UP;
-        }
-        return outcome.targetFault() ? PlacementEnd.FAILED : PlacementEnd.SERVED;
-    }
-
     private static long outcomeFloor(EntryRequest request, TargetOutcome outcome) {
         return outcome == TargetOutcome.COMPLETED ? 0 : request.costTokens();
     }
@@ -430,7 +416,7 @@
             fail(request, ErrorType.CALLER_GONE, 0, "", sink);
             return;
         }
-        boolean mayRetry = mayRetry(request, outcome, nowMs);
+        boolean mayRetry = AttemptRules.mayRetry(request, outcome, nowMs);
         if (mayRetry && takeRetry(request, pool, nowMs)) {
             request.failed();
             enqueue(request, nowMs, sink);
@@ -450,7 +436,12 @@
                     sink);
             return;
         }
-        fail(request, errorOf(outcome), retryAfterMs(outcome), String.valueOf(request.target()), sink);
+        fail(
+                request,
+                AttemptRules.errorOf(outcome),
+                AttemptRules.retryAfterMs(outcome),
+                String.valueOf(request.target()),
+                sink);
     }
 
     private void complete(EntryRequest request, ActionSink sink) {
@@ -467,33 +458,6 @@
         return pool.resends().take(options.resendLimits(), instances, nowMs);
     }
 
-    private static boolean mayRetry(EntryRequest request, TargetOutcome outcome, long nowMs) {
-        PlacementSpec placement = request.spec().placement();
-        if (request.attempts() >= MOST_ATTEMPTS || nowMs >= request.spec().deadlineMs()) {
-            return false;
-        }
-        if (placement != null && request.executions() >= placement.attempts()) {
-            return false;
-        }
-        if (outcome.answerBegun()) {
-            return placement != null && placement.resumable();
-        }
-        return request.spec().repeatable() || !request.mayHaveRun();
-    }
-
-    private static ErrorType errorOf(TargetOutcome outcome) {
-        return switch (outcome) {
-            case REFUSED -> ErrorType.TARGET_REFUSED;
-            case SILENT_BEFORE_ANSWER, SILENT_IN_ANSWER -> ErrorType.TARGET_SILENT;
-            case CANCELLED -> ErrorType.CALLER_GONE;
-            case COMPLETED, SERVER_ERROR, BROKEN_BEFORE_ANSWER, BROKEN_IN_ANSWER -> ErrorType.TARGET_BROKE;
-        };
-    }
-
-    private static long retryAfterMs(TargetOutcome outcome) {
-        return outcome.notRun() ? RETRY_AFTER_MS : 0;
-    }
-
     private void fail(EntryRequest request, ErrorType type, long retryAfterMs, String detail, ActionSink sink) {
         requests.remove(request.spec().requestId());
         deadlines.remove(request);
--- a/kernel/src/main/java/org/marjoramswitch/kernel/placement/PlacementArbiter.java
+++ b/kernel/src/main/java/org/marjoramswitch/kernel/placement/PlacementArbiter.java
@@ -353,7 +353,7 @@
         sink.accept(new Action.SendPeer(
                 request.entry(),
                 new PeerMessage.Placed(cell, request.ask(), target.settings().id())));
-        logStart(request, target, reason, tokensAhead, nowMs, sink);
+        logStart(request, target, reason, uncachedTokens, tokensAhead, nowMs, sink);
     }
 
     private void logStart(
@@ -376,6 +376,10 @@
                 nowMs - request.arrivedAtMs(),
                 "objectiveLeftMs",
                 request.objectiveAtMs() - nowMs,
+                "promptTokens",
+                request.promptTokens(),
+                "uncachedTokens",
+                uncachedTokens,
                 "tokensAhead",
                 Math.round(tokensAhead),
                 "expectedMs",
