--- a/kernel/src/main/java/org/marjoramswitch/kernel/placement/PlacementArbiter.java
+++ b/kernel/src/main/java/org/marjoramswitch/kernel/placement/PlacementArbiter.java
@@ -357,7 +357,13 @@
     }
 
     private void logStart(
-            WaitingRequest request, TargetLoad target, String reason, double tokensAhead, long nowMs, ActionSink sink) {
+            WaitingRequest request,
+            TargetLoad target,
+            String reason,
+            long uncachedTokens,
+            double tokensAhead,
+            long nowMs,
+            ActionSink sink) {
         sink.accept(new Action.Decided(Decision.of(
                 "place",
                 "cell",
