--- a/kernel/src/main/java/org/marjoramswitch/kernel/placement/PlacementArbiter.java
+++ b/kernel/src/main/java/org/marjoramswitch/kernel/placement/PlacementArbiter.java
@@ -200,7 +200,7 @@
     }
 
     private void add(WaitingRequest request, long nowMs) {
-        double firstByteMs = PREDICTION_MARGIN * model.expectedMs(leastUncached(request));
+        double firstByteMs = PREDICTION_MARGIN * (TargetChoice.DEPTH_MS / 2 + model.expectedMs(leastUncached(request)));
         long lateAtMs = request.objectiveAtMs() - Math.round(firstByteMs);
         if (lateAtMs <= nowMs) {
             addLate(request, nowMs);
--- a/kernel/src/main/java/org/marjoramswitch/kernel/placement/TargetChoice.java
+++ b/kernel/src/main/java/org/marjoramswitch/kernel/placement/TargetChoice.java
@@ -32,7 +32,7 @@
     /** The difference between an empty and a full engine in the time of a request, by order of magnitude. */
     private static final double LOAD_MS = 30;
     /** An engine always has this much to read, so that it is not idle while the next request is on its way. */
-    private static final double DEPTH_MS = 40;
+    static final double DEPTH_MS = 25;
     /** Predictions are off by about this factor; a wait that leaves less room is not risked. */
     private static final double PREDICTION_MARGIN = 1.25;
     /** Up to this load a target has time to spare. */
