Hear signals before the start, and try a target again that was slow once

Signals are handled from before the start. A mean that is not renewed tends to 0.8 of the pool's, not to the pool's; its test fails with 1.0.

--- a/daemon/src/main/java/org/marjoramswitch/daemon/DaemonMain.java
+++ b/daemon/src/main/java/org/marjoramswitch/daemon/DaemonMain.java
@@ -2,7 +2,9 @@
 
 import java.net.BindException;
 import java.nio.file.Path;
+import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.atomic.AtomicInteger;
+import java.util.function.Consumer;
 import java.util.function.Supplier;
 import org.marjoramswitch.daemon.log.KeyValueLog;
 import org.marjoramswitch.daemon.settings.LocalSettings;
@@ -53,8 +55,15 @@
     /** Starts an instance and runs it to its end, by signals or by itself. */
     public static ExitCode serve(Supplier<? extends RunningInstance> start) {
         KeyValueLog log = KeyValueLog.of(DaemonMain.class);
+        // Heard from the first moment: a signal that came during the start would end the process by its default.
+        CompletableFuture<RunningInstance> started = new CompletableFuture<>();
+        AtomicInteger signals = new AtomicInteger();
+        ProcessSignals.handle(
+                () -> onceStarted(started, instance -> onEnding(instance, signals.incrementAndGet())),
+                () -> onceStarted(started, RunningInstance::reload));
         try (RunningInstance instance = start.get()) {
-            return awaitEnd(instance);
+            started.complete(instance);
+            return instance.drained().join() ? ExitCode.OK : ExitCode.CUT_SHORT;
         } catch (RuntimeException fault) {
             ExitCode exitCode = isAddressUnavailable(fault) ? ExitCode.ADDRESS_UNAVAILABLE : ExitCode.INTERNAL;
             log.error(fault, "daemon_failed", "exit", exitCode, "status", exitCode.status());
@@ -62,13 +71,11 @@
         }
     }
 
-    private static ExitCode awaitEnd(RunningInstance instance) {
-        AtomicInteger signals = new AtomicInteger();
-        ProcessSignals.handle(() -> onSignal(instance, signals.incrementAndGet()), instance::reload);
-        return instance.drained().join() ? ExitCode.OK : ExitCode.CUT_SHORT;
+    private static void onceStarted(CompletableFuture<RunningInstance> started, Consumer<RunningInstance> handler) {
+        CompletableFuture<Void> unused = started.thenAccept(handler);
     }
 
-    private static void onSignal(RunningInstance instance, int count) {
+    private static void onEnding(RunningInstance instance, int count) {
         if (count == 1) {
             instance.drain();
         } else {
--- a/kernel/src/main/java/org/marjoramswitch/kernel/placement/TargetLoad.java
+++ b/kernel/src/main/java/org/marjoramswitch/kernel/placement/TargetLoad.java
@@ -9,8 +9,13 @@
 final class TargetLoad {
     /** How much of the newest time counts in a mean of times. */
     private static final double GAIN = 0.1;
-    /** A mean that is not renewed halves its distance to the pool's in this time, so that a slow target is tried again. */
+    /** A mean that is not renewed halves its distance to the hoped-for in this time, so that a slow target is tried again. */
     private static final double FORGET_HALF_MS = 5_000;
+    /**
+     * Of the pool's mean, what a target is hoped to need of which nothing was seen for long. With the pool's own mean a
+     * target that was slow once stayed the dearest for good where one request at a time is asked.
+     */
+    private static final double HOPE = 0.8;
     /** Of an engine's memory; the rest is left to what the arbiter cannot see: other arbiters, longer answers. */
     private static final double USABLE_MEMORY = 0.9;
 
@@ -130,6 +135,7 @@
             return poolMeanMs;
         }
         double fresh = Math.pow(0.5, (nowMs - servedAtMs) / FORGET_HALF_MS);
-        return poolMeanMs + fresh * (serviceMs - poolMeanMs);
+        double hopedMs = HOPE * poolMeanMs;
+        return hopedMs + fresh * (serviceMs - hopedMs);
     }
 }
--- a/kernel/src/test/java/org/marjoramswitch/kernel/placement/PlacementArbiterTest.java
+++ b/kernel/src/test/java/org/marjoramswitch/kernel/placement/PlacementArbiterTest.java
@@ -105,6 +105,23 @@
         assertTrue(sentToSlow < 20, "sent to the slow target: " + sentToSlow);
     }
 
+    /** Requests come one at a time, so no load speaks for the target that was slow once; it gets another chance. */
+    @Test
+    void aTargetThatWasSlowOnceIsTriedAgain() {
+        targets("t1", "t2");
+        TargetId slow = place();
+        nowMs += 400;
+        end(asks, PlacementEnd.SERVED);
+        boolean triedAgain = false;
+        for (int i = 0; i < 300; i++) {
+            triedAgain = triedAgain || place().equals(slow);
+            nowMs += 50;
+            end(asks, PlacementEnd.SERVED);
+            nowMs += 50;
+        }
+        assertTrue(triedAgain);
+    }
+
     /** The light customer's one request goes before the ten of the heavy one that came earlier. */
     @Test
     void aLightCustomerGoesBeforeAHeavyOne() {
