Let the two assemblies and the two stores share what they had twice

Cause: read as a newcomer, the change for the platform had written again what stood beside it: the index of API keys by generation (RouteAuthenticator beside Authenticator), when a caller has left (ForwardHandler beside CallIntake), a rejection that is an answer (PlatformStore beside EtcdGatewayStore), unreadable entries logged once a version (TargetList beside FleetListReader), and the same test for open calls handed in by both daemons. Change: ApiKeys, AnswerWriter.Result.abandoned, KeyValueResult.orWhereRejected, LoggedEntries, and InstanceCore.noCallIsOpen in their place. 61 lines less, two lambdas and one interface less. Ruled out: joining the two HTTP servers' options; they differ in what is fixed and what the settings change. Figures: no behaviour is changed and nothing was measured for it.

--- a/daemon/src/main/java/org/marjoramswitch/daemon/Daemon.java
+++ b/daemon/src/main/java/org/marjoramswitch/daemon/Daemon.java
@@ -45,8 +45,6 @@
     /** The settings' schema allows no pool a longer wait for a target. */
     private static final long LONGEST_WAIT_MS = 300_000;
 
-    private static final String OPEN_CALLS = "caller.open_requests";
-
     private final LocalSettings settings;
     private final Parts parts;
     private final InstanceCore core;
@@ -66,8 +64,7 @@
                 parts,
                 options,
                 this::startTargets,
-                callerOptions.times().addressKeepMs(),
-                metrics -> metrics.counter(OPEN_CALLS).getCount() == 0);
+                callerOptions.times().addressKeepMs());
         EtcdGatewayStore store = startStore();
         startLoadReader();
         this.configuration = parts.add(ConfigurationDuty.start(
--- a/daemon/src/main/java/org/marjoramswitch/daemon/ForwardingDaemon.java
+++ b/daemon/src/main/java/org/marjoramswitch/daemon/ForwardingDaemon.java
@@ -37,7 +37,6 @@
  * the parts that a {@link Platform} gives in place of the product's own interfaces.
  */
 public final class ForwardingDaemon extends BaseInstance {
-    private static final String OPEN_CALLS = "caller.open_requests";
     /** The pause before the list of instances is read anew. */
     private static final long LIST_PAUSE_MS = 500;
 
@@ -58,8 +57,7 @@
                 options.withMaxWaiting(local.maxWaiting()),
                 (worker, metrics) ->
                         parts.add(UndertowTargetClient.start(worker, platform.targets(), platform.protocol(), metrics)),
-                platform.callers().times().addressKeepMs(),
-                metrics -> metrics.counter(OPEN_CALLS).getCount() == 0);
+                platform.callers().times().addressKeepMs());
         KeyValueStore store = parts.add(platform.store().apply(core));
         this.callers = parts.add(ForwardServer.start(
                 new ForwardServer.Parts(
--- a/daemon/src/main/java/org/marjoramswitch/daemon/InstanceCore.java
+++ b/daemon/src/main/java/org/marjoramswitch/daemon/InstanceCore.java
@@ -46,6 +46,9 @@
 final class InstanceCore implements StoreContext {
     private static final int IO_THREADS = 2;
     private static final int TASK_THREADS = 2;
+    /** Counted by whatever serves the callers. */
+    private static final String OPEN_CALLS = "caller.open_requests";
+
     private static final KeyValueLog LOG = KeyValueLog.of(InstanceCore.class);
 
     private final LocalSettings settings;
@@ -67,7 +70,7 @@
     private volatile long generation;
 
     private InstanceCore(
-            LocalSettings settings, Parts parts, KernelOptions options, Targets targets, long addressKeepMs, Idle idle)
+            LocalSettings settings, Parts parts, KernelOptions options, Targets targets, long addressKeepMs)
             throws IOException {
         this.settings = settings;
         this.parts = parts;
@@ -82,8 +85,8 @@
                 .linkCutter(peers::cut)
                 .start());
         this.directory = directory(addressKeepMs);
-        this.drain = parts.add(Drain.of(
-                () -> decisions.drained().isDone() && idle.isIdle(metrics), clock, settings.drainDeadlineMs()));
+        this.drain = parts.add(
+                Drain.of(() -> decisions.drained().isDone() && noCallIsOpen(), clock, settings.drainDeadlineMs()));
     }
 
     /** Starts the client of the targets. */
@@ -92,17 +95,11 @@
         TargetClient start(XnioWorker worker, MetricRegistry metrics);
     }
 
-    /** Whether no caller's exchange is open any more. */
-    @FunctionalInterface
-    interface Idle {
-        boolean isIdle(MetricRegistry metrics);
-    }
-
     /** @param addressKeepMs how long callers may use an address answer */
     static InstanceCore start(
-            LocalSettings settings, Parts parts, KernelOptions options, Targets targets, long addressKeepMs, Idle idle)
+            LocalSettings settings, Parts parts, KernelOptions options, Targets targets, long addressKeepMs)
             throws IOException {
-        return new InstanceCore(settings, parts, options, targets, addressKeepMs, idle);
+        return new InstanceCore(settings, parts, options, targets, addressKeepMs);
     }
 
     /**
@@ -282,6 +279,11 @@
         return file == null ? EventObserver.NONE : parts.add(EventRecorder.start(Path.of(file), header));
     }
 
+    /** The decisions may be through with a request whose answer the caller still reads. */
+    private boolean noCallIsOpen() {
+        return metrics.counter(OPEN_CALLS).getCount() == 0;
+    }
+
     private FleetDirectory directory(long addressKeepMs) {
         CustomerSpread spread = CustomerSpread.of(self.id(), decisions::openRequests, addressKeepMs);
         return FleetDirectory.of(
--- a/daemon/src/main/java/org/marjoramswitch/daemon/caller/AnswerWriter.java
+++ b/daemon/src/main/java/org/marjoramswitch/daemon/caller/AnswerWriter.java
@@ -94,7 +94,12 @@
     }
 
     /** How the writing to a caller ended. */
-    record Result(Outcome outcome, @Nullable Failure failure, long bytes) {}
+    record Result(Outcome outcome, @Nullable Failure failure, long bytes) {
+        /** Whether the caller left, or read too slowly to go on, so that nobody is there to take more. */
+        boolean abandoned() {
+            return outcome == Outcome.CALLER_GONE || outcome == Outcome.SLOW_CALLER;
+        }
+    }
 
     /** What the caller got. */
     enum Outcome {
--- a/daemon/src/main/java/org/marjoramswitch/daemon/caller/ApiKeyIndex.java
+++ b/daemon/src/main/java/org/marjoramswitch/daemon/caller/ApiKeyIndex.java
@@ -9,7 +9,6 @@
 import org.jspecify.annotations.Nullable;
 import org.marjoramswitch.kernel.model.CustomerId;
 import org.marjoramswitch.kernel.settings.CustomerSettings;
-import org.marjoramswitch.kernel.settings.FleetSettings;
 
 /**
  * Finds the customer of an API key. The settings hold only the keys' SHA-256 hashes, so a lookup compares hashes and
@@ -26,10 +25,6 @@
         this.customerByHash = customerByHash;
     }
 
-    static ApiKeyIndex of(FleetSettings settings) {
-        return of(settings.generation(), settings.customers());
-    }
-
     static ApiKeyIndex of(long generation, Map<CustomerId, CustomerSettings> customers) {
         Map<String, CustomerId> index = new HashMap<>();
         customers.forEach((id, customer) -> customer.apiKeysSha256().forEach(hash -> index.put(hash, id)));
@@ -37,8 +32,8 @@
     }
 
     /** Whether the index was built from this generation of settings. */
-    boolean isOf(FleetSettings settings) {
-        return settings.generation() == generation;
+    boolean isOf(long otherGeneration) {
+        return otherGeneration == generation;
     }
 
     /** @param authorization the value of the Authorization header */
--- a/daemon/src/main/java/org/marjoramswitch/daemon/caller/Authenticator.java
+++ b/daemon/src/main/java/org/marjoramswitch/daemon/caller/Authenticator.java
@@ -14,7 +14,7 @@
     private static final long NOT_READY_RETRY_AFTER_MS = 2_000;
 
     private final Supplier<FleetSettings> settings;
-    private volatile ApiKeyIndex index = ApiKeyIndex.of(FleetSettings.NONE);
+    private final ApiKeys keys = ApiKeys.create();
 
     private Authenticator(Supplier<FleetSettings> settings) {
         this.settings = settings;
@@ -38,21 +38,12 @@
             return new Result.Refused(Failure.notRun(ErrorType.NOT_READY, NOT_READY_RETRY_AFTER_MS, ""));
         }
         @Nullable
-        CustomerId customer =
-                indexOf(current).customer(exchange.getRequestHeaders().getFirst(Headers.AUTHORIZATION));
+        CustomerId customer = keys.customer(
+                current.generation(),
+                current.customers(),
+                exchange.getRequestHeaders().getFirst(Headers.AUTHORIZATION));
         return customer == null
                 ? new Result.Refused(Failure.notRun(ErrorType.UNKNOWN_API_KEY, 0, ""))
                 : new Result.Known(customer);
     }
-
-    /** The index of this generation; two threads may both build it, which costs a moment once a generation. */
-    private ApiKeyIndex indexOf(FleetSettings current) {
-        ApiKeyIndex known = index;
-        if (known.isOf(current)) {
-            return known;
-        }
-        ApiKeyIndex built = ApiKeyIndex.of(current);
-        index = built;
-        return built;
-    }
 }
--- a/daemon/src/main/java/org/marjoramswitch/daemon/caller/CallIntake.java
+++ b/daemon/src/main/java/org/marjoramswitch/daemon/caller/CallIntake.java
@@ -248,11 +248,6 @@
         caller.refuse(failure, clockMs.getAsLong());
     }
 
-    private static boolean isAbandoned(AnswerWriter.Result result) {
-        return result.outcome() == AnswerWriter.Outcome.CALLER_GONE
-                || result.outcome() == AnswerWriter.Outcome.SLOW_CALLER;
-    }
-
     /** Follows the writing to the one caller of a request without a key. */
     private final class UnkeyedListener implements AnswerWriter.Listener {
         private final CallerExchange caller;
@@ -277,7 +272,7 @@
 
         @Override
         public void onEnd(AnswerWriter.Result result) {
-            if (isAbandoned(result)) {
+            if (result.abandoned()) {
                 gate.callerGone(requestId);
             }
             caller.end(result, clockMs.getAsLong());
@@ -307,7 +302,7 @@
         @Override
         public void onEnd(AnswerWriter.Result result) {
             caller.end(result, clockMs.getAsLong());
-            if (isAbandoned(result) && answer.repeatable()) {
+            if (result.abandoned() && answer.repeatable()) {
                 caller.afterMs(options.times().reattachGraceMs(), this::giveUpIfAlone);
             }
         }
--- a/daemon/src/main/java/org/marjoramswitch/daemon/caller/ForwardHandler.java
+++ b/daemon/src/main/java/org/marjoramswitch/daemon/caller/ForwardHandler.java
@@ -46,7 +46,7 @@
     private final CallDecoder decoder;
     private final RequestGate gate;
     private final Supplier<RoutedSettings> settings;
-    private final RouteAuthenticator authenticator;
+    private final ApiKeys apiKeys;
     private final BooleanSupplier leaving;
     private final MemoryBudget budget;
     private final Map<String, UsualPatience> patience = new ConcurrentHashMap<>();
@@ -66,7 +66,7 @@
         this.decoder = decoder;
         this.gate = gate;
         this.settings = settings;
-        this.authenticator = new RouteAuthenticator();
+        this.apiKeys = ApiKeys.create();
         this.leaving = leaving;
         this.budget = budget;
         this.clockMs = clockMs;
@@ -122,8 +122,10 @@
         if (route.open() || !current.keysNeeded()) {
             caller.identify(RoutedCall.NO_CUSTOMER);
         } else {
-            CustomerId customer =
-                    authenticator.customer(current, exchange.getRequestHeaders().getFirst(Headers.AUTHORIZATION));
+            CustomerId customer = apiKeys.customer(
+                    current.version(),
+                    current.customers(),
+                    exchange.getRequestHeaders().getFirst(Headers.AUTHORIZATION));
             if (customer == null) {
                 return Failure.notRun(ErrorType.UNKNOWN_API_KEY, 0, "");
             }
@@ -255,9 +257,7 @@
 
         @Override
         public void onEnd(AnswerWriter.Result result) {
-            boolean abandoned = result.outcome() == AnswerWriter.Outcome.CALLER_GONE
-                    || result.outcome() == AnswerWriter.Outcome.SLOW_CALLER;
-            if (abandoned) {
+            if (result.abandoned()) {
                 gate.callerGone(requestId);
             }
             caller.end(result, clockMs.getAsLong());
--- a/daemon/src/main/java/org/marjoramswitch/daemon/fleet/TargetList.java
+++ b/daemon/src/main/java/org/marjoramswitch/daemon/fleet/TargetList.java
@@ -1,7 +1,6 @@
 package org.marjoramswitch.daemon.fleet;
 
 import java.util.Collection;
-import java.util.HashMap;
 import java.util.HashSet;
 import java.util.Map;
 import java.util.Optional;
@@ -13,6 +12,7 @@
 import org.marjoramswitch.daemon.log.KeyValueLog;
 import org.marjoramswitch.daemon.platform.KeyValueStore;
 import org.marjoramswitch.daemon.platform.KeyValueStore.Entry;
+import org.marjoramswitch.daemon.platform.LoggedEntries;
 import org.marjoramswitch.daemon.platform.PrefixFollower;
 import org.marjoramswitch.kernel.error.ErrorType;
 import org.marjoramswitch.kernel.model.TargetId;
@@ -35,7 +35,7 @@
     private final Decoder decoder;
     private final Consumer<Map<TargetId, TargetSettings>> listener;
     private final LongSupplier clockMs;
-    private final Map<String, Long> loggedRevisions = new HashMap<>();
+    private final LoggedEntries logged = LoggedEntries.create();
     private @Nullable PrefixFollower follower;
     private Map<TargetId, TargetSettings> known = Map.of();
     private @Nullable String failing;
@@ -151,8 +151,7 @@
     }
 
     private void logUnreadable(Entry entry) {
-        Long logged = loggedRevisions.put(entry.key(), entry.modRevision());
-        if (logged == null || logged != entry.modRevision()) {
+        if (logged.add(entry)) {
             LOG.warn("target_list_entry_malformed", "type", ErrorType.FLEET_LIST_INVALID, "key", entry.key());
         }
     }
--- a/daemon/src/main/java/org/marjoramswitch/daemon/platform/EtcdGatewayStore.java
+++ b/daemon/src/main/java/org/marjoramswitch/daemon/platform/EtcdGatewayStore.java
@@ -96,8 +96,8 @@
     /** The value is false where there is no such lease any more. */
     @Override
     public CompletableFuture<KeyValueResult<Boolean>> revokeLease(long leaseId) {
-        return EtcdGatewayStore.<Boolean>orWhereNotFound(
-                write(REVOKE, GatewayCodec.leaseRequest(leaseId), body -> true), false);
+        return this.<Boolean>write(REVOKE, GatewayCodec.leaseRequest(leaseId), body -> true)
+                .thenApply(result -> result.orWhereRejected(NOT_FOUND, false));
     }
 
     @Override
@@ -128,14 +128,4 @@
             String path, String body, Function<JsonNode, T> decode) {
         return client.write(Methods.POST_STRING, path, body, decode);
     }
-
-    private static <T> CompletableFuture<KeyValueResult<T>> orWhereNotFound(
-            CompletableFuture<KeyValueResult<T>> result, T value) {
-        return result.thenApply(ended -> {
-            if (ended instanceof KeyValueResult.Rejected<T> rejected && rejected.status() == NOT_FOUND) {
-                return new KeyValueResult.Answered<>(value, 0);
-            }
-            return ended;
-        });
-    }
 }
--- a/daemon/src/main/java/org/marjoramswitch/daemon/platform/FleetListReader.java
+++ b/daemon/src/main/java/org/marjoramswitch/daemon/platform/FleetListReader.java
@@ -3,8 +3,6 @@
 import com.codahale.metrics.Meter;
 import com.codahale.metrics.MetricRegistry;
 import java.util.Collection;
-import java.util.HashMap;
-import java.util.Map;
 import java.util.function.Consumer;
 import org.jspecify.annotations.Nullable;
 import org.marjoramswitch.daemon.log.KeyValueLog;
@@ -27,7 +25,7 @@
     private final Consumer<FleetList> listener;
     private final Meter malformed;
     private final Meter failed;
-    private final Map<String, Long> loggedRevisions = new HashMap<>();
+    private final LoggedEntries logged = LoggedEntries.create();
     private @Nullable PrefixFollower follower;
     private @Nullable FleetList last;
     private boolean failing;
@@ -99,8 +97,7 @@
 
     /** Counts and logs each version of an entry once, not with each change of another one. */
     private void countMalformed(Entry entry) {
-        Long logged = loggedRevisions.put(entry.key(), entry.modRevision());
-        if (logged != null && logged == entry.modRevision()) {
+        if (!logged.add(entry)) {
             return;
         }
         malformed.mark();
--- a/daemon/src/main/java/org/marjoramswitch/daemon/platform/KeyValueResult.java
+++ b/daemon/src/main/java/org/marjoramswitch/daemon/platform/KeyValueResult.java
@@ -5,6 +5,12 @@
 /** How a call to the platform's service ended. */
 public sealed interface KeyValueResult<T extends @Nullable Object> {
 
+    /** This result, or the value as an answer where the service tells with a rejection of this status what it means. */
+    default KeyValueResult<T> orWhereRejected(int status, T value) {
+        boolean meant = this instanceof Rejected<T> rejected && rejected.status() == status;
+        return meant ? new Answered<>(value, 0) : this;
+    }
+
     /** The service answered. */
     record Answered<T extends @Nullable Object>(T value, long revision) implements KeyValueResult<T> {}
 
