Choose the target of a late request once

Change: placeNextLate starts what it found, as placeNext does for those in time. Ruled out: choosing late requests together with those in time; they keep their own order and their own choice.

--- a/kernel/src/main/java/org/marjoramswitch/kernel/placement/PlacementArbiter.java
+++ b/kernel/src/main/java/org/marjoramswitch/kernel/placement/PlacementArbiter.java
@@ -8,7 +8,6 @@
 import java.util.TreeMap;
 import java.util.TreeSet;
 import java.util.function.ToDoubleFunction;
-import org.jspecify.annotations.Nullable;
 import org.marjoramswitch.kernel.action.Action;
 import org.marjoramswitch.kernel.action.ActionSink;
 import org.marjoramswitch.kernel.action.Decision;
@@ -301,34 +300,26 @@
     }
 
     private void placeLate(long nowMs, ActionSink sink) {
-        WaitingRequest next = lateRequestWithTarget(nowMs);
-        while (next != null) {
-            TargetLoad target = TargetChoice.at(model, meanServiceMs, targets.values(), nowMs)
-                    .late(next, targets.values());
-            if (target == null) {
-                return;
-            }
-            start(next, target, "late", nowMs, sink);
-            next = lateRequestWithTarget(nowMs);
+        while (waiting.inTimeCount() == 0 && placeNextLate(nowMs, sink)) {
+            // As with those in time, each start changes the loads.
         }
     }
 
-    private @Nullable WaitingRequest lateRequestWithTarget(long nowMs) {
-        if (waiting.inTimeCount() > 0) {
-            return null;
-        }
+    private boolean placeNextLate(long nowMs, ActionSink sink) {
         TargetChoice choice = TargetChoice.at(model, meanServiceMs, targets.values(), nowMs);
         int tried = 0;
         for (WaitingRequest request : waiting.late()) {
-            if (choice.late(request, targets.values()) != null) {
-                return request;
+            TargetLoad target = choice.late(request, targets.values());
+            if (target != null) {
+                start(request, target, "late", nowMs, sink);
+                return true;
             }
             tried++;
             if (tried == LOOKAHEAD) {
-                return null;
+                return false;
             }
         }
-        return null;
+        return false;
     }
 
     private void start(WaitingRequest request, TargetLoad target, String reason, long nowMs, ActionSink sink) {
