Close callers' connections early once half of them are in use

One large customer's callers all use one instance. Each request of the flood opened a connection and kept it idle after its answer; with 2,500 open none was accepted, and new callers waited unread until they left: 1,067 lines with CALLER_GONE and 0 to 2 ms at that instance, 3,679 descriptors in use. Change: ConnectionUse, taken out of ForwardHandler: from half of the limit on an answer is its connection's last.

--- a/daemon/src/main/java/org/marjoramswitch/daemon/caller/ForwardHandler.java
+++ b/daemon/src/main/java/org/marjoramswitch/daemon/caller/ForwardHandler.java
@@ -2,8 +2,6 @@
 
 import io.undertow.server.HttpHandler;
 import io.undertow.server.HttpServerExchange;
-import io.undertow.server.ServerConnection;
-import io.undertow.util.AttachmentKey;
 import io.undertow.util.HeaderMap;
 import io.undertow.util.HeaderValues;
 import io.undertow.util.Headers;
@@ -35,10 +33,6 @@
  * <p>A call keeps the version of settings that it began with: its route, its pool and its times do not change under it.
  */
 final class ForwardHandler implements HttpHandler {
-    private static final AttachmentKey<Integer> REQUESTS = AttachmentKey.create(Integer.class);
-    /** A new connection costs a caller one round trip; spread over so many requests it is a small part of their time. */
-    private static final int REQUESTS_PER_CONNECTION = 16;
-
     private static final long NOT_READY_RETRY_AFTER_MS = 1_000;
     private static final long FULL_RETRY_AFTER_MS = 1_000;
 
@@ -47,6 +41,7 @@
     private final RequestGate gate;
     private final Supplier<RoutedSettings> settings;
     private final ApiKeys apiKeys;
+    private final ConnectionUse connections;
     private final BooleanSupplier leaving;
     private final MemoryBudget budget;
     private final Map<String, UsualPatience> patience = new ConcurrentHashMap<>();
@@ -67,6 +62,7 @@
         this.gate = gate;
         this.settings = settings;
         this.apiKeys = ApiKeys.create();
+        this.connections = ConnectionUse.within(options.maxConnections());
         this.leaving = leaving;
         this.budget = budget;
         this.clockMs = clockMs;
@@ -76,7 +72,7 @@
     @Override
     public void handleRequest(HttpServerExchange exchange) {
         CallerExchange caller = CallerExchange.begin(exchange, metrics, clockMs.getAsLong());
-        if (leaving.getAsBoolean() || isUsedUp(exchange.getConnection())) {
+        if (leaving.getAsBoolean() || connections.isLast(exchange.getConnection())) {
             // The caller finishes here and chooses an instance anew for its next request.
             exchange.setPersistent(false);
         }
@@ -92,17 +88,6 @@
         exchange.dispatch(SameThreadExecutor.INSTANCE, () -> readBody(caller, current, found));
     }
 
-    /**
-     * A caller chooses among the instances for each new connection only. One that sends much keeps its few connections
-     * busy and with them one instance, which carries several times its part and takes all of it along when it dies.
-     */
-    private static boolean isUsedUp(ServerConnection connection) {
-        Integer before = connection.getAttachment(REQUESTS);
-        int requests = before == null ? 1 : before + 1;
-        connection.putAttachment(REQUESTS, requests);
-        return requests >= REQUESTS_PER_CONNECTION;
-    }
-
     private @Nullable Failure admit(CallerExchange caller, RoutedSettings current, @Nullable Route route) {
         HttpServerExchange exchange = caller.http();
         if (current.version() == 0) {
--- /dev/null
+++ b/daemon/src/test/java/org/marjoramswitch/daemon/caller/ForwardServerTest.java
@@ -0,0 +1,148 @@
+package org.marjoramswitch.daemon.caller;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertNull;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import com.codahale.metrics.MetricRegistry;
+import java.io.BufferedReader;
+import java.io.IOException;
+import java.io.InputStreamReader;
+import java.net.InetAddress;
+import java.net.ServerSocket;
+import java.net.Socket;
+import java.nio.charset.StandardCharsets;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Locale;
+import java.util.Map;
+import org.jspecify.annotations.Nullable;
+import org.junit.jupiter.api.AfterEach;
+import org.junit.jupiter.api.BeforeEach;
+import org.junit.jupiter.api.Test;
+import org.marjoramswitch.daemon.exchange.CallDecoder;
+import org.marjoramswitch.daemon.route.RoutedSettings;
+import org.marjoramswitch.daemon.settings.HostPort;
+import org.marjoramswitch.kernel.model.CustomerId;
+import org.xnio.OptionMap;
+import org.xnio.Options;
+import org.xnio.Xnio;
+import org.xnio.XnioWorker;
+
+class ForwardServerTest {
+    private static final int MOST_CONNECTIONS = 8;
+    private static final int READ_TIMEOUT_MS = 5_000;
+    private static final String REQUEST = "GET /any/ HTTP/1.1\r\nHost: h.example\r\n\r\n";
+
+    private final List<Caller> callers = new ArrayList<>();
+    private XnioWorker worker;
+    private ForwardServer server;
+    private int port;
+
+    @BeforeEach
+    void start() throws IOException {
+        worker = Xnio.getInstance().createWorker(OptionMap.create(Options.WORKER_IO_THREADS, 1));
+        port = freePort();
+        server = ForwardServer.start(
+                new ForwardServer.Parts(
+                        HostPort.of("127.0.0.1", port),
+                        Map.of(),
+                        CallerOptions.builder().maxConnections(MOST_CONNECTIONS).build(),
+                        new PlainDecoder(),
+                        new FakeGate(),
+                        () -> RoutedSettings.NONE,
+                        () -> false,
+                        () -> System.nanoTime() / 1_000_000),
+                worker,
+                new MetricRegistry());
+    }
+
+    @AfterEach
+    void stop() throws IOException {
+        for (Caller caller : callers) {
+            caller.socket().close();
+        }
+        server.close();
+        worker.shutdownNow();
+    }
+
+    /**
+     * Every caller of a flood is answered. Each opens a connection, has its answer and keeps the connection for later;
+     * with all connections that an instance takes held idle like this, the next callers would wait unread until they give
+     * up. From half of the connections on, an answer closes its connection.
+     */
+    @Test
+    void idleConnectionsDoNotKeepNewCallersOut() throws IOException {
+        for (int i = 0; i < 2 * MOST_CONNECTIONS; i++) {
+            assertEquals("HTTP/1.1 503 Service Unavailable", call().status());
+        }
+    }
+
+    @Test
+    void fewConnectionsAreKept() throws IOException {
+        Caller first = call();
+        assertTrue(first.kept());
+        assertEquals("HTTP/1.1 503 Service Unavailable", first.again().status());
+    }
+
+    private Caller call() throws IOException {
+        Socket socket = new Socket(InetAddress.getLoopbackAddress(), port);
+        socket.setSoTimeout(READ_TIMEOUT_MS);
+        BufferedReader in =
+                new BufferedReader(new InputStreamReader(socket.getInputStream(), StandardCharsets.ISO_8859_1));
+        Caller caller = new Caller(socket, in, "", "").again();
+        callers.add(caller);
+        if (!caller.kept()) {
+            socket.close();
+        }
+        return caller;
+    }
+
+    private static int freePort() throws IOException {
+        try (ServerSocket socket = new ServerSocket(0, 1, InetAddress.getLoopbackAddress())) {
+            return socket.getLocalPort();
+        }
+    }
+
+    /** One connection and the head of its newest answer. */
+    private record Caller(Socket socket, BufferedReader in, String status, String head) {
+        Caller again() throws IOException {
+            socket.getOutputStream().write(REQUEST.getBytes(StandardCharsets.ISO_8859_1));
+            String first = in.readLine();
+            StringBuilder rest = new StringBuilder();
+            int length = 0;
+            for (String line = in.readLine(); line != null && !line.isEmpty(); line = in.readLine()) {
+                rest.append(line.toLowerCase(Locale.ROOT)).append('\n');
+                if (line.regionMatches(true, 0, "content-length:", 0, 15)) {
+                    length = Integer.parseInt(line.substring(15).trim());
+                }
+            }
+            for (int i = 0; i < length; i++) {
+                in.read();
+            }
+            return new Caller(socket, in, String.valueOf(first), rest.toString());
+        }
+
+        boolean kept() {
+            return !head.contains("connection: close");
+        }
+    }
+
+    private static final class PlainDecoder implements CallDecoder {
+        @Override
+        public CallFacts read(Map<String, String> headers) {
+            return new CallFacts("", 0, List.of(), 0, 0);
+        }
+
+        @Override
+        public Map<String, String> forTarget(Map<String, String> headers, @Nullable CustomerId customer) {
+            assertNull(customer);
+            return headers;
+        }
+
+        @Override
+        public String retryAfter(long retryAfterMs) {
+            return Long.toString(retryAfterMs);
+        }
+    }
+}
