Tell of a refused request why, by the caller's own id; count and tell lost log lines

A full log queue lost lines in silence, and a library's lines waited for standard output on the thread that wrote them. Ruled out: the caller's id in the question to the arbiter: 16 bytes more a request on the wire.

--- a/daemon/src/main/java/org/marjoramswitch/daemon/ProcessMetrics.java
+++ b/daemon/src/main/java/org/marjoramswitch/daemon/ProcessMetrics.java
@@ -6,6 +6,7 @@
 import java.nio.file.Files;
 import java.nio.file.Path;
 import java.time.Duration;
+import org.marjoramswitch.daemon.log.QueueAppender;
 
 /**
  * Figures of the process: heap, resident memory, processor time, threads. They come from the runtime and from
@@ -26,6 +27,7 @@
         gauge(registry, "resident_bytes", ProcessMetrics::residentBytes);
         gauge(registry, "cpu_ms", ProcessMetrics::cpuMs);
         gauge(registry, "threads", () -> (long) Thread.activeCount());
+        gauge(registry, "log_lines_dropped", QueueAppender::dropped);
     }
 
     private static void gauge(MetricRegistry registry, String name, Gauge<Long> value) {
--- a/daemon/src/main/java/org/marjoramswitch/daemon/caller/AnswerRelay.java
+++ b/daemon/src/main/java/org/marjoramswitch/daemon/caller/AnswerRelay.java
@@ -18,6 +18,8 @@
         default void onSent() {}
 
         default void onAnswering() {}
+
+        default void onPart() {}
     }
 
     @Override
@@ -33,6 +35,7 @@
 
     @Override
     public void onBytes(byte[] bytes) {
+        progress.onPart();
         buffer.onBytes(bytes);
     }
 
--- a/daemon/src/main/java/org/marjoramswitch/daemon/caller/CallerExchange.java
+++ b/daemon/src/main/java/org/marjoramswitch/daemon/caller/CallerExchange.java
@@ -4,6 +4,7 @@
 import java.util.concurrent.TimeUnit;
 import org.jspecify.annotations.Nullable;
 import org.marjoramswitch.daemon.log.KeyValueLog;
+import org.marjoramswitch.daemon.route.Route;
 import org.marjoramswitch.kernel.error.Failure;
 import org.marjoramswitch.kernel.model.CustomerId;
 import org.marjoramswitch.kernel.model.PoolId;
@@ -21,6 +22,8 @@
     private @Nullable PoolId pool;
     private long requestId;
     private String callerName = NONE;
+    private @Nullable Route route;
+    private final LongestPause pause = new LongestPause();
     private long headMs;
     private int status;
     private @Nullable StreamSourceChannel requestChannel;
@@ -57,6 +60,15 @@
         callerName = name;
     }
 
+    void assign(Route toRoute) {
+        route = toRoute;
+    }
+
+    /** A part of the answer came from the target. */
+    void partAt(long nowMs) {
+        pause.heard(nowMs);
+    }
+
     void assign(PoolId toPool) {
         pool = toPool;
     }
@@ -108,8 +120,8 @@
         ended = true;
         long waitMs = (headMs == 0 ? nowMs : headMs) - beganMs;
         long totalMs = nowMs - beganMs;
-        metrics.ended(result.outcome(), waitMs, totalMs);
         Failure failure = result.failure();
+        metrics.ended(route, result, waitMs, totalMs, pause.longestMs());
         LOG.info(
                 "request_ended",
                 "requestId",
@@ -118,6 +130,8 @@
                 callerName,
                 "customer",
                 customer == null ? NONE : customer,
+                "route",
+                route == null ? NONE : route.name(),
                 "pool",
                 pool == null ? NONE : pool,
                 "status",
@@ -128,8 +142,12 @@
                 failure == null ? NONE : failure.type(),
                 "run",
                 failure == null ? NONE : failure.run().wireName(),
+                "detail",
+                failure == null || failure.detail().isEmpty() ? NONE : failure.detail(),
                 "waitMs",
                 waitMs,
+                "pauseMs",
+                pause.longestMs(),
                 "totalMs",
                 totalMs,
                 "bytes",
--- a/daemon/src/main/java/org/marjoramswitch/daemon/caller/CallerMetrics.java
+++ b/daemon/src/main/java/org/marjoramswitch/daemon/caller/CallerMetrics.java
@@ -9,14 +9,23 @@
 import java.util.Locale;
 import java.util.Map;
 import java.util.concurrent.TimeUnit;
+import org.jspecify.annotations.Nullable;
+import org.marjoramswitch.daemon.route.Route;
+import org.marjoramswitch.daemon.route.RouteKind;
+import org.marjoramswitch.kernel.error.ErrorType;
 
-/** Counts of the callers' side. */
+/**
+ * Counts of the callers' side: in all, by outcome, by the error that ended a request, and, on routes, by their kind. All
+ * names are known from the start, so their number does not grow with what callers send.
+ */
 final class CallerMetrics {
     private final Counter openRequests;
     private final Meter receivedRequests;
     private final Timer waits;
     private final Timer totals;
     private final Map<AnswerWriter.Outcome, Meter> outcomes = new EnumMap<>(AnswerWriter.Outcome.class);
+    private final Map<ErrorType, Meter> errors = new EnumMap<>(ErrorType.class);
+    private final Map<RouteKind, KindMetrics> kinds = new EnumMap<>(RouteKind.class);
 
     private CallerMetrics(MetricRegistry registry, MemoryBudget budget) {
         Gauge<Long> bufferedBytes = budget::usedBytes;
@@ -26,7 +35,13 @@
         waits = registry.timer("caller.wait");
         totals = registry.timer("caller.total");
         for (AnswerWriter.Outcome outcome : AnswerWriter.Outcome.values()) {
-            outcomes.put(outcome, registry.meter("caller." + outcome.name().toLowerCase(Locale.ROOT)));
+            outcomes.put(outcome, registry.meter("caller." + lower(outcome)));
+        }
+        for (ErrorType error : ErrorType.values()) {
+            errors.put(error, registry.meter("caller.error." + lower(error)));
+        }
+        for (RouteKind kind : RouteKind.values()) {
+            kinds.put(kind, KindMetrics.of(registry, "caller." + lower(kind)));
         }
     }
 
@@ -43,13 +58,54 @@
         receivedRequests.mark();
     }
 
-    void ended(AnswerWriter.Outcome outcome, long waitMs, long totalMs) {
+    /** @param route null where the request found none */
+    void ended(@Nullable Route route, AnswerWriter.Result result, long waitMs, long totalMs, long pauseMs) {
         openRequests.dec();
-        Meter meter = outcomes.get(outcome);
-        if (meter != null) {
-            meter.mark();
+        mark(outcomes.get(result.outcome()));
+        if (result.failure() != null) {
+            mark(errors.get(result.failure().type()));
         }
         waits.update(waitMs, TimeUnit.MILLISECONDS);
         totals.update(totalMs, TimeUnit.MILLISECONDS);
+        KindMetrics kind = route == null ? null : kinds.get(route.kind());
+        if (kind != null) {
+            kind.ended(result.outcome(), waitMs, pauseMs);
+        }
+    }
+
+    private static void mark(@Nullable Meter meter) {
+        if (meter != null) {
+            meter.mark();
+        }
+    }
+
+    private static String lower(Enum<?> value) {
+        return value.name().toLowerCase(Locale.ROOT);
+    }
+
+    /**
+     * Requests of one kind.
+     *
+     * @param firstBytes until the first byte of an answer that was whole
+     * @param pauses the longest pause of each such answer
+     */
+    private record KindMetrics(Meter answered, Meter others, Timer firstBytes, Timer pauses) {
+        static KindMetrics of(MetricRegistry registry, String prefix) {
+            return new KindMetrics(
+                    registry.meter(prefix + ".answered"),
+                    registry.meter(prefix + ".not_answered"),
+                    registry.timer(prefix + ".first_byte"),
+                    registry.timer(prefix + ".longest_pause"));
+        }
+
+        void ended(AnswerWriter.Outcome outcome, long waitMs, long pauseMs) {
+            if (outcome != AnswerWriter.Outcome.ANSWERED) {
+                others.mark();
+                return;
+            }
+            answered.mark();
+            firstBytes.update(waitMs, TimeUnit.MILLISECONDS);
+            pauses.update(pauseMs, TimeUnit.MILLISECONDS);
+        }
     }
 }
--- a/daemon/src/main/java/org/marjoramswitch/daemon/caller/ForwardHandler.java
+++ b/daemon/src/main/java/org/marjoramswitch/daemon/caller/ForwardHandler.java
@@ -85,6 +85,7 @@
             return;
         }
         Route found = Objects.requireNonNull(route);
+        caller.assign(found);
         exchange.dispatch(SameThreadExecutor.INSTANCE, () -> readBody(caller, current, found));
     }
 
@@ -178,7 +179,7 @@
         gate.submit(
                 call.spec(clockMs.getAsLong(), elapsedMs(route, facts)),
                 call.toTarget(caller.http(), decoder, headers, body, System.nanoTime()),
-                new AnswerRelay(buffer, AnswerRelay.Progress.NONE, TruthfulStatus::of));
+                new AnswerRelay(buffer, new PartsHeard(caller), TruthfulStatus::of));
     }
 
     /** How long ago the caller asked for the first time; a try that comes after a refusal is late sooner. */
@@ -214,6 +215,20 @@
         return query < 0 ? requestUri : requestUri.substring(0, query);
     }
 
+    /** Follows the parts of the target's answer. */
+    private final class PartsHeard implements AnswerRelay.Progress {
+        private final CallerExchange caller;
+
+        PartsHeard(CallerExchange caller) {
+            this.caller = caller;
+        }
+
+        @Override
+        public void onPart() {
+            caller.partAt(clockMs.getAsLong());
+        }
+    }
+
     /** Follows the writing to the caller. */
     private final class CallListener implements AnswerWriter.Listener {
         private final CallerExchange caller;
--- a/kernel/src/main/java/org/marjoramswitch/kernel/entry/Entry.java
+++ b/kernel/src/main/java/org/marjoramswitch/kernel/entry/Entry.java
@@ -160,7 +160,9 @@
             return;
         }
         waitingInAll--;
-        fail(request, ErrorType.NO_TARGET_IN_TIME, refused.retryAfterMs(), "", sink);
+        // Under these two names the arbiter's log tells why.
+        String question = refused.cell() + "#" + refused.ask();
+        fail(request, ErrorType.NO_TARGET_IN_TIME, refused.retryAfterMs(), question, sink);
     }
 
     /** Arbiters, cells or links may have changed. */
--- a/tool/src/main/java/org/marjoramswitch/tool/command/ExplainCommand.java
+++ b/tool/src/main/java/org/marjoramswitch/tool/command/ExplainCommand.java
@@ -22,7 +22,7 @@
 @Command(name = "explain", description = "Tells from the instances' logs why a request went where it did")
 @Discussion(
         paragraphs = {
-            "The request's id is the one in the answer's Request-Id header. Give the log of the instance that the"
+            "The request's id is the one in the answer's Request-Id header, or the caller's own. Give the log of the instance that the"
                     + " caller was connected to, and those of the others for the arbiter's reasons."
         })
 public final class ExplainCommand implements ToolCommand {
--- a/tool/src/main/java/org/marjoramswitch/tool/explain/Explanation.java
+++ b/tool/src/main/java/org/marjoramswitch/tool/explain/Explanation.java
@@ -9,15 +9,19 @@
 /**
  * The story of one request, found in the logs of its entry and of the arbiters.
  *
- * <p>The entry's lines name the request. An arbiter's lines do not, as an arbiter knows no requests: it grants to an
- * entry and customer. The two meet in the cell and the grant's sequence, which the entry logs when it binds the grant to
- * the request. So the lines are gathered in two passes: first those that name the request, then the grants whose cell
- * and sequence the first ones name.
+ * <p>The entry's lines name the request by the entry's number, and the line of its end by the caller's id too; either
+ * will do. An arbiter's lines do not, as an arbiter knows no requests: it grants to an entry and customer, or answers an
+ * entry's question. The two meet in the cell and a number, the grant's or the question's, which the entry logs when it
+ * binds the one to the other. So the lines are gathered in two passes: first those that name the request, then the
+ * arbiters' whose cell, number and customer the first ones name.
  *
- * <p>Request ids are unique within one instance's life, so the logs of several instances may tell of several requests;
- * each line names the log that it comes from.
+ * <p>Request numbers are unique within one instance's life, so the logs of several instances may tell of several requests;
+ * each line names the log that it comes from. A caller's id is everywhere the same: with it, only the lines of the
+ * instance that had the request are taken.
  */
 public final class Explanation {
+    private static final Set<String> ARBITERS_LINES = Set.of("grant", "place", "not_placed");
+
     private Explanation() {}
 
     /** One step of the story. */
@@ -28,18 +32,26 @@
         }
     }
 
-    /** The steps in the order of their times; empty where no line names the request. */
-    public static List<Step> of(String requestId, List<LogLine> lines) {
+    /**
+     * The steps in the order of their times; empty where no line names the request.
+     *
+     * @param id the entry's number of the request, or the caller's id
+     */
+    public static List<Step> of(String id, List<LogLine> lines) {
         List<LogLine> story = new ArrayList<>();
-        Set<String> grants = new HashSet<>();
+        Set<String> questions = new HashSet<>();
+        Set<String> ofCaller = new HashSet<>();
+        lines.stream()
+                .filter(line -> line.get("caller").equals(id))
+                .forEach(line -> ofCaller.add(numberAtSource(line)));
         for (LogLine line : lines) {
-            if (line.request().equals(requestId)) {
+            if (line.request().equals(id) || ofCaller.contains(numberAtSource(line))) {
                 story.add(line);
-                grants.add(grantKey(line));
+                questions.add(question(line));
             }
         }
         lines.stream()
-                .filter(line -> line.get("event").equals("grant") && grants.contains(grantKey(line)))
+                .filter(line -> ARBITERS_LINES.contains(line.get("event")) && questions.contains(question(line)))
                 .forEach(story::add);
         return story.stream()
                 .sorted(Comparator.comparing((LogLine line) -> line.get("time")))
@@ -47,13 +59,25 @@
                 .toList();
     }
 
-    private static String grantKey(LogLine line) {
-        return line.get("cell") + "#" + line.get("sequence") + "#" + line.get("customer");
+    private static String numberAtSource(LogLine line) {
+        return line.source() + '#' + line.request();
+    }
+
+    /** What an entry's line and an arbiter's have in common; the end of a refused request names its question whole. */
+    private static String question(LogLine line) {
+        String detail = line.get("detail");
+        if (line.get("error").equals("NO_TARGET_IN_TIME") && detail.contains("#")) {
+            return detail + '#' + line.get("customer");
+        }
+        String number = line.get("ask").isEmpty() ? line.get("sequence") : line.get("ask");
+        return line.get("cell") + '#' + number + '#' + line.get("customer");
     }
 
     private static String sentence(LogLine line) {
         return switch (line.get("event")) {
             case "grant" -> granted(line);
+            case "place" -> placed(line);
+            case "not_placed" -> notPlaced(line);
             case "dispatch" -> dispatched(line);
             case "refuse" ->
                 "refused: " + line.get("reason")
@@ -74,6 +98,22 @@
                 + line.get("targetInFlight");
     }
 
+    private static String placed(LogLine line) {
+        return "the arbiter of " + line.get("cell") + " placed it at " + line.get("target") + ", " + line.get("reason")
+                + ", after " + line.get("waitedMs") + " ms with " + line.get("objectiveLeftMs")
+                + " ms of its objective left; of its " + line.get("promptTokens") + " prompt tokens "
+                + line.get("uncachedTokens") + " are to be read, " + line.get("tokensAhead")
+                + " before its first byte, expected in " + line.get("expectedMs") + " ms; the target then ran "
+                + line.get("targetInFlight");
+    }
+
+    private static String notPlaced(LogLine line) {
+        return "the arbiter of " + line.get("cell") + " found no target of " + line.get("targets") + " in "
+                + line.get("waitedMs") + " ms, with " + line.get("objectiveLeftMs") + " ms of its objective left; "
+                + line.get("waitingInTime") + " that could be in time waited then and " + line.get("waitingLate")
+                + " late ones";
+    }
+
     private static String dispatched(LogLine line) {
         String grant = isZero(line, "sequence") ? "without a grant" : "by grant " + line.get("sequence");
         return "sent to " + line.get("target") + " of " + line.get("cell") + " " + grant + ", attempt "
--- a/tool/src/test/java/org/marjoramswitch/tool/explain/ExplanationTest.java
+++ b/tool/src/test/java/org/marjoramswitch/tool/explain/ExplanationTest.java
@@ -109,6 +109,97 @@
         assertTrue(Explanation.of("9", lines).isEmpty());
     }
 
+    private void logPlacement(String event, int ask, String customer) {
+        log(
+                "arbiter.log",
+                1,
+                event,
+                "cell",
+                "atelier-llm/0",
+                "entry",
+                "entry-1",
+                "ask",
+                ask,
+                "customer",
+                customer,
+                "target",
+                "engine-3",
+                "reason",
+                "in_time",
+                "waitedMs",
+                120,
+                "objectiveLeftMs",
+                -20,
+                "promptTokens",
+                9_000,
+                "uncachedTokens",
+                4_000,
+                "tokensAhead",
+                5_000,
+                "expectedMs",
+                60,
+                "targetInFlight",
+                7,
+                "waitingInTime",
+                57,
+                "waitingLate",
+                95,
+                "targets",
+                8);
+    }
+
+    private void logEnd(String file, int request, String caller, String error, String detail) {
+        log(
+                file,
+                3,
+                "request_ended",
+                "requestId",
+                request,
+                "caller",
+                caller,
+                "customer",
+                "quai-nord",
+                "status",
+                503,
+                "outcome",
+                "REFUSED",
+                "error",
+                error,
+                "run",
+                "not-run",
+                "detail",
+                detail,
+                "waitMs",
+                120,
+                "totalMs",
+                120,
+                "bytes",
+                180);
+    }
+
+    /** The caller knows its own id only; no target ever had its request, so nothing but the question joins the logs. */
+    @Test
+    void findsWhyARequestWasRefusedByItsCallersId() {
+        logEnd("entry.log", 7, "9c41d07be2a35f68", "NO_TARGET_IN_TIME", "atelier-llm/0#21");
+        logEnd("other.log", 7, "another-id", "NO_TARGET_IN_TIME", "atelier-llm/0#22");
+        logPlacement("not_placed", 21, "quai-nord");
+        logPlacement("not_placed", 22, "quai-nord");
+        logPlacement("not_placed", 21, "quai-sud");
+        Approvals.verify(Explanation.of("9c41d07be2a35f68", lines).stream()
+                .map(Explanation.Step::toString)
+                .collect(Collectors.joining("\n")));
+    }
+
+    @Test
+    void findsWhyARequestWentToItsTarget() {
+        logDispatch(7, 21);
+        logEnd("entry.log", 7, "9c41d07be2a35f68", "-", "-");
+        logPlacement("place", 21, "quai-nord");
+        Approvals.verify(Explanation.of("9c41d07be2a35f68", lines).stream()
+                .map(Explanation.Step::toString)
+                .collect(Collectors.joining("\n")));
+    }
+
     @Test
     void readsQuotedValues() {
         String text = KeyValueLog.line("fault", "detail", "a \"b\" = c\nd", "number", 3);
