Let light customers catch up to an even share of the last seconds

A customer that becomes backlogged is raised to the floor less five first estimates, 1,500 tokens, while one request costs 10,000: each of a clump's requests waited until all others had been given as much as the one before. Ruled out: fixed credits of 3, 20, 100, 400 thousand tokens: the last two do the same in virtual time, but are sizes of one site. Change: EvenShare: the credit is an even share of what the cell was charged in the last two seconds.

--- a/kernel/src/main/java/org/marjoramswitch/kernel/fair/FairShares.java
+++ b/kernel/src/main/java/org/marjoramswitch/kernel/fair/FairShares.java
@@ -17,8 +17,8 @@
  * Serving Large Language Models", OSDI 2024) with a different charge: a running request is charged what it has
  * delivered plus the rest that is expected of it, see {@link #expectedCostTokens}.
  *
- * <p>A customer that becomes backlogged is raised to the least counter of those that already are, less a credit of
- * {@value #CREDIT_ESTIMATES} requests of the pool's initial estimate. So idling earns at most the credit, and a newcomer
+ * <p>A customer that becomes backlogged is raised to the least counter of those that already are, less a credit:
+ * {@value #CREDIT_ESTIMATES} requests of the pool's initial estimate, unless {@link #credit} says otherwise. So idling earns at most the credit, and a newcomer
  * waits for nobody's past. The credit lets a small burst through together: without it, k requests of a light customer
  * were served one for one with a flooding customer's. A counter is never lowered, so a customer that uses its share
  * gains nothing by pausing. Example: A has been served 10,000 tokens while alone and stays
@@ -61,12 +61,14 @@
 
     private final ToDoubleFunction<CustomerId> weights;
     private final double initialEstimateTokens;
+    private double creditTokens;
     private double floor;
     private boolean adopting = true;
 
     private FairShares(ToDoubleFunction<CustomerId> weights, double initialEstimateTokens) {
         this.weights = weights;
         this.initialEstimateTokens = initialEstimateTokens;
+        this.creditTokens = CREDIT_ESTIMATES * initialEstimateTokens;
     }
 
     /** @param weights a customer's weight, above 0; asked when the customer becomes backlogged */
@@ -108,6 +110,14 @@
         return floor;
     }
 
+    /**
+     * How far below the floor a customer may be that becomes backlogged from now on. Where the work of a few seconds is
+     * known, an even share of it serves light customers better than a handful of first estimates.
+     */
+    public void credit(double tokens) {
+        creditTokens = tokens;
+    }
+
     /** Sets how many of a customer's requests wait; a customer that becomes backlogged is raised to the floor less the credit. */
     public void waiting(CustomerId customer, int requests) {
         FairAccount account = account(customer);
@@ -127,7 +137,7 @@
         }
         account.weight(weightOf(customer));
         if (!account.adopted()) {
-            account.raiseTo(floor() - CREDIT_ESTIMATES * initialEstimateTokens);
+            account.raiseTo(floor() - creditTokens);
         }
         account.waiting(requests);
         backlogged.add(account);
--- a/kernel/src/main/java/org/marjoramswitch/kernel/placement/PlacementArbiter.java
+++ b/kernel/src/main/java/org/marjoramswitch/kernel/placement/PlacementArbiter.java
@@ -69,6 +69,7 @@
     private final FirstByteModel model = new FirstByteModel();
     private final WaitingQueues waiting = new WaitingQueues();
     private final SizeBalance sizes = new SizeBalance();
+    private final EvenShare evenShare = new EvenShare();
     private final Map<TargetId, TargetLoad> targets = new TreeMap<>();
     private final Map<InstanceId, Map<Long, RunningRequest>> running = new HashMap<>();
     private double meanServiceMs = INITIAL_SERVICE_MS;
@@ -213,6 +214,7 @@
             return;
         }
         waiting.addInTime(request, lateAtMs);
+        shares.credit(evenShare.tokens(nowMs));
         showWaiting(request.customer());
     }
 
@@ -337,6 +339,7 @@
         sizes.ended(request.size(), true);
         target.started(request.prompt(), uncachedTokens, request.memoryTokens(), nowMs);
         shares.charge(request.customer(), request.costTokens());
+        evenShare.charged(request.customer(), request.costTokens(), nowMs);
         double tokensAhead = request.prompt().isEmpty() ? 0 : unreadTokens + uncachedTokens;
         ofEntry(request.entry())
                 .put(
--- a/kernel/src/test/java/org/marjoramswitch/kernel/placement/PlacementLoadTest.java
+++ b/kernel/src/test/java/org/marjoramswitch/kernel/placement/PlacementLoadTest.java
@@ -53,6 +53,18 @@
         assertTrue(simulation.of(customer(0)).inTimeShare() < 0.4, simulation::toString);
     }
 
+    /**
+     * A customer that asks for 4 in 100 of what all ask for, less than an even share, has its requests in time though the
+     * pool is asked for 1.8 times what it can do. Its requests come in clumps by chance, and each had to wait until all
+     * others were given as much as the one before it: 0.90 were in time.
+     */
+    @Test
+    void aCustomerBelowItsShareIsNotHeldUpByItsOwnClumps() {
+        PlacementSimulation simulation = asked(400, PlacementSimulation.Sizes.UNEVEN, 5);
+        simulation.run(END_MS);
+        assertTrue(simulation.of(customer(4)).inTimeShare() > 0.96, simulation::toString);
+    }
+
     /** One customer sends ten times its usual: it alone is refused. */
     @Test
     void aFloodIsRefusedToItsCustomerAlone() {
