See a changed settings file without a signal

Change: SettingsFileWatch compares the file's bytes every two seconds and tells the instance, which does as on SIGHUP; both daemons have it, as DaemonMain is told the file. Ruled out: inotify, which is not to be had there; the file's time, which a file put in its place may bear as it likes. What a new file changes still holds from the next start, and is logged as such.

--- a/daemon/src/main/java/org/marjoramswitch/daemon/DaemonMain.java
+++ b/daemon/src/main/java/org/marjoramswitch/daemon/DaemonMain.java
@@ -39,7 +39,7 @@
         }
         LocalSettings settings = ((LocalSettingsResult.Valid) read).settings();
         System.setProperty(LOG_LEVEL_PROPERTY, settings.logLevel());
-        return serve(settings);
+        return serve(Path.of(args[1]), () -> Daemon.start(settings));
     }
 
     private static void report(String file, LocalSettingsResult.Invalid invalid) {
@@ -48,12 +48,12 @@
                         "settings_fault", "file", file, "pointer", fault.pointer(), "reason", fault.reason())));
     }
 
-    private static ExitCode serve(LocalSettings settings) {
-        return serve(() -> Daemon.start(settings));
-    }
-
-    /** Starts an instance and runs it to its end, by signals or by itself. */
-    public static ExitCode serve(Supplier<? extends RunningInstance> start) {
+    /**
+     * Starts an instance and runs it to its end, by signals or by itself.
+     *
+     * @param file holds the instance's own settings; the instance is told when it has changed
+     */
+    public static ExitCode serve(Path file, Supplier<? extends RunningInstance> start) {
         KeyValueLog log = KeyValueLog.of(DaemonMain.class);
         // Heard from the first moment: a signal that came during the start would end the process by its default.
         CompletableFuture<RunningInstance> started = new CompletableFuture<>();
@@ -61,7 +61,8 @@
         ProcessSignals.handle(
                 () -> onceStarted(started, instance -> onEnding(instance, signals.incrementAndGet())),
                 () -> onceStarted(started, RunningInstance::reload));
-        try (RunningInstance instance = start.get()) {
+        try (RunningInstance instance = start.get();
+                SettingsFileWatch unused = SettingsFileWatch.start(file, instance::reload)) {
             started.complete(instance);
             return instance.drained().join() ? ExitCode.OK : ExitCode.CUT_SHORT;
         } catch (RuntimeException fault) {
