Part the lines of placement decisions from the arbiter

Cause: PlacementArbiter had grown to 450 lines, a fifth of them log fields. Change: PlacementLog holds them; both lines also tell the size class, and the refusal the prompt's tokens. Ruled out: nothing; no behaviour changes, the kernel's tests are as before.

--- a/kernel/src/main/java/org/marjoramswitch/kernel/placement/PlacementArbiter.java
+++ b/kernel/src/main/java/org/marjoramswitch/kernel/placement/PlacementArbiter.java
@@ -10,7 +10,6 @@
 import java.util.function.ToDoubleFunction;
 import org.marjoramswitch.kernel.action.Action;
 import org.marjoramswitch.kernel.action.ActionSink;
-import org.marjoramswitch.kernel.action.Decision;
 import org.marjoramswitch.kernel.fair.FairAccount;
 import org.marjoramswitch.kernel.fair.FairShares;
 import org.marjoramswitch.kernel.message.PeerMessage;
@@ -268,26 +267,7 @@
         sizes.ended(request.size(), false);
         sink.accept(new Action.SendPeer(
                 request.entry(), new PeerMessage.NotPlaced(cell, request.ask(), retryAfterMs(request, nowMs))));
-        sink.accept(new Action.Decided(Decision.of(
-                "not_placed",
-                "cell",
-                cell,
-                "entry",
-                request.entry(),
-                "ask",
-                request.ask(),
-                "customer",
-                request.customer(),
-                "waitedMs",
-                nowMs - request.arrivedAtMs(),
-                "objectiveLeftMs",
-                request.objectiveAtMs() - nowMs,
-                "waitingInTime",
-                waiting.inTimeCount(),
-                "waitingLate",
-                waiting.lateCount(),
-                "targets",
-                targets.size())));
+        sink.accept(PlacementLog.notPlaced(cell, request, waiting, targets.size(), nowMs));
     }
 
     private boolean placeNext(long nowMs, ActionSink sink) {
@@ -356,47 +336,8 @@
         sink.accept(new Action.SendPeer(
                 request.entry(),
                 new PeerMessage.Placed(cell, request.ask(), target.settings().id())));
-        logStart(request, target, reason, uncachedTokens, tokensAhead, nowMs, sink);
-    }
-
-    private void logStart(
-            WaitingRequest request,
-            TargetLoad target,
-            String reason,
-            long uncachedTokens,
-            double tokensAhead,
-            long nowMs,
-            ActionSink sink) {
-        sink.accept(new Action.Decided(Decision.of(
-                "place",
-                "cell",
-                cell,
-                "entry",
-                request.entry(),
-                "ask",
-                request.ask(),
-                "customer",
-                request.customer(),
-                "target",
-                target.settings().id(),
-                "reason",
-                reason,
-                "waitedMs",
-                nowMs - request.arrivedAtMs(),
-                "objectiveLeftMs",
-                request.objectiveAtMs() - nowMs,
-                "promptTokens",
-                request.promptTokens(),
-                "uncachedTokens",
-                uncachedTokens,
-                "tokensAhead",
-                Math.round(tokensAhead),
-                "expectedMs",
-                Math.round(model.expectedMs(tokensAhead)),
-                "targetInFlight",
-                target.inFlight(),
-                "waitingInTime",
-                waiting.inTimeCount())));
+        sink.accept(
+                PlacementLog.placed(cell, request, target, reason, uncachedTokens, tokensAhead, model, waiting, nowMs));
     }
 
     private void release(RunningRequest request, long nowMs) {
--- /dev/null
+++ b/kernel/src/main/java/org/marjoramswitch/kernel/placement/PlacementLog.java
@@ -0,0 +1,88 @@
+package org.marjoramswitch.kernel.placement;
+
+import org.marjoramswitch.kernel.action.Action;
+import org.marjoramswitch.kernel.action.Decision;
+import org.marjoramswitch.kernel.model.CellId;
+
+/** The lines of an arbiter's decisions, each with what decided it. */
+final class PlacementLog {
+    private PlacementLog() {}
+
+    /**
+     * A request goes to a target.
+     *
+     * @param uncachedTokens of its prompt, what the target has to read
+     * @param tokensAhead what the target reads before its first byte, its own included
+     */
+    static Action placed(
+            CellId cell,
+            WaitingRequest request,
+            TargetLoad target,
+            String reason,
+            long uncachedTokens,
+            double tokensAhead,
+            FirstByteModel model,
+            WaitingQueues waiting,
+            long nowMs) {
+        return new Action.Decided(Decision.of(
+                "place",
+                "cell",
+                cell,
+                "entry",
+                request.entry(),
+                "ask",
+                request.ask(),
+                "customer",
+                request.customer(),
+                "target",
+                target.settings().id(),
+                "reason",
+                reason,
+                "waitedMs",
+                nowMs - request.arrivedAtMs(),
+                "objectiveLeftMs",
+                request.objectiveAtMs() - nowMs,
+                "size",
+                request.size(),
+                "promptTokens",
+                request.promptTokens(),
+                "uncachedTokens",
+                uncachedTokens,
+                "tokensAhead",
+                Math.round(tokensAhead),
+                "expectedMs",
+                Math.round(model.expectedMs(tokensAhead)),
+                "targetInFlight",
+                target.inFlight(),
+                "waitingInTime",
+                waiting.inTimeCount()));
+    }
+
+    /** A request is refused. */
+    static Action notPlaced(CellId cell, WaitingRequest request, WaitingQueues waiting, int targets, long nowMs) {
+        return new Action.Decided(Decision.of(
+                "not_placed",
+                "cell",
+                cell,
+                "entry",
+                request.entry(),
+                "ask",
+                request.ask(),
+                "customer",
+                request.customer(),
+                "waitedMs",
+                nowMs - request.arrivedAtMs(),
+                "objectiveLeftMs",
+                request.objectiveAtMs() - nowMs,
+                "size",
+                request.size(),
+                "promptTokens",
+                request.promptTokens(),
+                "waitingInTime",
+                waiting.inTimeCount(),
+                "waitingLate",
+                waiting.lateCount(),
+                "targets",
+                targets));
+    }
+}
