Say what the comments on shares and sizes mean

Cause: read as a newcomer: a line too long, a load called a third where it was 1.8 times, a sentence on averages that says nothing. Ruled out: nothing; comments and one example line only.

--- a/kernel/src/main/java/org/marjoramswitch/kernel/fair/FairShares.java
+++ b/kernel/src/main/java/org/marjoramswitch/kernel/fair/FairShares.java
@@ -18,12 +18,12 @@
  * delivered plus the rest that is expected of it, see {@link #expectedCostTokens}.
  *
  * <p>A customer that becomes backlogged is raised to the least counter of those that already are, less a credit:
- * {@value #CREDIT_ESTIMATES} requests of the pool's initial estimate, unless {@link #credit} says otherwise. So idling earns at most the credit, and a newcomer
- * waits for nobody's past. The credit lets a small burst through together: without it, k requests of a light customer
- * were served one for one with a flooding customer's. A counter is never lowered, so a customer that uses its share
- * gains nothing by pausing. Example: A has been served 10,000 tokens while alone and stays
- * backlogged; B arrives with counter 0 and is raised to 9,000 with estimates of 200; it is served alone for 1,000 tokens
- * and from then on both alike.
+ * {@value #CREDIT_ESTIMATES} requests of the pool's initial estimate, unless {@link #credit} says otherwise. So idling
+ * earns at most the credit, and a newcomer waits for nobody's past. The credit lets a small burst through together:
+ * without it, k requests of a light customer were served one for one with a flooding customer's. A counter is never
+ * lowered, so a customer that uses its share gains nothing by pausing. Example: A has been served 10,000 tokens while
+ * alone and stays backlogged; B arrives with counter 0 and is raised to 9,000 with estimates of 200; it is served alone
+ * for 1,000 tokens and from then on both alike.
  *
  * <p>The floor to raise to is the highest that the least backlogged counter has ever been. With the present least, each
  * newcomer would be raised to its predecessor's place less the credit: a stream of newcomers would sink ever deeper and
--- a/kernel/src/main/java/org/marjoramswitch/kernel/placement/EvenShare.java
+++ b/kernel/src/main/java/org/marjoramswitch/kernel/placement/EvenShare.java
@@ -39,7 +39,7 @@
     }
 
     private void age(long nowMs) {
-        // Each token counts the less the older it is, and is forgotten as fast as if the window had a sharp end.
+        // An exponential average in place of a window with a sharp end, which would have to keep every charge.
         windowTokens *= Math.exp(-Math.max(0, nowMs - updatedAtMs) / WINDOW_MS);
         updatedAtMs = Math.max(updatedAtMs, nowMs);
         Iterator<Long> eldestFirst = chargedAtMs.values().iterator();
--- a/kernel/src/main/java/org/marjoramswitch/kernel/placement/SizeBalance.java
+++ b/kernel/src/main/java/org/marjoramswitch/kernel/placement/SizeBalance.java
@@ -5,9 +5,9 @@
  *
  * <p>A request whose prompt takes most of its objective to read has no time to wait in. Under overload, where every
  * request waits, such requests are late before their turn. With sizes as uneven as callers' are and eight engines asked
- * for a third more than they can do, 0.27 of the largest tenth of the reports were served where 0.68 of all were. To
- * treat them like all others is no answer either: they are a tenth of the requests and half of the tokens, so that for
- * each of them a dozen others are refused.
+ * for 1.8 times what they can do, 0.27 of the largest tenth of the reports were served where 0.68 of all were. To treat
+ * them like all others is no answer either: they are a tenth of the requests and half of the tokens, so that for each of
+ * them a dozen others are refused.
  *
  * <p>So the two are compared over the newest requests, and a large one may wait for its turn while its like are served
  * less than {@value #LEAST_SHARE} times as often as the others. Its answer is late, as it would be anyway, and comes: 0.43
