--- a/tool/src/main/java/org/marjoramswitch/tool/explain/Explanation.java
+++ b/tool/src/main/java/org/marjoramswitch/tool/explain/Explanation.java
@@ -1,10 +1,17 @@
 package org.marjoramswitch.tool.explain;
 
+import java.time.Duration;
+import java.time.Instant;
+import java.time.format.DateTimeParseException;
 import java.util.ArrayList;
 import java.util.Comparator;
+import java.util.HashMap;
 import java.util.HashSet;
+import java.util.LinkedHashSet;
 import java.util.List;
+import java.util.Map;
 import java.util.Set;
+import org.jspecify.annotations.Nullable;
 
 /**
  * The story of one request, found in the logs of its entry and of the arbiters.
@@ -15,9 +22,10 @@
  * binds the one to the other. So the lines are gathered in two passes: first those that name the request, then the
  * arbiters' whose cell, number and customer the first ones name.
  *
- * <p>Request numbers are unique within one instance's life, so the logs of several instances may tell of several requests;
- * each line names the log that it comes from. A caller's id is everywhere the same: with it, only the lines of the
- * instance that had the request are taken.
+ * <p>Request numbers and questions are unique within one life of an instance. With a caller's id, only the lines of the
+ * life that had the request are taken; with a number, those of all, and each line names the log that it comes from. Where
+ * the entry's log tells the entry's name, an arbiter's line must be for that entry. Of several that are left, from other
+ * lives, it is the one that is nearest in time.
  */
 public final class Explanation {
     private static final Set<String> ARBITERS_LINES = Set.of("grant", "place", "not_placed");
@@ -38,29 +46,78 @@
      * @param id the entry's number of the request, or the caller's id
      */
     public static List<Step> of(String id, List<LogLine> lines) {
-        List<LogLine> story = new ArrayList<>();
-        Set<String> questions = new HashSet<>();
-        Set<String> ofCaller = new HashSet<>();
-        lines.stream()
-                .filter(line -> line.get("caller").equals(id))
-                .forEach(line -> ofCaller.add(numberAtSource(line)));
-        for (LogLine line : lines) {
-            if (line.request().equals(id) || ofCaller.contains(numberAtSource(line))) {
-                story.add(line);
-                questions.add(question(line));
+        Set<LogLine> story = new LinkedHashSet<>();
+        for (EntryLine entryLine : ofRequest(id, lines)) {
+            story.add(entryLine.line());
+            LogLine reason = reason(entryLine, lines);
+            if (reason != null) {
+                story.add(reason);
             }
         }
-        lines.stream()
-                .filter(line -> ARBITERS_LINES.contains(line.get("event")) && questions.contains(question(line)))
-                .forEach(story::add);
         return story.stream()
                 .sorted(Comparator.comparing((LogLine line) -> line.get("time")))
                 .map(line -> new Step(line.get("time"), line.source(), sentence(line)))
                 .toList();
     }
 
-    private static String numberAtSource(LogLine line) {
-        return line.source() + '#' + line.request();
+    /**
+     * A line of an entry's log.
+     *
+     * @param entry the entry's name, empty where its log does not tell
+     * @param life counts the starts that the log has seen before
+     */
+    private record EntryLine(LogLine line, String entry, int life) {
+        String request() {
+            return line.source() + '#' + life + '#' + line.request();
+        }
+    }
+
+    private static List<EntryLine> ofRequest(String id, List<LogLine> lines) {
+        List<EntryLine> all = inLives(lines);
+        Set<String> ofCaller = new HashSet<>();
+        all.stream()
+                .filter(entryLine -> entryLine.line().get("caller").equals(id))
+                .forEach(entryLine -> ofCaller.add(entryLine.request()));
+        return all.stream()
+                .filter(entryLine -> entryLine.line().request().equals(id) || ofCaller.contains(entryLine.request()))
+                .toList();
+    }
+
+    private static List<EntryLine> inLives(List<LogLine> lines) {
+        Map<String, Integer> lives = new HashMap<>();
+        Map<String, String> names = new HashMap<>();
+        List<EntryLine> all = new ArrayList<>();
+        for (LogLine line : lines) {
+            if (line.get("event").equals("instance_started")) {
+                lives.merge(line.source(), 1, Integer::sum);
+                names.put(line.source(), line.get("instance"));
+            }
+            if (!line.request().isEmpty()) {
+                all.add(new EntryLine(
+                        line, names.getOrDefault(line.source(), ""), lives.getOrDefault(line.source(), 0)));
+            }
+        }
+        return all;
+    }
+
+    private static @Nullable LogLine reason(EntryLine entryLine, List<LogLine> lines) {
+        String question = question(entryLine.line());
+        Instant at = time(entryLine.line());
+        return lines.stream()
+                .filter(line -> ARBITERS_LINES.contains(line.get("event"))
+                        && question(line).equals(question))
+                .filter(line -> entryLine.entry().isEmpty() || line.get("entry").equals(entryLine.entry()))
+                .min(Comparator.comparing(
+                        line -> Duration.between(time(line), at).abs()))
+                .orElse(null);
+    }
+
+    private static Instant time(LogLine line) {
+        try {
+            return Instant.parse(line.get("time"));
+        } catch (DateTimeParseException unreadable) {
+            return Instant.EPOCH;
+        }
     }
 
     /** What an entry's line and an arbiter's have in common; the end of a refused request names its question whole. */
--- a/tool/src/test/java/org/marjoramswitch/tool/explain/ExplanationTest.java
+++ b/tool/src/test/java/org/marjoramswitch/tool/explain/ExplanationTest.java
@@ -200,6 +200,33 @@
                 .collect(Collectors.joining("\n")));
     }
 
+    /**
+     * The on-call engineer sees one request only. The instance was killed and counts its requests and questions from the
+     * beginning again, and another entry's question of the same customer bears the same number.
+     */
+    @Test
+    void tellsTheLivesOfAnInstanceAndOtherEntriesApart() {
+        log("entry.log", 0, "instance_started", "instance", "entry-1");
+        logDispatch(7, 21);
+        logEnd("entry.log", 7, "9c41d07be2a35f68", "-", "-");
+        log("entry.log", 5, "instance_started", "instance", "entry-1");
+        logEnd("entry.log", 7, "of-the-next-life", "-", "-");
+        logPlacement("place", 21, "quai-nord");
+        lines.add(
+                LogLine.parse(
+                        "arbiter.log",
+                        "time=2026-01-02T03:04:01.900Z event=place cell=atelier-llm/0 entry=entry-2 ask=21 customer=quai-nord"));
+        lines.add(
+                LogLine.parse(
+                        "arbiter.log",
+                        "time=2026-01-02T03:04:09.000Z event=place cell=atelier-llm/0 entry=entry-1 ask=21 customer=quai-nord"));
+        List<String> times = Explanation.of("9c41d07be2a35f68", lines).stream()
+                .map(Explanation.Step::time)
+                .toList();
+        assertEquals(
+                List.of("2026-01-02T03:04:01.000Z", "2026-01-02T03:04:02.000Z", "2026-01-02T03:04:03.000Z"), times);
+    }
+
     @Test
     void readsQuotedValues() {
         String text = KeyValueLog.line("fault", "detail", "a \"b\" = c\nd", "number", 3);
