Watch the settings file from before its first reading

The process under test lived and its file held the new bytes: the test had changed it right after instance_started, the watch looked for the first time after that and took the new bytes for those in use. Ruled out: a lost line: the writer's queue was empty, the watch's thread waited for its next look. Change: the watch is made, and remembers the bytes, before the settings are read.

--- a/daemon/src/main/java/org/marjoramswitch/daemon/DaemonMain.java
+++ b/daemon/src/main/java/org/marjoramswitch/daemon/DaemonMain.java
@@ -32,6 +32,7 @@
             System.err.println("usage: marjoramswitchd " + SETTINGS_OPTION + " FILE");
             return ExitCode.USAGE;
         }
+        SettingsFileWatch file = SettingsFileWatch.of(Path.of(args[1]));
         LocalSettingsResult read = LocalSettingsReader.read(Path.of(args[1]));
         if (read instanceof LocalSettingsResult.Invalid invalid) {
             report(args[1], invalid);
@@ -39,7 +40,7 @@
         }
         LocalSettings settings = ((LocalSettingsResult.Valid) read).settings();
         System.setProperty(LOG_LEVEL_PROPERTY, settings.logLevel());
-        return serve(Path.of(args[1]), () -> Daemon.start(settings));
+        return serve(file, () -> Daemon.start(settings));
     }
 
     private static void report(String file, LocalSettingsResult.Invalid invalid) {
@@ -51,9 +52,10 @@
     /**
      * Starts an instance and runs it to its end, by signals or by itself.
      *
-     * @param file holds the instance's own settings; the instance is told when it has changed
+     * @param file holds the instance's own settings, which were read after the watch was made; the instance is told when it
+     *     has changed
      */
-    public static ExitCode serve(Path file, Supplier<? extends RunningInstance> start) {
+    public static ExitCode serve(SettingsFileWatch file, Supplier<? extends RunningInstance> start) {
         KeyValueLog log = KeyValueLog.of(DaemonMain.class);
         // Heard from the first moment: a signal that came during the start would end the process by its default.
         CompletableFuture<RunningInstance> started = new CompletableFuture<>();
@@ -61,9 +63,10 @@
         ProcessSignals.handle(
                 () -> onceStarted(started, instance -> onEnding(instance, signals.incrementAndGet())),
                 () -> onceStarted(started, RunningInstance::reload));
-        try (RunningInstance instance = start.get();
-                SettingsFileWatch unused = SettingsFileWatch.start(file, instance::reload)) {
+        try (file;
+                RunningInstance instance = start.get()) {
             started.complete(instance);
+            file.start(instance::reload);
             return instance.drained().join() ? ExitCode.OK : ExitCode.CUT_SHORT;
         } catch (RuntimeException fault) {
             ExitCode exitCode = isAddressUnavailable(fault) ? ExitCode.ADDRESS_UNAVAILABLE : ExitCode.INTERNAL;
--- a/daemon/src/main/java/org/marjoramswitch/daemon/SettingsFileWatch.java
+++ b/daemon/src/main/java/org/marjoramswitch/daemon/SettingsFileWatch.java
@@ -13,8 +13,11 @@
 /**
  * Sees that the settings file has changed where no signal says so. Its bytes are compared: a file that is put in the
  * place of another may bear any time.
+ *
+ * <p>A watch is made before the settings are read for the first time. One that took its first look only after the start
+ * missed a change that came meanwhile, for good: it took the new bytes for those that the settings in use were read from.
  */
-final class SettingsFileWatch implements AutoCloseable {
+public final class SettingsFileWatch implements AutoCloseable {
     /** Operators look for the effect of a change within seconds; a small file read so often costs next to nothing. */
     private static final long PERIOD_MS = 2_000;
 
@@ -22,12 +25,10 @@
 
     private final ScheduledExecutorService thread;
     private final Path file;
-    private final Runnable onChange;
     private byte[] known;
 
-    private SettingsFileWatch(Path file, Runnable onChange) {
+    private SettingsFileWatch(Path file) {
         this.file = file;
-        this.onChange = onChange;
         this.known = read();
         this.thread = Executors.newSingleThreadScheduledExecutor(task -> {
             Thread created = new Thread(task, "settings-file");
@@ -36,12 +37,15 @@
         });
     }
 
-    /** @param onChange called on a thread of the watch's own; it reads the file by itself */
-    static SettingsFileWatch start(Path file, Runnable onChange) {
-        SettingsFileWatch watch = new SettingsFileWatch(file, onChange);
+    /** Remembers the file as it is now; read the settings from it after this. */
+    public static SettingsFileWatch of(Path file) {
+        return new SettingsFileWatch(file);
+    }
+
+    /** @param onChange called on a thread of the watch's own from now on; it reads the file by itself */
+    void start(Runnable onChange) {
         ScheduledFuture<?> unused =
-                watch.thread.scheduleWithFixedDelay(watch::look, PERIOD_MS, PERIOD_MS, TimeUnit.MILLISECONDS);
-        return watch;
+                thread.scheduleWithFixedDelay(() -> look(onChange), PERIOD_MS, PERIOD_MS, TimeUnit.MILLISECONDS);
     }
 
     @Override
@@ -49,7 +53,7 @@
         thread.shutdownNow();
     }
 
-    private void look() {
+    private void look(Runnable onChange) {
         byte[] now = read();
         if (Arrays.equals(known, now)) {
             return;
