--- a/kernel/src/main/java/org/marjoramswitch/kernel/placement/PromptSources.java
+++ b/kernel/src/main/java/org/marjoramswitch/kernel/placement/PromptSources.java
@@ -13,8 +13,7 @@
  * where there is one, since a transfer between data centres takes longer.
  *
  * <p>A prompt part is thereby read once in the fleet. Without it a request goes to the engine that keeps its prompt and waits
- * there, or makes another engine read again what the first one has: at twice what six engines can do that took a tenth of
- * all reading.
+ * there, or makes another engine read again what the first one has: on a day of overload that was a tenth of all reading.
  *
  * <p>An engine that is being avoided is no source: a fetch that finds nobody costs the reading after all.
  *
--- a/kernel/src/main/java/org/marjoramswitch/kernel/placement/TargetChoice.java
+++ b/kernel/src/main/java/org/marjoramswitch/kernel/placement/TargetChoice.java
@@ -22,6 +22,9 @@
  * gets late by that. Measured with eight engines at one and a half times what they can do: 0.6 instead of 2.3 million
  * tokens read again in 20 s, and a fifth more worth served in time.
  *
+ * <p>Where engines fetch kept parts from one another, what another one has read counts as a small part of a reading, see
+ * {@link PromptSources}.
+ *
  * <p>A session that no engine keeps goes to the one that rendezvous hashing names, which is the same for every arbiter:
  * a new arbiter knows nothing of what engines keep, and would otherwise scatter all sessions anew.
  *
@@ -49,8 +52,8 @@
     private static final double HOME_SHARE = 0.5;
 
     /**
-     * Of a reading, what a fetch of the same tokens counts at least: transfers take links and a little of both engines' time.
-     * The pages' prices for the two are as 1 to 12 on all six sites; the time alone as 1 to 16 or less.
+     * Of a reading, what a fetch of the same tokens counts at least: transfers take links, which operators pay for. What
+     * they pay for the two is as 1 to 12; the time of a transfer is a sixteenth of the reading's or less.
      */
     private static final double FETCH_SHARE = 1.0 / 12;
     /**
