--- a/kernel/src/test/java/org/marjoramswitch/kernel/PlacementFleetTest.java
+++ b/kernel/src/test/java/org/marjoramswitch/kernel/PlacementFleetTest.java
@@ -226,12 +226,7 @@
      */
     @Test
     void nothingIsFetchedFromATargetThatTheEntryKnowsToBeGone() {
-        frozen.add(arbiter);
-        arrive(true, 2, false);
-        frozen.clear();
-        wire.clear();
-        wire.add(new Sent(arbiter, entry, new PeerMessage.Placed(CELL, 1, TargetId.of("t1"), TargetId.of("gone"))));
-        deliver();
+        arriveAndBePlacedAtT1(TargetId.of("gone"));
         assertEquals(1, dispatched.size());
         assertEquals(TargetId.of("t1"), dispatched.get(0).target());
         assertNull(dispatched.get(0).fetchFrom());
@@ -239,13 +234,18 @@
 
     @Test
     void theEntryPassesOnWhereToFetchFrom() {
+        arriveAndBePlacedAtT1(TargetId.of("t2"));
+        assertEquals(TargetId.of("t2"), dispatched.get(0).fetchFrom());
+    }
+
+    /** A request whose placement the test gives in the arbiter's name. */
+    private void arriveAndBePlacedAtT1(TargetId fetchFrom) {
         frozen.add(arbiter);
         arrive(true, 2, false);
         frozen.clear();
         wire.clear();
-        wire.add(new Sent(arbiter, entry, new PeerMessage.Placed(CELL, 1, TargetId.of("t1"), TargetId.of("t2"))));
+        wire.add(new Sent(arbiter, entry, new PeerMessage.Placed(CELL, 1, TargetId.of("t1"), fetchFrom)));
         deliver();
-        assertEquals(TargetId.of("t2"), dispatched.get(0).fetchFrom());
     }
 
     private boolean isRunning(long request) {
