--- a/daemon/src/main/java/org/marjoramswitch/daemon/ForwardingDaemon.java
+++ b/daemon/src/main/java/org/marjoramswitch/daemon/ForwardingDaemon.java
@@ -18,6 +18,7 @@
 import org.marjoramswitch.daemon.fleet.TargetList;
 import org.marjoramswitch.daemon.platform.FleetListReader;
 import org.marjoramswitch.daemon.platform.KeyValueStore;
+import org.marjoramswitch.daemon.platform.SharedWatchStore;
 import org.marjoramswitch.daemon.route.RoutedSettings;
 import org.marjoramswitch.daemon.settings.HostPort;
 import org.marjoramswitch.daemon.settings.LocalSettings;
@@ -59,7 +60,12 @@
                 (worker, metrics) ->
                         parts.add(UndertowTargetClient.start(worker, platform.targets(), platform.protocol(), metrics)),
                 platform.callers().times().addressKeepMs());
-        KeyValueStore store = parts.add(platform.store().apply(core));
+        SharedWatchStore store = parts.add(SharedWatchStore.start(
+                platform.store().apply(core),
+                core.self(),
+                core.peers(),
+                core.clock(),
+                core.worker().getIoThread()));
         this.callers = parts.add(ForwardServer.start(
                 new ForwardServer.Parts(
                         local.callers(),
@@ -81,9 +87,9 @@
                 core.clock(),
                 core.metrics()));
         core.join(
-                configuration::onMessage,
+                (from, message) -> store.onMessage(from, message) || configuration.onMessage(from, message),
                 PeerRouter.Keys.NONE,
-                view -> {},
+                store::onView,
                 seen -> configuration.versionSeen(seen.instance(), seen.generation()));
         parts.add(TargetList.start(
                 store, platform.targetPrefix(), platform.targetDecoder(), this::onTargets, core.clock()));
--- a/daemon/src/main/java/org/marjoramswitch/daemon/platform/KeyValueStore.java
+++ b/daemon/src/main/java/org/marjoramswitch/daemon/platform/KeyValueStore.java
@@ -53,6 +53,12 @@
 
         record Deleted(String key, long revision) implements WatchEvent {}
 
+        /**
+         * All changes up to this revision have been told; not every service tells it. Watchers that only follow the entries
+         * pass it over.
+         */
+        record Seen(long revision) implements WatchEvent {}
+
         record Broken() implements WatchEvent {}
     }
 }
--- a/daemon/src/main/java/org/marjoramswitch/daemon/platform/PrefixFollower.java
+++ b/daemon/src/main/java/org/marjoramswitch/daemon/platform/PrefixFollower.java
@@ -148,6 +148,9 @@
 
         /** Takes an event in, on the watch's thread. Where the ring is full the prefix is read anew, so none is lost. */
         private void offer(WatchEvent event) {
+            if (event instanceof WatchEvent.Seen) {
+                return;
+            }
             if (event instanceof WatchEvent.Broken || !events.offer(event)) {
                 broken = true;
             }
--- /dev/null
+++ b/daemon/src/main/java/org/marjoramswitch/daemon/platform/SharedWatchStore.java
@@ -0,0 +1,253 @@
+package org.marjoramswitch.daemon.platform;
+
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.RejectedExecutionException;
+import java.util.concurrent.TimeUnit;
+import java.util.function.Consumer;
+import java.util.function.LongSupplier;
+import org.jspecify.annotations.Nullable;
+import org.marjoramswitch.daemon.log.KeyValueLog;
+import org.marjoramswitch.daemon.peer.PeerSender;
+import org.marjoramswitch.kernel.error.ErrorType;
+import org.marjoramswitch.kernel.message.PeerMessage;
+import org.marjoramswitch.kernel.message.PeerMessage.WatchedEntry;
+import org.marjoramswitch.kernel.model.FleetView;
+import org.marjoramswitch.kernel.model.InstanceId;
+import org.marjoramswitch.kernel.model.Member;
+import org.marjoramswitch.kernel.watch.WatchAction;
+import org.marjoramswitch.kernel.watch.WatchSharing;
+import org.xnio.XnioExecutor;
+
+/**
+ * A key-value service whose watches the instances of a data centre share, see {@link WatchSharing}. All other calls go to
+ * the service.
+ *
+ * <p>A watch of a prefix that was not read whole before it goes to the service too: without the entries there is nothing
+ * that peers' copies could be compared with.
+ */
+public final class SharedWatchStore implements KeyValueStore {
+    private static final KeyValueLog LOG = KeyValueLog.of(SharedWatchStore.class);
+    /** The beat of the readers; a wake-up of every instance, so no more often. */
+    private static final long TICK_MS = 500;
+
+    private final KeyValueStore store;
+    private final PeerSender peers;
+    private final LongSupplier clockMs;
+    private final XnioExecutor timer;
+    private final WatchSharing sharing;
+    private final Map<String, Range> lastRead = new HashMap<>();
+    private final Map<String, Consumer<WatchEvent>> listeners = new HashMap<>();
+    private final Map<String, OwnWatch> ownWatches = new HashMap<>();
+    private boolean closed;
+
+    private SharedWatchStore(
+            KeyValueStore store, Member self, PeerSender peers, LongSupplier clockMs, XnioExecutor timer) {
+        this.store = store;
+        this.peers = peers;
+        this.clockMs = clockMs;
+        this.timer = timer;
+        this.sharing = WatchSharing.create(self, clockMs.getAsLong());
+    }
+
+    /**
+     * Shares the watches of a service that tells {@link WatchEvent.Seen}.
+     *
+     * @param timer runs the ticks
+     */
+    public static SharedWatchStore start(
+            KeyValueStore store, Member self, PeerSender peers, LongSupplier clockMs, XnioExecutor timer) {
+        SharedWatchStore shared = new SharedWatchStore(store, self, peers, clockMs, timer);
+        shared.tickLater();
+        return shared;
+    }
+
+    /** The instances that are alive. */
+    public synchronized void onView(FleetView view) {
+        sharing.view(view);
+    }
+
+    /** Takes a peer's message about watches; false for any other. */
+    public synchronized boolean onMessage(InstanceId from, PeerMessage message) {
+        return sharing.received(from, message, clockMs.getAsLong(), this::perform);
+    }
+
+    @Override
+    public CompletableFuture<KeyValueResult<Range>> range(String prefix) {
+        return store.range(prefix).thenApply(result -> {
+            if (result instanceof KeyValueResult.Answered<Range> answered) {
+                noteRead(prefix, answered.value());
+            }
+            return result;
+        });
+    }
+
+    @Override
+    public synchronized AutoCloseable watch(String prefix, long afterRevision, Consumer<WatchEvent> listener) {
+        Range read = lastRead.remove(prefix);
+        if (read == null || read.revision() != afterRevision) {
+            return store.watch(prefix, afterRevision, listener);
+        }
+        listeners.put(prefix, listener);
+        List<WatchedEntry> entries =
+                read.entries().stream().map(SharedWatchStore::watched).toList();
+        sharing.follow(prefix, afterRevision, entries, clockMs.getAsLong(), this::perform);
+        return () -> unwatch(prefix, listener);
+    }
+
+    @Override
+    public CompletableFuture<KeyValueResult<@Nullable Entry>> get(String key) {
+        return store.get(key);
+    }
+
+    @Override
+    public CompletableFuture<KeyValueResult<Boolean>> compareAndSwap(
+            Map<String, Long> expectedModRevisions, Map<String, String> puts, List<String> deletes, long leaseId) {
+        return store.compareAndSwap(expectedModRevisions, puts, deletes, leaseId);
+    }
+
+    @Override
+    public CompletableFuture<KeyValueResult<Long>> grantLease(long ttlSeconds) {
+        return store.grantLease(ttlSeconds);
+    }
+
+    @Override
+    public CompletableFuture<KeyValueResult<Long>> renewLease(long leaseId) {
+        return store.renewLease(leaseId);
+    }
+
+    @Override
+    public CompletableFuture<KeyValueResult<Boolean>> revokeLease(long leaseId) {
+        return store.revokeLease(leaseId);
+    }
+
+    @Override
+    public long calls() {
+        return store.calls();
+    }
+
+    @Override
+    public void close() {
+        synchronized (this) {
+            closed = true;
+            List.copyOf(ownWatches.keySet()).forEach(this::stopReading);
+        }
+        store.close();
+    }
+
+    private synchronized void noteRead(String prefix, Range range) {
+        lastRead.put(prefix, range);
+    }
+
+    private synchronized void unwatch(String prefix, Consumer<WatchEvent> listener) {
+        if (listeners.remove(prefix, listener)) {
+            stopReading(prefix);
+            sharing.broken(prefix);
+        }
+    }
+
+    private void tickLater() {
+        try {
+            timer.executeAfter(this::tick, TICK_MS, TimeUnit.MILLISECONDS);
+        } catch (RejectedExecutionException e) {
+            LOG.debug("shared_watches_closed_late", "reason", String.valueOf(e.getMessage()));
+        }
+    }
+
+    private synchronized void tick() {
+        if (closed) {
+            return;
+        }
+        try {
+            sharing.tick(clockMs.getAsLong(), this::perform);
+        } catch (RuntimeException fault) {
+            // Without ticks this instance would never notice that its readers are gone.
+            LOG.error(fault, "shared_watches_tick_failed", "error", ErrorType.INTERNAL.number());
+        }
+        tickLater();
+    }
+
+    private void perform(WatchAction action) {
+        if (action instanceof WatchAction.Send send) {
+            peers.send(send.to(), send.message());
+        } else if (action instanceof WatchAction.Tell tell) {
+            Consumer<WatchEvent> listener = listeners.get(tell.prefix());
+            if (listener != null) {
+                listener.accept(event(tell.change()));
+            }
+        } else if (action instanceof WatchAction.Read read) {
+            LOG.info("watch_own", "prefix", read.prefix(), "afterRevision", read.afterRevision());
+            OwnWatch own = new OwnWatch(read.prefix());
+            ownWatches.put(read.prefix(), own);
+            own.watch = store.watch(read.prefix(), read.afterRevision(), own::onEvent);
+        } else if (action instanceof WatchAction.StopReading stop) {
+            LOG.info("watch_by_peers", "prefix", stop.prefix());
+            stopReading(stop.prefix());
+        }
+    }
+
+    private void stopReading(String prefix) {
+        OwnWatch own = ownWatches.remove(prefix);
+        if (own == null || own.watch == null) {
+            return;
+        }
+        try {
+            own.watch.close();
+        } catch (Exception e) {
+            LOG.debug("watch_not_closed", "prefix", prefix, "reason", e);
+        }
+    }
+
+    private synchronized void onOwn(OwnWatch own, WatchEvent event) {
+        String prefix = own.prefix;
+        if (ownWatches.get(prefix) != own) {
+            return;
+        }
+        if (event instanceof WatchEvent.Seen seen) {
+            List<WatchedEntry> changes = List.copyOf(own.changes);
+            own.changes.clear();
+            sharing.read(prefix, seen.revision(), changes, clockMs.getAsLong(), this::perform);
+        } else if (event instanceof WatchEvent.Put put) {
+            own.changes.add(watched(put.entry()));
+        } else if (event instanceof WatchEvent.Deleted deleted) {
+            own.changes.add(WatchedEntry.removed(deleted.key(), deleted.revision()));
+        } else {
+            ownWatches.remove(prefix);
+            sharing.broken(prefix);
+            Consumer<WatchEvent> listener = listeners.remove(prefix);
+            if (listener != null) {
+                listener.accept(event);
+            }
+        }
+    }
+
+    private static WatchedEntry watched(Entry entry) {
+        return new WatchedEntry(entry.key(), entry.value(), entry.createRevision(), entry.modRevision());
+    }
+
+    private static WatchEvent event(WatchedEntry change) {
+        String value = change.value();
+        long revision = change.revision();
+        return value == null
+                ? new WatchEvent.Deleted(change.key(), revision)
+                : new WatchEvent.Put(new Entry(change.key(), value, change.createRevision(), revision, revision, 0));
+    }
+
+    /** This instance's own watch of a prefix, and what it has brought of the answer that is being taken in. */
+    private final class OwnWatch {
+        private final String prefix;
+        private final List<WatchedEntry> changes = new ArrayList<>();
+        private @Nullable AutoCloseable watch;
+
+        private OwnWatch(String prefix) {
+            this.prefix = prefix;
+        }
+
+        private void onEvent(WatchEvent event) {
+            onOwn(this, event);
+        }
+    }
+}
--- a/kernel/src/main/java/org/marjoramswitch/kernel/message/PeerMessage.java
+++ b/kernel/src/main/java/org/marjoramswitch/kernel/message/PeerMessage.java
@@ -190,6 +190,45 @@
         GIVEN_UP
     }
 
+    /** Reader to its data centre and to other readers: how far it has come with the prefixes that it watches. */
+    record WatchBeat(List<WatchPosition> positions) implements PeerMessage {}
+
+    /**
+     * Part of {@link WatchBeat}.
+     *
+     * @param changedRevision of the last change that the sender has heard of
+     * @param completeRevision up to which it has heard of every change
+     */
+    record WatchPosition(String prefix, long changedRevision, long completeRevision) {}
+
+    /** Reader to its data centre: what changed below a prefix after one revision and up to another. */
+    record WatchNews(String prefix, long fromRevision, long toRevision, List<WatchedEntry> changes)
+            implements PeerMessage {
+        @Override
+        public boolean prompt() {
+            return true;
+        }
+    }
+
+    /** Asks a reader for all entries below a prefix. */
+    record WatchQuery(String prefix) implements PeerMessage {}
+
+    /** Answers {@link WatchQuery}: all entries, as they were at a revision. */
+    record WatchCopy(String prefix, long revision, List<WatchedEntry> entries) implements PeerMessage {}
+
+    /**
+     * An entry of the platform's key-value service.
+     *
+     * @param value null where the entry was removed
+     * @param createRevision when it was written first
+     * @param revision when it was written last, or removed
+     */
+    record WatchedEntry(String key, @Nullable String value, long createRevision, long revision) {
+        public static WatchedEntry removed(String key, long revision) {
+            return new WatchedEntry(key, null, 0, revision);
+        }
+    }
+
     /** Nothing to say; shows that the link still carries. */
     record Heartbeat() implements PeerMessage {}
 
--- a/kernel/src/main/java/org/marjoramswitch/kernel/wire/FieldReader.java
+++ b/kernel/src/main/java/org/marjoramswitch/kernel/wire/FieldReader.java
@@ -87,6 +87,12 @@
         return readText(WireLimits.MAX_NAME_BYTES);
     }
 
+    /** A text that may be as long as the frame. */
+    String longText() throws IOException {
+        take();
+        return readText(WireLimits.MAX_FRAME_BYTES);
+    }
+
     /** Enters a field that is a list; an absent one is empty. The items are read by the item methods. */
     int list() throws IOException {
         if (!hasField()) {
--- a/kernel/src/main/java/org/marjoramswitch/kernel/wire/MessageCodec.java
+++ b/kernel/src/main/java/org/marjoramswitch/kernel/wire/MessageCodec.java
@@ -38,6 +38,12 @@
 import org.marjoramswitch.kernel.message.PeerMessage.Standing;
 import org.marjoramswitch.kernel.message.PeerMessage.TargetLeaving;
 import org.marjoramswitch.kernel.message.PeerMessage.Unregister;
+import org.marjoramswitch.kernel.message.PeerMessage.WatchBeat;
+import org.marjoramswitch.kernel.message.PeerMessage.WatchCopy;
+import org.marjoramswitch.kernel.message.PeerMessage.WatchNews;
+import org.marjoramswitch.kernel.message.PeerMessage.WatchPosition;
+import org.marjoramswitch.kernel.message.PeerMessage.WatchQuery;
+import org.marjoramswitch.kernel.message.PeerMessage.WatchedEntry;
 import org.marjoramswitch.kernel.message.PeerMessage.WitnessQuery;
 import org.marjoramswitch.kernel.message.PeerMessage.WitnessReply;
 import org.marjoramswitch.kernel.message.PeerMessage.WitnessState;
@@ -161,6 +167,7 @@
                 (out, message) -> out.number(message.number()),
                 in -> new ProbeReply(in.number()));
         putPlacements();
+        putWatches();
     }
 
     private static void putPlacements() {
@@ -197,6 +204,62 @@
                 MessageCodec::readPlacementsHeld);
     }
 
+    private static void putWatches() {
+        put(
+                MessageType.WATCH_BEAT,
+                WatchBeat.class,
+                (out, message) -> out.list(
+                        message.positions(),
+                        position -> out.item(3)
+                                .put(position.prefix())
+                                .put(position.changedRevision())
+                                .put(position.completeRevision())),
+                in -> new WatchBeat(in.list(() -> new WatchPosition(in.text(), in.number(), in.number()))));
+        put(
+                MessageType.WATCH_NEWS,
+                WatchNews.class,
+                (out, message) -> writeEntries(
+                        out.text(message.prefix())
+                                .number(message.fromRevision())
+                                .number(message.toRevision()),
+                        message.changes()),
+                in -> new WatchNews(in.text(), in.number(), in.number(), readEntries(in)));
+        put(
+                MessageType.WATCH_QUERY,
+                WatchQuery.class,
+                (out, message) -> out.text(message.prefix()),
+                in -> new WatchQuery(in.text()));
+        put(
+                MessageType.WATCH_COPY,
+                WatchCopy.class,
+                (out, message) ->
+                        writeEntries(out.text(message.prefix()).number(message.revision()), message.entries()),
+                in -> new WatchCopy(in.text(), in.number(), readEntries(in)));
+    }
+
+    private static void writeEntries(MessageWriter out, List<WatchedEntry> entries) {
+        out.list(entries, entry -> {
+            String value = entry.value();
+            out.item(5)
+                    .put(entry.key())
+                    .put(entry.createRevision())
+                    .put(entry.revision())
+                    .put(value == null ? 1 : 0)
+                    .put(value == null ? "" : value);
+        });
+    }
+
+    private static List<WatchedEntry> readEntries(MessageReader in) throws IOException {
+        return in.list(() -> {
+            String key = in.text();
+            long createRevision = in.number();
+            long revision = in.number();
+            boolean removed = in.number() != 0;
+            String value = in.longText();
+            return new WatchedEntry(key, removed ? null : value, createRevision, revision);
+        });
+    }
+
     private MessageCodec() {}
 
     static void write(MessageWriter out, MessageType type, PeerMessage message) {
--- a/kernel/src/main/java/org/marjoramswitch/kernel/wire/MessageReader.java
+++ b/kernel/src/main/java/org/marjoramswitch/kernel/wire/MessageReader.java
@@ -91,6 +91,11 @@
         return fields.text();
     }
 
+    /** A text that may be as long as the frame. */
+    String longText() throws IOException {
+        return fields.longText();
+    }
+
     Map<String, String> texts() throws IOException {
         int items = fields.pairs();
         Map<String, String> entries = new TreeMap<>();
--- a/kernel/src/main/java/org/marjoramswitch/kernel/wire/MessageType.java
+++ b/kernel/src/main/java/org/marjoramswitch/kernel/wire/MessageType.java
@@ -36,7 +36,11 @@
     PLACE_WITHDRAWN(24, PeerMessage.PlaceWithdrawn.class),
     PLACEMENT_ANSWERING(25, PeerMessage.PlacementAnswering.class),
     PLACEMENT_ENDED(26, PeerMessage.PlacementEnded.class),
-    PLACEMENTS_HELD(27, PeerMessage.PlacementsHeld.class);
+    PLACEMENTS_HELD(27, PeerMessage.PlacementsHeld.class),
+    WATCH_BEAT(28, PeerMessage.WatchBeat.class),
+    WATCH_NEWS(29, PeerMessage.WatchNews.class),
+    WATCH_QUERY(30, PeerMessage.WatchQuery.class),
+    WATCH_COPY(31, PeerMessage.WatchCopy.class);
 
     private static final Map<Class<?>, MessageType> BY_CLASS =
             Arrays.stream(values()).collect(Collectors.toMap(type -> type.messageClass, Function.identity()));
--- a/kernel/src/main/java/org/marjoramswitch/kernel/wire/MessageWriter.java
+++ b/kernel/src/main/java/org/marjoramswitch/kernel/wire/MessageWriter.java
@@ -133,6 +133,11 @@
         return this;
     }
 
+    MessageWriter put(String text) {
+        fields.putText(text);
+        return this;
+    }
+
     MessageWriter put(CustomerId customer) {
         return put(idOf(customer));
     }
--- a/kernel/src/test/java/org/marjoramswitch/kernel/wire/RandomMessages.java
+++ b/kernel/src/test/java/org/marjoramswitch/kernel/wire/RandomMessages.java
@@ -26,7 +26,7 @@
     }
 
     PeerMessage next() {
-        return switch (random.nextInt(27)) {
+        return switch (random.nextInt(31)) {
             case 0 -> new PeerMessage.Register(cell(), offers(), holdings(), standings(), number());
             case 1 -> new PeerMessage.Unregister(cell());
             case 2 -> new PeerMessage.Demand(cell(), customer(), random.nextInt(4) - 1, random.nextInt(8));
@@ -56,6 +56,10 @@
             case 24 ->
                 new PeerMessage.PlacementEnded(cell(), number(), number(), any(PeerMessage.PlacementEnd.values()));
             case 25 -> new PeerMessage.PlacementsHeld(cell(), held());
+            case 26 -> new PeerMessage.WatchBeat(positions());
+            case 27 -> new PeerMessage.WatchNews("list/", number(), number(), entries());
+            case 28 -> new PeerMessage.WatchQuery("list/");
+            case 29 -> new PeerMessage.WatchCopy("list/", number(), entries());
             default -> new PeerMessage.Heartbeat();
         };
     }
@@ -80,6 +84,19 @@
                         number(), customer(), target(), number(), number(), random.nextBoolean()));
     }
 
+    private List<PeerMessage.WatchPosition> positions() {
+        return list(random.nextInt(4), () -> new PeerMessage.WatchPosition("op/é", number(), number()));
+    }
+
+    private List<PeerMessage.WatchedEntry> entries() {
+        return list(
+                random.nextInt(4),
+                () -> random.nextBoolean()
+                        ? PeerMessage.WatchedEntry.removed("list/é", number())
+                        : new PeerMessage.WatchedEntry(
+                                "list/a", "x".repeat(random.nextInt(3_000)), number(), number()));
+    }
+
     private List<PeerMessage.Standing> standings() {
         return list(random.nextInt(4), () -> new PeerMessage.Standing(customer(), number()));
     }
