--- a/kernel/src/main/java/org/marjoramswitch/kernel/placement/PlacementArbiter.java
+++ b/kernel/src/main/java/org/marjoramswitch/kernel/placement/PlacementArbiter.java
@@ -151,7 +151,7 @@
             return;
         }
         ofEntry(entry).put(ask, request.nowAnswering());
-        TargetLoad target = targets.get(request.target());
+        TargetLoad target = targetOf(request);
         if (target != null) {
             target.read(request.prompt(), request.readingTokens(), nowMs);
         }
@@ -182,6 +182,7 @@
             RunningRequest request = new RunningRequest(
                     held.customer(),
                     held.target(),
+                    target.settings().startedAtMs(),
                     List.of(),
                     held.promptTokens(),
                     held.outputTokens(),
@@ -395,6 +396,7 @@
                         new RunningRequest(
                                 request.customer(),
                                 target.settings().id(),
+                                target.settings().startedAtMs(),
                                 request.prompt(),
                                 request.promptTokens(),
                                 request.outputTokens(),
@@ -409,7 +411,7 @@
     }
 
     private void release(RunningRequest request, long nowMs) {
-        TargetLoad target = targets.get(request.target());
+        TargetLoad target = targetOf(request);
         if (target == null) {
             return;
         }
@@ -419,11 +421,16 @@
         }
     }
 
+    /** Null where the target is gone, or has started again and knows nothing of the request. */
+    private @Nullable TargetLoad targetOf(RunningRequest request) {
+        return targets.get(request.target(), request.targetStartedAtMs());
+    }
+
     private void settle(RunningRequest request, PeerMessage.PlacementEnded ended, long nowMs) {
         boolean ran = ended.end() != PlacementEnd.NOT_RUN && ended.end() != PlacementEnd.REFUSED;
         long spent = ran ? WaitingRequest.cost(request.promptTokens(), ended.outputTokens()) : 0;
         shares.charge(request.customer(), spent - request.costTokens());
-        TargetLoad target = targets.get(request.target());
+        TargetLoad target = targetOf(request);
         if (target == null) {
             return;
         }
--- a/kernel/src/main/java/org/marjoramswitch/kernel/placement/RunningRequest.java
+++ b/kernel/src/main/java/org/marjoramswitch/kernel/placement/RunningRequest.java
@@ -8,6 +8,7 @@
 /**
  * A request that an arbiter placed at a target and that has not ended.
  *
+ * @param targetStartedAtMs the start of the target that the request was placed at
  * @param prompt empty where another arbiter placed the request
  * @param readingTokens what the target had to read of its prompt, a fetched token counted as a part of one
  * @param tokensAhead what the target had to read before its first byte, its own tokens included
@@ -15,6 +16,7 @@
 record RunningRequest(
         CustomerId customer,
         TargetId target,
+        long targetStartedAtMs,
         List<PromptPart> prompt,
         long promptTokens,
         long outputTokens,
@@ -32,6 +34,15 @@
 
     RunningRequest nowAnswering() {
         return new RunningRequest(
-                customer, target, prompt, promptTokens, outputTokens, readingTokens, tokensAhead, startedAtMs, true);
+                customer,
+                target,
+                targetStartedAtMs,
+                prompt,
+                promptTokens,
+                outputTokens,
+                readingTokens,
+                tokensAhead,
+                startedAtMs,
+                true);
     }
 }
--- a/kernel/src/main/java/org/marjoramswitch/kernel/placement/TargetPool.java
+++ b/kernel/src/main/java/org/marjoramswitch/kernel/placement/TargetPool.java
@@ -23,12 +23,17 @@
         return new TargetPool();
     }
 
-    /** Sets the targets; those that stay keep what is known of them. */
+    /**
+     * Sets the targets; those that stay keep what is known of them. Of one that has started again nothing holds any more: what
+     * it kept, what ran there, how fast it was and how often it failed. Counted on, its slots would look taken by requests
+     * that are gone, and prompts would be sent for parts that it has lost.
+     */
     void targets(Collection<TargetSettings> settings, Set<TargetId> leaving) {
         Set<TargetId> named = new TreeSet<>();
         for (TargetSettings target : settings) {
             if (!leaving.contains(target.id())) {
                 named.add(target.id());
+                dropIfStartedAgain(target);
                 byId.computeIfAbsent(target.id(), missing -> TargetLoad.create(target, holders))
                         .settings(target);
             }
@@ -46,6 +51,22 @@
         order.targets(byId.values());
     }
 
+    private void dropIfStartedAgain(TargetSettings target) {
+        TargetLoad known = byId.get(target.id());
+        if (known != null && known.settings().startedAtMs() != target.startedAtMs()) {
+            known.gone();
+            byId.remove(target.id());
+        }
+    }
+
+    /** The target, null where it is gone or has started again since {@code startedAtMs}. */
+    @Nullable
+    TargetLoad get(TargetId id, long startedAtMs) {
+        TargetLoad known = byId.get(id);
+        return known == null || known.settings().startedAtMs() != startedAtMs ? null : known;
+    }
+
+    /** The target as it is now, null where it is gone. */
     @Nullable
     TargetLoad get(TargetId id) {
         return byId.get(id);
--- a/kernel/src/main/java/org/marjoramswitch/kernel/settings/TargetSettings.java
+++ b/kernel/src/main/java/org/marjoramswitch/kernel/settings/TargetSettings.java
@@ -11,6 +11,8 @@
  * @param slots how many requests it may run at once, until its reports teach better
  * @param checksFencing whether it refuses orders with an old fencing number
  * @param memory a model engine's
+ * @param startedAtMs when this start of the target was, by its own clock; 0 where it does not tell. One that starts again
+ *     under its name is new: it keeps nothing and runs nothing of before.
  */
 public record TargetSettings(
         TargetId id,
@@ -20,7 +22,21 @@
         DataCentreId dataCentre,
         int slots,
         boolean checksFencing,
-        EngineMemory memory) {
+        EngineMemory memory,
+        long startedAtMs) {
+    /** A target that does not tell when it started. */
+    public TargetSettings(
+            TargetId id,
+            PoolId pool,
+            String host,
+            int port,
+            DataCentreId dataCentre,
+            int slots,
+            boolean checksFencing,
+            EngineMemory memory) {
+        this(id, pool, host, port, dataCentre, slots, checksFencing, memory, 0);
+    }
+
     /** A target of which the memory is not known. */
     public TargetSettings(
             TargetId id,
@@ -34,6 +50,10 @@
     }
 
     public TargetSettings withMemory(EngineMemory newMemory) {
-        return new TargetSettings(id, pool, host, port, dataCentre, slots, checksFencing, newMemory);
+        return new TargetSettings(id, pool, host, port, dataCentre, slots, checksFencing, newMemory, startedAtMs);
+    }
+
+    public TargetSettings withStart(long newStartedAtMs) {
+        return new TargetSettings(id, pool, host, port, dataCentre, slots, checksFencing, memory, newStartedAtMs);
     }
 }
--- a/kernel/src/test/java/org/marjoramswitch/kernel/placement/FetchingTest.java
+++ b/kernel/src/test/java/org/marjoramswitch/kernel/placement/FetchingTest.java
@@ -73,6 +73,20 @@
         assertNull(place().fetchFrom());
     }
 
+    /** It has the name and the address of before, and has forgotten what it had read. */
+    @Test
+    void nothingIsFetchedFromAnEngineThatStartedAgain() {
+        TargetId first = place().target();
+        answering();
+        arbiter.targets(
+                settings(FETCHING, "dc-1", "dc-1", "dc-2").stream()
+                        .map(engine -> engine.id().equals(first) ? engine.withStart(1) : engine)
+                        .toList(),
+                Set.of());
+        PeerMessage.Placed second = place();
+        assertNull(second.fetchFrom());
+    }
+
     /** An engine that failed several requests in a row may be dark, and a fetch from it would wait for nothing. */
     @Test
     void nothingIsFetchedFromAnEngineThatIsAvoided() {
--- a/kernel/src/test/java/org/marjoramswitch/kernel/placement/PlacementArbiterTest.java
+++ b/kernel/src/test/java/org/marjoramswitch/kernel/placement/PlacementArbiterTest.java
@@ -242,6 +242,31 @@
         assertEquals(TargetId.of("t1"), placed.get(waiting));
     }
 
+    /**
+     * Callers wait beside an idle target. It crashed with its slots full and started again under its name; the ends of what
+     * ran there are still on their way, and its slots looked taken.
+     */
+    @Test
+    void aTargetThatStartsAgainHasAllItsSlots() {
+        targets("t1");
+        List<Long> running = List.of(asks + 1, asks + 2);
+        place();
+        place();
+        assertNull(place());
+        startAgain("t1", 1);
+        decide();
+        assertEquals(TargetId.of("t1"), placed.get(asks));
+        assertEquals(TargetId.of("t1"), place());
+        // Both slots of the new start are taken. What failed with the former one frees none of them and does not count
+        // against it.
+        place();
+        long waiting = asks;
+        running.forEach(ask -> end(ask, PlacementEnd.FAILED));
+        assertNull(placed.get(waiting));
+        end(waiting - 1, PlacementEnd.SERVED);
+        assertEquals(TargetId.of("t1"), placed.get(waiting));
+    }
+
     @Test
     void aWithdrawnRequestIsNotPlaced() {
         targets("t1");
@@ -259,6 +284,13 @@
         arbiter.targets(settings(names), Set.of());
     }
 
+    private void startAgain(String name, long startedAtMs) {
+        List<TargetSettings> started = settings(name).stream()
+                .map(settings -> settings.withStart(startedAtMs))
+                .toList();
+        arbiter.targets(started, Set.of());
+    }
+
     private static List<TargetSettings> settings(String... names) {
         return Stream.of(names)
                 .map(name -> new TargetSettings(
