--- a/daemon/src/main/java/org/marjoramswitch/daemon/exchange/TargetCall.java
+++ b/daemon/src/main/java/org/marjoramswitch/daemon/exchange/TargetCall.java
@@ -52,6 +52,11 @@
         return new TargetCall(kind, method, path, headers, body, streaming, deadlineNs, silenceMs, source);
     }
 
+    /** Whether the caller's time is over. */
+    public boolean isOver(long nowNs) {
+        return deadlineNs != 0 && nowNs - deadlineNs >= 0;
+    }
+
     /** What is left of the caller's time, at least 1 ms; 0 where it did not say. */
     public long leftMs(long nowNs) {
         return deadlineNs == 0 ? 0 : Math.max(1, (deadlineNs - nowNs) / NS_PER_MS);
--- a/daemon/src/main/java/org/marjoramswitch/daemon/target/HttpAttempt.java
+++ b/daemon/src/main/java/org/marjoramswitch/daemon/target/HttpAttempt.java
@@ -144,6 +144,14 @@
     }
 
     private void send(ClientConnection usable) {
+        if (sending.isOver(System.nanoTime())) {
+            // On a busy instance the decisions' own end of the request may come after its turn here or its connection.
+            // Sent
+            // now, the target would work for nobody.
+            connector.giveBack(address, usable);
+            end(TargetOutcome.CANCELLED);
+            return;
+        }
         connection = usable;
         requestSent = false;
         writtenBefore = usable.getStatistics().getWritten();
--- a/testsuite/src/test/java/org/marjoramswitch/testsuite/target/ServiceAttemptTest.java
+++ b/testsuite/src/test/java/org/marjoramswitch/testsuite/target/ServiceAttemptTest.java
@@ -82,6 +82,21 @@
         assertTrue(service.executions().isEmpty());
     }
 
+    @Test
+    void callIsNotSentOnceItsCallersTimeIsOver() throws Exception {
+        // The caller has given up. Its request was started at the last moment, on a busy instance, and gets its
+        // connection
+        // after the deadline; the decisions' cancellation is not there yet. The service would work for nobody.
+        long overNs = System.nanoTime() - 1;
+        for (int i = 0; i < 2; i++) {
+            RecordedAttempt late = fixture.run(
+                    service.port(), PATIENT_MS, fixture.serviceCall().within(overNs, PATIENT_MS));
+            assertEquals(TargetOutcome.CANCELLED, late.outcome());
+        }
+        assertTrue(service.executions().isEmpty());
+        assertEquals(TargetOutcome.COMPLETED, run(PATIENT_MS).outcome());
+    }
+
     @Test
     void callDoesNotMeetAConnectionThatWentSilentUnused() throws Exception {
         // A pooled connection goes silent. A call that may not be repeated and met it would end as unknown though it
