--- a/daemon/src/main/java/org/marjoramswitch/daemon/core/DecisionDuty.java
+++ b/daemon/src/main/java/org/marjoramswitch/daemon/core/DecisionDuty.java
@@ -49,7 +49,6 @@
     /** When a caller that found the instance full should come back. */
     private static final long FULL_RETRY_AFTER_MS = 1_000;
 
-    private static final long TICK_NS = TimeUnit.MILLISECONDS.toNanos(10);
     private static final int RING_PER_REQUEST = 8;
     private static final int MAX_BATCH = 256;
     private static final long JOIN_MS = 5_000;
@@ -68,7 +67,7 @@
     private final Set<InstanceId> cutLinks = ConcurrentHashMap.newKeySet();
     private volatile boolean closed;
     private long nowMs = Long.MIN_VALUE;
-    private long tickDueNs = System.nanoTime();
+    private long tickedAtNs = System.nanoTime();
 
     private DecisionDuty(Builder builder) {
         this.decider = builder.decider;
@@ -198,7 +197,7 @@
             boolean idle = !takeBatch();
             tickWhenDue();
             if (idle) {
-                ring.await(tickDueNs - System.nanoTime());
+                ring.await(tickedAtNs + tickNs() - System.nanoTime());
             }
         }
     }
@@ -219,12 +218,16 @@
     }
 
     private void tickWhenDue() {
-        if (System.nanoTime() - tickDueNs >= 0) {
+        if (System.nanoTime() - tickedAtNs >= tickNs()) {
             decide(TICK);
-            tickDueNs = System.nanoTime() + TICK_NS;
+            tickedAtNs = System.nanoTime();
         }
     }
 
+    private long tickNs() {
+        return TimeUnit.MILLISECONDS.toNanos(decider.tickMs());
+    }
+
     private void decide(Event event) {
         metrics.countTaken(event);
         nowMs = Math.max(nowMs, clockMs.getAsLong());
--- a/daemon/src/main/java/org/marjoramswitch/daemon/core/KernelDriver.java
+++ b/daemon/src/main/java/org/marjoramswitch/daemon/core/KernelDriver.java
@@ -31,6 +31,11 @@
         return actions;
     }
 
+    @Override
+    public long tickMs() {
+        return kernel.tickMs();
+    }
+
     /** Safe for any thread. */
     public KernelStatus status() {
         return status;
--- a/kernel/src/main/java/org/marjoramswitch/kernel/InstanceKernel.java
+++ b/kernel/src/main/java/org/marjoramswitch/kernel/InstanceKernel.java
@@ -33,6 +33,13 @@
  * <p>Messages of the instance to itself do not leave it: they are handled within the same call, in order.
  */
 public final class InstanceKernel {
+    /** Between two ticks while a request waits here for a target; what it waits for is counted in milliseconds. */
+    public static final long BUSY_TICK_MS = 10;
+    /**
+     * Between two ticks while none does: deadlines and silent peers, which are counted in hundreds of milliseconds. Each tick
+     * wakes the process; in a fleet of many instances with little to do each, that is most of what its decisions cost.
+     */
+    private static final long QUIET_TICK_MS = 50;
     /** How often an unreachable peer that should be an arbiter is tried again. */
     private static final long REACH_AGAIN_MS = 500;
 
@@ -111,6 +118,12 @@
         return plan.cells().cells();
     }
 
+    /** How long the kernel may go without an event. */
+    public long tickMs() {
+        boolean waiting = entry.waiting() > 0 || !arbiters.isEmpty() || placements.isWaiting();
+        return waiting ? BUSY_TICK_MS : QUIET_TICK_MS;
+    }
+
     /** Tells the kernel one event; {@code nowMs} never goes back. The actions are to be carried out in order. */
     public List<Action> apply(Event event, long nowMs) {
         List<Action> actions = new ArrayList<>();
--- a/kernel/src/main/java/org/marjoramswitch/kernel/PlacementArbiters.java
+++ b/kernel/src/main/java/org/marjoramswitch/kernel/PlacementArbiters.java
@@ -32,6 +32,11 @@
         return byCell.keySet();
     }
 
+    /** Whether any request waits for a target. */
+    boolean isWaiting() {
+        return byCell.values().stream().anyMatch(PlacementArbiter::isWaiting);
+    }
+
     /** Takes an entry's message; its cell, or null for a message that is not for an arbiter of placements. */
     @Nullable
     CellId received(InstanceId from, PeerMessage message, long nowMs) {
--- a/kernel/src/main/java/org/marjoramswitch/kernel/placement/PlacementArbiter.java
+++ b/kernel/src/main/java/org/marjoramswitch/kernel/placement/PlacementArbiter.java
@@ -139,6 +139,11 @@
                 nowMs);
     }
 
+    /** Whether any request waits for a target. */
+    public boolean isWaiting() {
+        return !waiting.isEmpty();
+    }
+
     /** A request waits no longer. */
     public void withdrawn(InstanceId entry, long ask) {
         forgetWaiting(entry, ask);
