--- a/daemon/src/main/java/org/marjoramswitch/daemon/platform/SharedWatchStore.java
+++ b/daemon/src/main/java/org/marjoramswitch/daemon/platform/SharedWatchStore.java
@@ -67,7 +67,7 @@
 
     /** The instances that are alive. */
     public synchronized void onView(FleetView view) {
-        sharing.view(view);
+        sharing.view(view, clockMs.getAsLong());
     }
 
     /** Takes a peer's message about watches; false for any other. */
--- a/kernel/src/main/java/org/marjoramswitch/kernel/watch/WatchSharing.java
+++ b/kernel/src/main/java/org/marjoramswitch/kernel/watch/WatchSharing.java
@@ -40,6 +40,11 @@
     private static final long BEAT_MS = 500;
     /** Three beats: with fewer, a pause of a reader by a collection or a lost packet starts watches that end at once. */
     private static final long ALONE_AFTER_MS = 1_500;
+    /**
+     * A start of all instances together: on the smallest machines it takes seconds until they know one another and the
+     * readers have read. Watches begun meanwhile would each bring all others' entries in the list of instances one by one.
+     */
+    private static final long START_MS = 4_000;
     /** A reader must have been heard for so long before the own watch ends, or the two would alternate. */
     private static final long HEARD_FOR_MS = 1_000;
     /** A reader whose watch has brought nothing, not even its usual empty answer every three seconds, is out of touch. */
@@ -47,6 +52,9 @@
     /** A copy is asked for once in this time. */
     private static final long QUERY_MS = 300;
 
+    /** A view that is still growing names many instances for a moment; one that is not named for so long does not read. */
+    private static final long SETTLED_MS = 500;
+
     private static final int READERS = 2;
     /** In a data centre of this size the beats would cost what the watches do; all of its instances read. */
     private static final int FEW_INSTANCES = 4;
@@ -60,16 +68,17 @@
     /** The readers of the other data centres. */
     private List<InstanceId> farReaders = List.of();
 
+    private final long startedAtMs;
     private boolean fewInstances;
+    private long readersSinceMs;
     private long heardAtMs;
     private long heardSinceMs;
     private long nextBeatMs;
 
     private WatchSharing(Member self, long nowMs) {
         this.self = self;
-        // A start waits for readers as if one had just been heard: with all instances starting together, each one's
-        // watch
-        // would bring it all others' entries in the list of instances one by one.
+        this.startedAtMs = nowMs;
+        // A start waits for readers as if one had just been heard.
         this.heardAtMs = nowMs;
         this.heardSinceMs = nowMs;
     }
@@ -79,7 +88,7 @@
     }
 
     /** The instances that are alive, this one among them. */
-    public void view(FleetView view) {
+    public void view(FleetView view, long nowMs) {
         Map<String, List<InstanceId>> byDataCentre = new TreeMap<>();
         for (Member member : view.members().values()) {
             if (!member.leaving()) {
@@ -90,7 +99,12 @@
         }
         String home = self.dataCentre().name();
         List<InstanceId> near = byDataCentre.getOrDefault(home, List.of());
+        List<InstanceId> former = readers;
         readers = readers(home, near);
+        if (!readers.equals(former)) {
+            readersSinceMs = nowMs;
+            heardAtMs = nowMs - startedAtMs < START_MS ? nowMs : heardAtMs;
+        }
         fewInstances = near.size() <= FEW_INSTANCES;
         neighbours = near.stream().filter(member -> !member.equals(self.id())).toList();
         byDataCentre.remove(home);
@@ -162,7 +176,7 @@
             return;
         }
         nextBeatMs = nowMs + BEAT_MS;
-        if (!isReader() || !isInTouch(nowMs)) {
+        if (!isReader(nowMs) || !isInTouch(nowMs)) {
             return;
         }
         PeerMessage beat = new PeerMessage.WatchBeat(
@@ -175,8 +189,8 @@
         return Rendezvous.rank(dataCentre, members).stream().limit(READERS).toList();
     }
 
-    private boolean isReader() {
-        return !fewInstances && readers.contains(self.id());
+    private boolean isReader(long nowMs) {
+        return !fewInstances && readers.contains(self.id()) && nowMs - readersSinceMs >= SETTLED_MS;
     }
 
     private boolean isInTouch(long nowMs) {
@@ -196,14 +210,15 @@
     }
 
     private void decide(long nowMs, Consumer<WatchAction> sink) {
-        boolean alone = nowMs - heardAtMs > ALONE_AFTER_MS;
+        boolean knowsNobody = neighbours.isEmpty() && nowMs - startedAtMs < START_MS;
+        boolean alone = nowMs - heardAtMs > ALONE_AFTER_MS && !knowsNobody;
         boolean accompanied = !alone && nowMs - heardSinceMs >= HEARD_FOR_MS;
         for (Followed known : followed.values()) {
-            if (known.active && !known.reading && (isReader() || alone)) {
+            if (known.active && !known.reading && (isReader(nowMs) || alone)) {
                 known.reading = true;
                 known.seenAtMs = nowMs;
                 sink.accept(new WatchAction.Read(known.name, known.prefix.completeRevision()));
-            } else if (known.reading && !isReader() && accompanied) {
+            } else if (known.reading && !isReader(nowMs) && accompanied) {
                 known.reading = false;
                 sink.accept(new WatchAction.StopReading(known.name));
             }
--- a/kernel/src/test/java/org/marjoramswitch/kernel/watch/WatchSharingTest.java
+++ b/kernel/src/test/java/org/marjoramswitch/kernel/watch/WatchSharingTest.java
@@ -110,6 +110,22 @@
         assertEquals(ALL, fleet.holding("a", "ready").size());
     }
 
+    /**
+     * All instances start together on slow machines and need three seconds to know one another, while each one's entry in the
+     * list of instances is written. With watches of their own from 1.5 s on, and of each that a growing view names a reader for a
+     * moment, they made 3,049 calls in these seconds; now it is 685, of which 95 read the whole.
+     */
+    @Test
+    void aStartOfAllBeginsFewWatches() {
+        WatchedFleet starting = WatchedFleet.starting(DATA_CENTRES, EACH, 3_000);
+        starting.run(6_000);
+        assertEquals(2 * DATA_CENTRES, starting.reading().size());
+        assertTrue(starting.calls() < 8L * ALL, starting.calls() + " calls");
+        for (InstanceId id : starting.ids()) {
+            assertEquals(ALL, starting.holding(id.name(), "live").size());
+        }
+    }
+
     /** In a small fleet each instance watches: the beats would cost what the watches do. */
     @Test
     void aFewInstancesWatchEachByThemselves() {
--- a/kernel/src/test/java/org/marjoramswitch/kernel/watch/WatchedFleet.java
+++ b/kernel/src/test/java/org/marjoramswitch/kernel/watch/WatchedFleet.java
@@ -51,13 +51,37 @@
         for (Member member : members) {
             Instance instance = fleet.new Instance(member);
             fleet.instances.put(member.id(), instance);
-            instance.sharing.view(FleetView.of(members));
+            instance.sharing.view(FleetView.of(members), 0);
             instance.readWhole();
             fleet.at(instance.number() % TICK_MS, instance::tick);
         }
         return fleet;
     }
 
+    /**
+     * All start together and know only themselves; each learns of a few more at a time until, after {@code knownMs}, it knows
+     * all. Each writes an entry of its own meanwhile.
+     */
+    static WatchedFleet starting(int dataCentres, int instancesEach, long knownMs) {
+        WatchedFleet fleet = of(dataCentres, instancesEach);
+        List<Member> all = fleet.instances.values().stream()
+                .map(instance -> instance.member)
+                .toList();
+        for (Instance instance : fleet.instances.values()) {
+            instance.sharing.view(FleetView.of(List.of(instance.member)), 0);
+            for (int known = 1; known <= all.size(); known += 5) {
+                List<Member> view = new ArrayList<>(all.subList(0, known));
+                view.add(instance.member);
+                fleet.at(knownMs * known / all.size(), () -> instance.sharing.view(FleetView.of(view), fleet.nowMs));
+            }
+            fleet.at(knownMs, () -> instance.sharing.view(FleetView.of(all), fleet.nowMs));
+            fleet.at(
+                    instance.number() % knownMs,
+                    () -> fleet.put(instance.member.id().name(), "live"));
+        }
+        return fleet;
+    }
+
     /** An instance leaves the views of all others. */
     void gone(InstanceId gone) {
         still.add(gone);
@@ -65,7 +89,7 @@
                 .map(instance -> instance.member)
                 .filter(member -> !still.contains(member.id()))
                 .toList();
-        instances.values().forEach(instance -> instance.sharing.view(FleetView.of(left)));
+        instances.values().forEach(instance -> instance.sharing.view(FleetView.of(left), nowMs));
     }
 
     void standsStill(InstanceId instance) {
