--- a/daemon/src/main/java/org/marjoramswitch/daemon/platform/SharedWatchStore.java
+++ b/daemon/src/main/java/org/marjoramswitch/daemon/platform/SharedWatchStore.java
@@ -29,12 +29,11 @@
  * <p>A watch of a prefix that was not read whole before it goes to the service too: without the entries there is nothing
  * that peers' copies could be compared with.
  */
-public final class SharedWatchStore implements KeyValueStore {
+public final class SharedWatchStore extends BaseKeyValueStore {
     private static final KeyValueLog LOG = KeyValueLog.of(SharedWatchStore.class);
     /** The beat of the readers; a wake-up of every instance, so no more often. */
     private static final long TICK_MS = 500;
 
-    private final KeyValueStore store;
     private final PeerSender peers;
     private final LongSupplier clockMs;
     private final XnioExecutor timer;
@@ -46,7 +45,7 @@
 
     private SharedWatchStore(
             KeyValueStore store, Member self, PeerSender peers, LongSupplier clockMs, XnioExecutor timer) {
-        this.store = store;
+        super(store);
         this.peers = peers;
         this.clockMs = clockMs;
         this.timer = timer;
@@ -77,7 +76,7 @@
 
     @Override
     public CompletableFuture<KeyValueResult<Range>> range(String prefix) {
-        return store.range(prefix).thenApply(result -> {
+        return super.range(prefix).thenApply(result -> {
             if (result instanceof KeyValueResult.Answered<Range> answered) {
                 noteRead(prefix, answered.value());
             }
@@ -89,7 +88,7 @@
     public synchronized AutoCloseable watch(String prefix, long afterRevision, Consumer<WatchEvent> listener) {
         Range read = lastRead.remove(prefix);
         if (read == null || read.revision() != afterRevision) {
-            return store.watch(prefix, afterRevision, listener);
+            return super.watch(prefix, afterRevision, listener);
         }
         listeners.put(prefix, listener);
         List<WatchedEntry> entries =
@@ -98,44 +97,13 @@
         return () -> unwatch(prefix, listener);
     }
 
-    @Override
-    public CompletableFuture<KeyValueResult<@Nullable Entry>> get(String key) {
-        return store.get(key);
-    }
-
-    @Override
-    public CompletableFuture<KeyValueResult<Boolean>> compareAndSwap(
-            Map<String, Long> expectedModRevisions, Map<String, String> puts, List<String> deletes, long leaseId) {
-        return store.compareAndSwap(expectedModRevisions, puts, deletes, leaseId);
-    }
-
-    @Override
-    public CompletableFuture<KeyValueResult<Long>> grantLease(long ttlSeconds) {
-        return store.grantLease(ttlSeconds);
-    }
-
-    @Override
-    public CompletableFuture<KeyValueResult<Long>> renewLease(long leaseId) {
-        return store.renewLease(leaseId);
-    }
-
-    @Override
-    public CompletableFuture<KeyValueResult<Boolean>> revokeLease(long leaseId) {
-        return store.revokeLease(leaseId);
-    }
-
-    @Override
-    public long calls() {
-        return store.calls();
-    }
-
     @Override
     public void close() {
         synchronized (this) {
             closed = true;
             List.copyOf(ownWatches.keySet()).forEach(this::stopReading);
         }
-        store.close();
+        super.close();
     }
 
     private synchronized void noteRead(String prefix, Range range) {
@@ -182,7 +150,7 @@
             LOG.info("watch_own", "prefix", read.prefix(), "afterRevision", read.afterRevision());
             OwnWatch own = new OwnWatch(read.prefix());
             ownWatches.put(read.prefix(), own);
-            own.watch = store.watch(read.prefix(), read.afterRevision(), own::onEvent);
+            own.watch = super.watch(read.prefix(), read.afterRevision(), own::onEvent);
         } else if (action instanceof WatchAction.StopReading stop) {
             LOG.info("watch_by_peers", "prefix", stop.prefix());
             stopReading(stop.prefix());
--- a/kernel/src/main/java/org/marjoramswitch/kernel/placement/PlacementArbiter.java
+++ b/kernel/src/main/java/org/marjoramswitch/kernel/placement/PlacementArbiter.java
@@ -120,23 +120,7 @@
             return;
         }
         forgetWaiting(entry, asked.ask());
-        add(
-                new WaitingRequest(
-                        entry,
-                        asked.ask(),
-                        arrivals++,
-                        asked.customer(),
-                        asked.urgency(),
-                        asked.parts(),
-                        asked.parts().stream().mapToLong(part -> part.tokens()).sum(),
-                        asked.outputTokens(),
-                        nowMs,
-                        nowMs + asked.objectiveLeftMs(),
-                        nowMs + asked.waitLeftMs(),
-                        Set.copyOf(asked.excluded()),
-                        SizeClass.NOT_COUNTED,
-                        0),
-                nowMs);
+        add(WaitingRequest.of(entry, asked, arrivals++, nowMs), nowMs);
     }
 
     /** Whether any request waits for a target. */
@@ -183,20 +167,9 @@
             if (target == null || known) {
                 continue;
             }
-            long unreadTokens = held.answering() ? 0 : held.promptTokens();
-            RunningRequest request = new RunningRequest(
-                    held.customer(),
-                    held.target(),
-                    target.settings().startedAtMs(),
-                    List.of(),
-                    held.promptTokens(),
-                    held.outputTokens(),
-                    unreadTokens,
-                    0,
-                    nowMs,
-                    held.answering());
+            RunningRequest request = RunningRequest.takenOver(held, target, nowMs);
             ofEntry(entry).put(held.ask(), request);
-            target.held(unreadTokens, request.memoryTokens(), held.answering(), nowMs);
+            target.held(request.readingTokens(), request.memoryTokens(), held.answering(), nowMs);
         }
     }
 
@@ -395,20 +368,7 @@
         shares.charge(request.customer(), request.costTokens());
         evenShare.charged(request.customer(), request.costTokens(), nowMs);
         double tokensAhead = request.prompt().isEmpty() ? 0 : unreadTokens + chosen.readingTokens();
-        ofEntry(request.entry())
-                .put(
-                        request.ask(),
-                        new RunningRequest(
-                                request.customer(),
-                                target.settings().id(),
-                                target.settings().startedAtMs(),
-                                request.prompt(),
-                                request.promptTokens(),
-                                request.outputTokens(),
-                                chosen.readingTokens(),
-                                tokensAhead,
-                                nowMs,
-                                false));
+        ofEntry(request.entry()).put(request.ask(), RunningRequest.placed(request, chosen, tokensAhead, nowMs));
         sink.accept(new Action.SendPeer(
                 request.entry(),
                 new PeerMessage.Placed(cell, request.ask(), target.settings().id(), chosen.fetchFrom())));
--- a/kernel/src/main/java/org/marjoramswitch/kernel/placement/RunningRequest.java
+++ b/kernel/src/main/java/org/marjoramswitch/kernel/placement/RunningRequest.java
@@ -1,6 +1,7 @@
 package org.marjoramswitch.kernel.placement;
 
 import java.util.List;
+import org.marjoramswitch.kernel.message.PeerMessage;
 import org.marjoramswitch.kernel.model.CustomerId;
 import org.marjoramswitch.kernel.model.PromptPart;
 import org.marjoramswitch.kernel.model.TargetId;
@@ -24,6 +25,36 @@
         double tokensAhead,
         long startedAtMs,
         boolean answering) {
+    /** A request that this arbiter places at a target. */
+    static RunningRequest placed(WaitingRequest request, TargetChoice.Chosen chosen, double tokensAhead, long nowMs) {
+        return new RunningRequest(
+                request.customer(),
+                chosen.target().settings().id(),
+                chosen.target().settings().startedAtMs(),
+                request.prompt(),
+                request.promptTokens(),
+                request.outputTokens(),
+                chosen.readingTokens(),
+                tokensAhead,
+                nowMs,
+                false);
+    }
+
+    /** A request that another arbiter placed at the target. */
+    static RunningRequest takenOver(PeerMessage.HeldPlacement held, TargetLoad target, long nowMs) {
+        return new RunningRequest(
+                held.customer(),
+                held.target(),
+                target.settings().startedAtMs(),
+                List.of(),
+                held.promptTokens(),
+                held.outputTokens(),
+                held.answering() ? 0 : held.promptTokens(),
+                0,
+                nowMs,
+                held.answering());
+    }
+
     long memoryTokens() {
         return promptTokens + outputTokens;
     }
--- a/kernel/src/main/java/org/marjoramswitch/kernel/placement/TargetChoice.java
+++ b/kernel/src/main/java/org/marjoramswitch/kernel/placement/TargetChoice.java
@@ -1,7 +1,8 @@
 package org.marjoramswitch.kernel.placement;
 
-import java.util.Collection;
 import java.util.List;
+import java.util.Set;
+import java.util.function.Predicate;
 import org.jspecify.annotations.Nullable;
 import org.marjoramswitch.kernel.misc.Rendezvous;
 import org.marjoramswitch.kernel.model.PromptPart;
@@ -168,36 +169,46 @@
     private Best bestOfEngines(WaitingRequest request) {
         Best found = new Best();
         Prospect prospect = prospect(request);
-        boolean ignoreExcluded = request.excluded().size() >= pool.size() && allExcluded(request);
-        int part = request.prompt().size() - 1;
-        long behindTokens = 0;
-        for (; part >= 0; part--) {
+        Predicate<TargetLoad> allowed = allowed(request);
+        long restTokens = addHolders(request, prospect, allowed, found);
+        TargetLoad home = prospect.home();
+        if (home != null && allowed.test(home)) {
+            found.add(candidate(request, home, prospect));
+        }
+        addInOrder(request, prospect, allowed, leastWorkMs(request, restTokens, prospect), found);
+        return found;
+    }
+
+    /**
+     * Looks at the holders of the prompt's parts, the last part first, until one is reached that any engine may keep.
+     *
+     * @return what all others have to read at least: what comes behind that part
+     */
+    private long addHolders(WaitingRequest request, Prospect prospect, Predicate<TargetLoad> allowed, Best found) {
+        long restTokens = 0;
+        for (int part = request.prompt().size() - 1; part >= 0; part--) {
             List<TargetLoad> holders = pool.holders().of(request.prompt().get(part));
             if (holders.size() > FEW_HOLDERS) {
-                break;
+                return restTokens;
             }
-            for (TargetLoad holder : holders) {
-                if (ignoreExcluded || !isExcluded(request, holder)) {
-                    found.add(candidate(request, holder, prospect));
-                }
-            }
-            behindTokens += request.prompt().get(part).tokens();
-        }
-        if (prospect.home() != null && (ignoreExcluded || !isExcluded(request, prospect.home()))) {
-            found.add(candidate(request, prospect.home(), prospect));
+            holders.stream().filter(allowed).forEach(holder -> found.add(candidate(request, holder, prospect)));
+            restTokens += request.prompt().get(part).tokens();
         }
-        double leastWorkMs = leastWorkMs(request, behindTokens, prospect);
+        return restTokens;
+    }
+
+    /** Looks at the targets in their order until none that is left can be better. */
+    private void addInOrder(
+            WaitingRequest request, Prospect prospect, Predicate<TargetLoad> allowed, double leastWorkMs, Best found) {
         for (TargetOrder.Standing standing : pool.order().standings()) {
             double leastCostMs = standing.costMs() + leastWorkMs;
-            if (!found.mayBeBeaten(leastCostMs)) {
-                break;
+            if (!found.mayBeBeaten(leastCostMs, true)) {
+                return;
             }
-            boolean worthLooking = found.mayBeBeaten(leastCostMs, standing.isOpen());
-            if (worthLooking && (ignoreExcluded || !isExcluded(request, standing.target()))) {
+            if (found.mayBeBeaten(leastCostMs, standing.isOpen()) && allowed.test(standing.target())) {
                 found.add(candidate(request, standing.target(), prospect));
             }
         }
-        return found;
     }
 
     /** What a target costs beside wait and load that has {@code unreadTokens} of the prompt to read or to fetch, at least. */
@@ -210,12 +221,13 @@
         return (readingWeight() + strangeShare) * Math.max(0, readingMs - LEAST_SAVED_MS);
     }
 
-    private static boolean isExcluded(WaitingRequest request, TargetLoad target) {
-        return request.excluded().contains(target.settings().id());
-    }
-
-    private boolean allExcluded(WaitingRequest request) {
-        return pool.all().stream().allMatch(target -> isExcluded(request, target));
+    /** One that failed the request may serve it now; with no other left it is better than nothing. */
+    private Predicate<TargetLoad> allowed(WaitingRequest request) {
+        Set<TargetId> excluded = request.excluded();
+        Predicate<TargetLoad> left =
+                target -> !excluded.contains(target.settings().id());
+        boolean anyLeft = excluded.size() < pool.size() || pool.all().stream().anyMatch(left);
+        return anyLeft ? left : target -> true;
     }
 
     /**
@@ -249,15 +261,8 @@
         return bestSpare.chosen();
     }
 
-    private Collection<TargetLoad> candidates(WaitingRequest request) {
-        if (request.excluded().isEmpty()) {
-            return pool.all();
-        }
-        List<TargetLoad> left = pool.all().stream()
-                .filter(target -> !isExcluded(request, target))
-                .toList();
-        // One that failed the request may serve it now; with no other left it is better than nothing.
-        return left.isEmpty() ? pool.all() : left;
+    private List<TargetLoad> candidates(WaitingRequest request) {
+        return pool.all().stream().filter(allowed(request)).toList();
     }
 
     private Candidate candidate(WaitingRequest request, TargetLoad target, Prospect prospect) {
@@ -362,10 +367,6 @@
         }
 
         /** Whether a target of this cost would be better than one of the two. */
-        boolean mayBeBeaten(double costMs) {
-            return mayBeBeaten(costMs, true);
-        }
-
         boolean mayBeBeaten(double costMs, boolean free) {
             return best == null || costMs < best.costMs() || (free && (bestFree == null || costMs < bestFree.costMs()));
         }
--- a/kernel/src/main/java/org/marjoramswitch/kernel/placement/WaitingRequest.java
+++ b/kernel/src/main/java/org/marjoramswitch/kernel/placement/WaitingRequest.java
@@ -2,6 +2,7 @@
 
 import java.util.List;
 import java.util.Set;
+import org.marjoramswitch.kernel.message.PeerMessage;
 import org.marjoramswitch.kernel.model.CustomerId;
 import org.marjoramswitch.kernel.model.InstanceId;
 import org.marjoramswitch.kernel.model.PromptPart;
@@ -35,6 +36,25 @@
     /** A generated token takes an engine about twice the time of a read one; customers are charged by the same measure. */
     private static final long OUTPUT_TOKEN_COST = 2;
 
+    /** A question as it came; its size is not assessed yet. */
+    static WaitingRequest of(InstanceId entry, PeerMessage.Place asked, long arrival, long nowMs) {
+        return new WaitingRequest(
+                entry,
+                asked.ask(),
+                arrival,
+                asked.customer(),
+                asked.urgency(),
+                asked.parts(),
+                asked.parts().stream().mapToLong(PromptPart::tokens).sum(),
+                asked.outputTokens(),
+                nowMs,
+                nowMs + asked.objectiveLeftMs(),
+                nowMs + asked.waitLeftMs(),
+                Set.copyOf(asked.excluded()),
+                SizeClass.NOT_COUNTED,
+                0);
+    }
+
     WaitingRequest assessed(SizeClass newSize, long newReadingTokens) {
         return new WaitingRequest(
                 entry,
