--- a/daemon/src/main/java/org/marjoramswitch/daemon/ForwardingDaemon.java
+++ b/daemon/src/main/java/org/marjoramswitch/daemon/ForwardingDaemon.java
@@ -75,6 +75,7 @@
                         core.decisions(),
                         () -> settings,
                         () -> core.drainState().begun(),
+                        core.decisions()::lagMs,
                         core.clock()),
                 core.worker(),
                 core.metrics()));
--- a/daemon/src/main/java/org/marjoramswitch/daemon/caller/ForwardHandler.java
+++ b/daemon/src/main/java/org/marjoramswitch/daemon/caller/ForwardHandler.java
@@ -35,6 +35,8 @@
 final class ForwardHandler implements HttpHandler {
     private static final long NOT_READY_RETRY_AFTER_MS = 1_000;
     private static final long FULL_RETRY_AFTER_MS = 1_000;
+    /** Another instance can take the request at once. */
+    private static final long BEHIND_RETRY_AFTER_MS = 100;
 
     private final CallerOptions options;
     private final CallDecoder decoder;
@@ -43,6 +45,7 @@
     private final ApiKeys apiKeys;
     private final ConnectionUse connections;
     private final BooleanSupplier leaving;
+    private final BooleanSupplier behind;
     private final MemoryBudget budget;
     private final Map<String, UsualPatience> patience = new ConcurrentHashMap<>();
     private final LongSupplier clockMs;
@@ -54,6 +57,7 @@
             RequestGate gate,
             Supplier<RoutedSettings> settings,
             BooleanSupplier leaving,
+            BooleanSupplier behind,
             MemoryBudget budget,
             LongSupplier clockMs,
             CallerMetrics metrics) {
@@ -64,6 +68,7 @@
         this.apiKeys = ApiKeys.create();
         this.connections = ConnectionUse.within(options.maxConnections());
         this.leaving = leaving;
+        this.behind = behind;
         this.budget = budget;
         this.clockMs = clockMs;
         this.metrics = metrics;
@@ -72,6 +77,13 @@
     @Override
     public void handleRequest(HttpServerExchange exchange) {
         CallerExchange caller = CallerExchange.begin(exchange, metrics, clockMs.getAsLong());
+        if (behind.getAsBoolean()) {
+            // Before all else, since each step more is work that the instance has no time for.
+            exchange.setPersistent(false);
+            Failure later = Failure.notRun(ErrorType.ENTRY_QUEUE_FULL, BEHIND_RETRY_AFTER_MS, "behind");
+            exchange.dispatch(SameThreadExecutor.INSTANCE, () -> refuse(caller, later));
+            return;
+        }
         if (leaving.getAsBoolean() || connections.isLast(exchange.getConnection())) {
             // The caller finishes here and chooses an instance anew for its next request.
             exchange.setPersistent(false);
--- a/daemon/src/main/java/org/marjoramswitch/daemon/caller/ForwardServer.java
+++ b/daemon/src/main/java/org/marjoramswitch/daemon/caller/ForwardServer.java
@@ -23,9 +23,11 @@
     private static final int BUFFER_BYTES = 16 << 10;
 
     private final Undertow undertow;
+    private final LagProbe lag;
 
-    private ForwardServer(Undertow undertow) {
+    private ForwardServer(Undertow undertow, LagProbe lag) {
         this.undertow = undertow;
+        this.lag = lag;
     }
 
     /**
@@ -34,6 +36,7 @@
      * @param callers where callers connect
      * @param others further addresses, each with what it serves
      * @param leaving whether the instance is in its graceful shutdown
+     * @param decisionsLagMs how long the last event waited for the decisions
      */
     public record Parts(
             HostPort callers,
@@ -43,6 +46,7 @@
             RequestGate gate,
             Supplier<RoutedSettings> settings,
             BooleanSupplier leaving,
+            LongSupplier decisionsLagMs,
             LongSupplier clockMs) {}
 
     /**
@@ -52,12 +56,14 @@
      */
     public static ForwardServer start(Parts parts, XnioWorker worker, MetricRegistry metrics) {
         MemoryBudget budget = MemoryBudget.of(parts.options().maxBufferedBytes());
+        LagProbe lag = LagProbe.start(worker.getIoThread(), parts.decisionsLagMs(), parts.clockMs());
         ForwardHandler forward = new ForwardHandler(
                 parts.options(),
                 parts.decoder(),
                 parts.gate(),
                 parts.settings(),
                 parts.leaving(),
+                lag::isBehind,
                 budget,
                 parts.clockMs(),
                 CallerMetrics.of(metrics, budget));
@@ -72,7 +78,7 @@
         parts.others().forEach((address, handler) -> builder.addHttpListener(address.port(), address.host(), handler));
         Undertow undertow = builder.build();
         undertow.start();
-        ForwardServer server = new ForwardServer(undertow);
+        ForwardServer server = new ForwardServer(undertow, lag);
         server.limit(CallerLimits.DEFAULT);
         return server;
     }
@@ -94,6 +100,7 @@
     /** Closes every connection at once. */
     @Override
     public void close() {
+        lag.close();
         undertow.stop();
     }
 }
--- /dev/null
+++ b/daemon/src/main/java/org/marjoramswitch/daemon/caller/LagProbe.java
@@ -0,0 +1,65 @@
+package org.marjoramswitch.daemon.caller;
+
+import java.util.concurrent.RejectedExecutionException;
+import java.util.concurrent.TimeUnit;
+import java.util.function.LongSupplier;
+import org.marjoramswitch.daemon.log.KeyValueLog;
+import org.xnio.XnioExecutor;
+
+/**
+ * Samples by how much an instance is behind: how late a timer of the thread that serves callers fires, and how long the last
+ * event waited for the decisions, whichever is more.
+ */
+final class LagProbe implements AutoCloseable {
+    private static final KeyValueLog LOG = KeyValueLog.of(LagProbe.class);
+
+    private final XnioExecutor thread;
+    private final LongSupplier decisionsLagMs;
+    private final LongSupplier clockMs;
+    private final StandingLag lag = new StandingLag();
+    private long dueMs;
+    private volatile boolean closed;
+
+    private LagProbe(XnioExecutor thread, LongSupplier decisionsLagMs, LongSupplier clockMs) {
+        this.thread = thread;
+        this.decisionsLagMs = decisionsLagMs;
+        this.clockMs = clockMs;
+    }
+
+    static LagProbe start(XnioExecutor thread, LongSupplier decisionsLagMs, LongSupplier clockMs) {
+        LagProbe probe = new LagProbe(thread, decisionsLagMs, clockMs);
+        probe.sampleLater();
+        return probe;
+    }
+
+    boolean isBehind() {
+        return lag.isStanding();
+    }
+
+    @Override
+    public void close() {
+        closed = true;
+    }
+
+    private void sampleLater() {
+        dueMs = clockMs.getAsLong() + StandingLag.SAMPLE_MS;
+        try {
+            thread.executeAfter(this::sample, StandingLag.SAMPLE_MS, TimeUnit.MILLISECONDS);
+        } catch (RejectedExecutionException e) {
+            LOG.debug("lag_probe_closed_late", "reason", String.valueOf(e.getMessage()));
+        }
+    }
+
+    private void sample() {
+        if (closed) {
+            return;
+        }
+        boolean before = lag.isStanding();
+        long lateMs = Math.max(clockMs.getAsLong() - dueMs, decisionsLagMs.getAsLong());
+        lag.sample(lateMs);
+        if (before != lag.isStanding()) {
+            LOG.info(before ? "instance_on_time" : "instance_behind", "lateMs", lateMs);
+        }
+        sampleLater();
+    }
+}
--- a/daemon/src/main/java/org/marjoramswitch/daemon/core/DecisionDuty.java
+++ b/daemon/src/main/java/org/marjoramswitch/daemon/core/DecisionDuty.java
@@ -66,6 +66,7 @@
     private final Thread thread;
     private final Set<InstanceId> cutLinks = ConcurrentHashMap.newKeySet();
     private volatile boolean closed;
+    private volatile long lagMs;
     private long nowMs = Long.MIN_VALUE;
     private long tickedAtNs = System.nanoTime();
 
@@ -96,6 +97,11 @@
         return actions.drained();
     }
 
+    /** How long the last event waited for its decision; 0 once none waits any more. */
+    public long lagMs() {
+        return lagMs;
+    }
+
     /** How many requests of a customer have arrived here and not ended. */
     public int openRequests(CustomerId customer) {
         return requests.openOf(customer);
@@ -206,12 +212,15 @@
         for (int taken = 0; taken < MAX_BATCH; taken++) {
             EventRing.TimedEvent next = ring.poll();
             if (next == null) {
+                lagMs = 0;
                 return taken > 0;
             }
             // After a pause of the process the requests whose time has run out go first; a grant that lay in the ring
             // all the while could otherwise still start one of them.
             tickWhenDue();
-            metrics.ringTime().update(System.nanoTime() - next.enteredNs(), TimeUnit.NANOSECONDS);
+            long waitedNs = System.nanoTime() - next.enteredNs();
+            metrics.ringTime().update(waitedNs, TimeUnit.NANOSECONDS);
+            lagMs = TimeUnit.NANOSECONDS.toMillis(waitedNs);
             decide(next.event());
         }
         return true;
--- a/daemon/src/test/java/org/marjoramswitch/daemon/caller/ForwardServerTest.java
+++ b/daemon/src/test/java/org/marjoramswitch/daemon/caller/ForwardServerTest.java
@@ -1,6 +1,7 @@
 package org.marjoramswitch.daemon.caller;
 
 import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertFalse;
 import static org.junit.jupiter.api.Assertions.assertNull;
 import static org.junit.jupiter.api.Assertions.assertTrue;
 
@@ -16,10 +17,12 @@
 import java.util.List;
 import java.util.Locale;
 import java.util.Map;
+import java.util.concurrent.atomic.AtomicLong;
 import org.jspecify.annotations.Nullable;
 import org.junit.jupiter.api.AfterEach;
 import org.junit.jupiter.api.BeforeEach;
 import org.junit.jupiter.api.Test;
+import org.junit.jupiter.api.Timeout;
 import org.marjoramswitch.daemon.exchange.CallDecoder;
 import org.marjoramswitch.daemon.route.RoutedSettings;
 import org.marjoramswitch.daemon.settings.HostPort;
@@ -35,6 +38,7 @@
     private static final String REQUEST = "GET /any/ HTTP/1.1\r\nHost: h.example\r\n\r\n";
 
     private final List<Caller> callers = new ArrayList<>();
+    private final AtomicLong decisionsLagMs = new AtomicLong();
     private XnioWorker worker;
     private ForwardServer server;
     private int port;
@@ -52,6 +56,7 @@
                         new FakeGate(),
                         () -> RoutedSettings.NONE,
                         () -> false,
+                        decisionsLagMs::get,
                         () -> System.nanoTime() / 1_000_000),
                 worker,
                 new MetricRegistry());
@@ -85,6 +90,27 @@
         assertEquals("HTTP/1.1 503 Service Unavailable", first.again().status());
     }
 
+    /**
+     * The caller hears at once that another instance can take its request, and its connection is closed so that it chooses
+     * one. The instance is flooded and behind; what it takes now it would send on when the caller has left.
+     */
+    @Test
+    @Timeout(20)
+    void anInstanceThatIsBehindSendsCallersElsewhere() throws IOException {
+        decisionsLagMs.set(500);
+        Caller refused = call();
+        while (!refused.head().contains("retry-after: 100\n")) {
+            refused = call();
+        }
+        assertEquals("HTTP/1.1 503 Service Unavailable", refused.status());
+        assertFalse(refused.kept());
+        decisionsLagMs.set(0);
+        Caller later = call();
+        while (later.head().contains("retry-after: 100\n")) {
+            later = call();
+        }
+    }
+
     private Caller call() throws IOException {
         Socket socket = new Socket(InetAddress.getLoopbackAddress(), port);
         socket.setSoTimeout(READ_TIMEOUT_MS);
