--- a/daemon/src/main/java/org/marjoramswitch/daemon/caller/CallerWatch.java
+++ b/daemon/src/main/java/org/marjoramswitch/daemon/caller/CallerWatch.java
@@ -48,6 +48,16 @@
         return watch;
     }
 
+    /**
+     * Whether the caller had gone before its request was read; to be called on the IO thread after the body was read. On an
+     * instance that is behind, request and close lie unread together, and the watch would meet the close only when the request
+     * has been sent on.
+     */
+    static boolean hasLeft(HttpServerExchange exchange) {
+        HttpServerConnection connection = (HttpServerConnection) exchange.getConnection();
+        return connection.getExtraBytes() == null && readOnce(connection) == Input.ENDED;
+    }
+
     private void start() {
         slot().current = this;
         if (connection.getExtraBytes() != null) {
@@ -101,22 +111,35 @@
         if (stopped) {
             return;
         }
+        switch (readOnce(connection)) {
+            case ENDED -> {
+                stop();
+                listener.onInputEnded();
+            }
+            case MORE -> connection.getOriginalSourceConduit().suspendReads();
+            case BROKEN -> {
+                IoUtils.safeClose(connection);
+                closed();
+            }
+            case NONE -> {}
+        }
+    }
+
+    /** Reads what there is; bytes of the next request are put back. */
+    private static Input readOnce(HttpServerConnection connection) {
         PooledByteBuffer pooled = connection.getByteBufferPool().allocate();
         boolean handedOver = false;
         try {
             int count = connection.getOriginalSourceConduit().read(pooled.getBuffer());
-            if (count < 0) {
-                stop();
-                listener.onInputEnded();
-            } else if (count > 0) {
-                pooled.getBuffer().flip();
-                connection.getOriginalSourceConduit().suspendReads();
-                connection.ungetRequestBytes(pooled);
-                handedOver = true;
+            if (count <= 0) {
+                return count < 0 ? Input.ENDED : Input.NONE;
             }
+            pooled.getBuffer().flip();
+            connection.ungetRequestBytes(pooled);
+            handedOver = true;
+            return Input.MORE;
         } catch (IOException e) {
-            IoUtils.safeClose(connection);
-            closed();
+            return Input.BROKEN;
         } finally {
             if (!handedOver) {
                 pooled.close();
@@ -124,6 +147,14 @@
         }
     }
 
+    /** What one read met. */
+    private enum Input {
+        NONE,
+        MORE,
+        ENDED,
+        BROKEN
+    }
+
     /** The watch that a connection's close is told to. */
     private static final class Slot {
         private @Nullable CallerWatch current;
--- a/daemon/src/main/java/org/marjoramswitch/daemon/caller/ForwardHandler.java
+++ b/daemon/src/main/java/org/marjoramswitch/daemon/caller/ForwardHandler.java
@@ -172,6 +172,11 @@
         caller.assign(poolId);
         caller.assign(requestId);
         caller.named(facts.requestId());
+        if (CallerWatch.hasLeft(caller.http())) {
+            budget.release(body.length);
+            refuse(caller, Failure.notRun(ErrorType.CALLER_GONE, 0, ""));
+            return;
+        }
         if (pool == null) {
             budget.release(body.length);
             refuse(caller, Failure.notRun(ErrorType.NO_TARGET_IN_TIME, NOT_READY_RETRY_AFTER_MS, poolId.name()));
