--- a/daemon/src/test/java/org/marjoramswitch/daemon/caller/RawInputTest.java
+++ b/daemon/src/test/java/org/marjoramswitch/daemon/caller/RawInputTest.java
@@ -179,6 +179,8 @@
                 call.answer().onBytes(new byte[1_000]);
             }
             Fixture.await(() -> fixture.gate.gone.contains(call.spec().requestId()));
+            // The gate hears of it before it is counted.
+            Fixture.await(() -> fixture.metrics.meter("caller.slow_caller").getCount() > 0);
             assertEquals(1, fixture.metrics.meter("caller.slow_caller").getCount());
         }
     }
