--- a/daemon/src/main/java/org/marjoramswitch/daemon/core/DecisionDuty.java
+++ b/daemon/src/main/java/org/marjoramswitch/daemon/core/DecisionDuty.java
@@ -29,7 +29,7 @@
 
 /**
  * The duty that decides: one thread that owns the kernel, takes events from one bounded ring, tells the kernel the time
- * every few milliseconds and has its actions carried out.
+ * as often as it wants and has its actions carried out.
  *
  * <p>The kernel is not thread-safe and its decisions depend on nothing but the order and times of its events. One
  * thread gives both: no lock stands around the kernel, and a recording of the events replays to the same decisions.
