--- a/daemon/src/main/java/org/marjoramswitch/daemon/platform/PrefixFollower.java
+++ b/daemon/src/main/java/org/marjoramswitch/daemon/platform/PrefixFollower.java
@@ -94,7 +94,16 @@
         try {
             KeyValueResult<Range> result = store.range(prefix).get();
             if (result instanceof KeyValueResult.Answered<Range> answered) {
-                return answered.value();
+                Range range = answered.value();
+                LOG.info(
+                        "prefix_read",
+                        "prefix",
+                        prefix,
+                        "revision",
+                        range.revision(),
+                        "entries",
+                        range.entries().size());
+                return range;
             }
             listener.onUnreadable(result.toString());
         } catch (ExecutionException e) {
--- a/daemon/src/main/java/org/marjoramswitch/daemon/platform/StoreClient.java
+++ b/daemon/src/main/java/org/marjoramswitch/daemon/platform/StoreClient.java
@@ -82,28 +82,31 @@
     /** A call that changes nothing; made again within its time where no answer came. */
     public <T extends @Nullable Object> CompletableFuture<KeyValueResult<T>> read(
             String method, String path, String body, Function<JsonNode, T> decode) {
-        CompletableFuture<KeyValueResult<T>> result = new CompletableFuture<>();
-        submit(GatewayCall.repeatable(
-                method, path, body, callDeadlineMs(), outcome -> complete(result, path, outcome, decode)));
-        return result;
+        Pending<T> pending = new Pending<>(path, decode, runtime.nowMs());
+        submit(GatewayCall.repeatable(method, path, body, callDeadlineMs(), outcome -> complete(pending, outcome)));
+        return pending.result();
     }
 
     /** A call that changes something; never made again once it may have arrived. */
     public <T extends @Nullable Object> CompletableFuture<KeyValueResult<T>> write(
             String method, String path, String body, Function<JsonNode, T> decode) {
-        CompletableFuture<KeyValueResult<T>> result = new CompletableFuture<>();
-        submit(GatewayCall.once(
-                method, path, body, callDeadlineMs(), outcome -> complete(result, path, outcome, decode)));
-        return result;
+        Pending<T> pending = new Pending<>(path, decode, runtime.nowMs());
+        submit(GatewayCall.once(method, path, body, callDeadlineMs(), outcome -> complete(pending, outcome)));
+        return pending.result();
     }
 
     /** A call that the service may leave unanswered for a while, made once. */
     public <T extends @Nullable Object> CompletableFuture<KeyValueResult<T>> poll(
             String method, String path, long timeoutMs, Function<JsonNode, T> decode) {
-        CompletableFuture<KeyValueResult<T>> result = new CompletableFuture<>();
-        long deadlineMs = runtime.nowMs() + timeoutMs;
-        submit(GatewayCall.once(method, path, "", deadlineMs, outcome -> complete(result, path, outcome, decode)));
-        return result;
+        Pending<T> pending = new Pending<>(path, decode, runtime.nowMs());
+        long deadlineMs = pending.startedAtMs() + timeoutMs;
+        submit(GatewayCall.once(method, path, "", deadlineMs, outcome -> complete(pending, outcome)));
+        return pending.result();
+    }
+
+    /** The steady time by which calls are timed. */
+    public long nowMs() {
+        return runtime.nowMs();
     }
 
     /** Runs a task later, on the IO thread; it must not block. */
@@ -141,12 +144,9 @@
         }
     }
 
-    private <T extends @Nullable Object> void complete(
-            CompletableFuture<KeyValueResult<T>> result,
-            String path,
-            GatewayCall.Outcome outcome,
-            Function<JsonNode, T> decode) {
-        Runnable completion = () -> result.complete(resultOf(path, outcome, decode));
+    private <T extends @Nullable Object> void complete(Pending<T> pending, GatewayCall.Outcome outcome) {
+        long tookMs = runtime.nowMs() - pending.startedAtMs();
+        Runnable completion = () -> pending.result().complete(resultOf(pending, outcome, tookMs));
         try {
             worker.execute(completion);
         } catch (RejectedExecutionException e) {
@@ -155,8 +155,8 @@
     }
 
     private <T extends @Nullable Object> KeyValueResult<T> resultOf(
-            String path, GatewayCall.Outcome outcome, Function<JsonNode, T> decode) {
-        KeyValueResult<T> result = interpret(outcome, decode);
+            Pending<T> pending, GatewayCall.Outcome outcome, long tookMs) {
+        KeyValueResult<T> result = interpret(outcome, pending.decode());
         runtime.metrics().ended(result.getClass().getSimpleName());
         if (result instanceof KeyValueResult.Rejected<T> rejected) {
             LOG.warn(
@@ -164,11 +164,13 @@
                     "type",
                     ErrorType.PLATFORM_REJECTED,
                     "path",
-                    path,
+                    pending.path(),
                     "status",
                     rejected.status(),
                     "reason",
-                    rejected.reason());
+                    rejected.reason(),
+                    "tookMs",
+                    tookMs);
         }
         return result;
     }
@@ -192,4 +194,12 @@
             return new KeyValueResult.OutcomeUnknown<>("unreadable answer: " + e.getMessage());
         }
     }
+
+    /** A call whose outcome is awaited. */
+    private record Pending<T extends @Nullable Object>(
+            String path, Function<JsonNode, T> decode, long startedAtMs, CompletableFuture<KeyValueResult<T>> result) {
+        private Pending(String path, Function<JsonNode, T> decode, long startedAtMs) {
+            this(path, decode, startedAtMs, new CompletableFuture<>());
+        }
+    }
 }
