--- a/daemon/src/main/java/org/marjoramswitch/daemon/ForwardingDaemon.java
+++ b/daemon/src/main/java/org/marjoramswitch/daemon/ForwardingDaemon.java
@@ -39,7 +39,7 @@
  * the parts that a {@link Platform} gives in place of the product's own interfaces.
  */
 public final class ForwardingDaemon extends BaseInstance {
-    /** The pause before the list of instances is read anew. */
+    /** The pause between two readings of the list of instances, and after one that failed. */
     private static final long LIST_PAUSE_MS = 500;
 
     private final Platform platform;
--- a/daemon/src/main/java/org/marjoramswitch/daemon/configuration/RoutedSettingsDuty.java
+++ b/daemon/src/main/java/org/marjoramswitch/daemon/configuration/RoutedSettingsDuty.java
@@ -32,7 +32,7 @@
     private static final KeyValueLog LOG = KeyValueLog.of(RoutedSettingsDuty.class);
     /** After it another peer may be asked. */
     private static final long QUERY_TIMEOUT_MS = 400;
-    /** The pause before the key is read anew after a failure; settings have to be in force within two seconds. */
+    /** The pause between two readings, and after one that failed; settings have to be in force within two seconds. */
     private static final long READ_PAUSE_MS = 250;
     /** The one document's name in messages between peers. */
     private static final String DOCUMENT = "operator";
--- a/daemon/src/main/java/org/marjoramswitch/daemon/fleet/TargetList.java
+++ b/daemon/src/main/java/org/marjoramswitch/daemon/fleet/TargetList.java
@@ -27,7 +27,7 @@
  */
 public final class TargetList implements AutoCloseable {
     private static final KeyValueLog LOG = KeyValueLog.of(TargetList.class);
-    /** The pause before the list is read anew; a leaving target must be known within two seconds. */
+    /** The pause between two readings, and after one that failed; a leaving target must be known within two seconds. */
     private static final long READ_PAUSE_MS = 250;
     /** Targets write their entries again within about two seconds of the service's return. */
     private static final long LAPSED_KEPT_MS = 2_300;
--- a/daemon/src/main/java/org/marjoramswitch/daemon/platform/FleetListReader.java
+++ b/daemon/src/main/java/org/marjoramswitch/daemon/platform/FleetListReader.java
@@ -13,11 +13,11 @@
  * The duty that follows the platform's list and hands on each list that differs from the one before.
  *
  * <p>It reads the list once and watches it from there; a watch brings a change at once and costs bytes for changes only,
- * where polling would carry the whole list each time. When the watch breaks, the list is read anew after a pause. While
- * the service does not answer, the last list stays in force.
+ * where polling would carry the whole list each time. When the watch breaks, the list is read anew. While the service does
+ * not answer, the last list stays in force.
  */
 public final class FleetListReader implements AutoCloseable {
-    /** The usual pause before the list is read anew. */
+    /** The usual pause between two readings, and after one that failed. */
     public static final long DEFAULT_PERIOD_MS = 2_000;
 
     private static final KeyValueLog LOG = KeyValueLog.of(FleetListReader.class);
@@ -39,8 +39,7 @@
     /**
      * Starts the duty; the listener is called on its thread.
      *
-     * @param periodMs the mean pause before the list is read anew after a failure or a broken watch; each one is a random
-     *     0.75 to 1.25 of it
+     * @param periodMs the mean pause between two readings, see {@link PrefixFollower#start}
      */
     public static FleetListReader start(
             KeyValueStore store, long periodMs, long seed, MetricRegistry metrics, Consumer<FleetList> listener) {
--- a/daemon/src/main/java/org/marjoramswitch/daemon/platform/PrefixFollower.java
+++ b/daemon/src/main/java/org/marjoramswitch/daemon/platform/PrefixFollower.java
@@ -17,8 +17,12 @@
 
 /**
  * Follows the entries of one prefix: reads them once and watches them from there. A watch brings a change at once and
- * costs bytes for changes only, where polling would carry all of it each time. When the watch breaks, the prefix is read
- * anew after a pause. While the service does not answer, what was read last stays.
+ * costs bytes for changes only, where polling would carry all of it each time. While the service does not answer, what was
+ * read last stays.
+ *
+ * <p>When the watch breaks, the prefix is read anew at once: what changed before the break may have been missed, and is
+ * hidden until then. Only where the last reading failed, or is no older than the pause, the pause comes first, so that a
+ * service that cuts each watch at its start is not read in a loop.
  */
 public final class PrefixFollower implements AutoCloseable {
     private static final KeyValueLog LOG = KeyValueLog.of(PrefixFollower.class);
@@ -61,8 +65,7 @@
     /**
      * Starts to follow.
      *
-     * @param pauseMs the mean pause before the prefix is read anew after a failure or a broken watch; each one is a
-     *     random 0.75 to 1.25 of it
+     * @param pauseMs the mean pause between two readings, and after one that failed; each one is a random 0.75 to 1.25 of it
      */
     public static PrefixFollower start(KeyValueStore store, String prefix, long pauseMs, long seed, Listener listener) {
         PrefixFollower follower = new PrefixFollower(store, prefix, pauseMs, seed, listener);
@@ -78,18 +81,25 @@
     private void run() {
         try {
             while (true) {
+                long readAtNs = System.nanoTime();
                 Range range = read();
-                if (range != null) {
-                    follow(range);
+                if (range == null) {
+                    TimeUnit.MILLISECONDS.sleep(jitteredPauseMs());
+                    continue;
                 }
-                double jitter = LEAST_JITTER + JITTER_SPAN * random.nextDouble();
-                TimeUnit.MILLISECONDS.sleep((long) (pauseMs * jitter));
+                follow(range);
+                long readAgoMs = TimeUnit.NANOSECONDS.toMillis(System.nanoTime() - readAtNs);
+                TimeUnit.MILLISECONDS.sleep(Math.max(0, jitteredPauseMs() - readAgoMs));
             }
         } catch (InterruptedException e) {
             Thread.currentThread().interrupt();
         }
     }
 
+    private long jitteredPauseMs() {
+        return (long) (pauseMs * (LEAST_JITTER + JITTER_SPAN * random.nextDouble()));
+    }
+
     private @Nullable Range read() throws InterruptedException {
         try {
             KeyValueResult<Range> result = store.range(prefix).get();
