Let the waiting calls of an instance end in turn, and doubt all where one is not answered

Cause: connections go silent together, and each watch found out by itself, up to 4 s after the silence began; bound 2 s. Change: WatchTurns spreads the calls' ends over the round of 3 s, so that one of three ends each second, and a call without an answer ends all watches of the instance; their prefixes are read. Calls in a quiet minute: the same bound of one in three seconds and prefix holds.

--- /dev/null
+++ b/daemon/src/main/java/org/marjoramswitch/daemon/platform/WatchTurns.java
@@ -0,0 +1,101 @@
+package org.marjoramswitch.daemon.platform;
+
+import java.util.ArrayList;
+import java.util.List;
+import org.jspecify.annotations.Nullable;
+
+/**
+ * When the waiting calls of the watches of one service end, and what the loss of one means for the others.
+ *
+ * <p>A call that waits tells only at its end whether its connection still works. What makes connections go silent, a table
+ * lost by something between the two ends, does so to all of them together. So the calls end in turn, spread evenly over
+ * a round, and one that ends without an answer puts all watches in doubt, which are then read anew. A silence is noticed
+ * after a part of a round in place of a whole one, at the same number of calls.
+ *
+ * <p>Why it holds: whenever connections go silent, each watch has a call waiting that ends by its next turn, or is about to
+ * begin one; the turns of {@value #TURNS} watches are {@value #ROUND_MS} / {@value #TURNS} ms apart.
+ *
+ * <p>Odd cases: watches beyond the number of turns share one. A call that begins right before its turn waits for
+ * {@value #LEAST_WAIT_MS} ms, so that none returns at once. Fewer watches than turns leave turns empty, and a silence is
+ * noticed that much later.
+ */
+public final class WatchTurns {
+    /** The time from one call of a quiet watch to its next one: a third of a call a second and watch. */
+    private static final long ROUND_MS = 3_000;
+    /** An instance watches three prefixes: the list of instances, the settings and the targets. */
+    private static final int TURNS = 3;
+    /** Below it a call costs more than its waiting spares. */
+    private static final long LEAST_WAIT_MS = 100;
+
+    private final @Nullable Turn[] taken = new Turn[TURNS];
+    private final List<Turn> members = new ArrayList<>();
+
+    private WatchTurns() {}
+
+    public static WatchTurns create() {
+        return new WatchTurns();
+    }
+
+    /**
+     * A watch begins.
+     *
+     * @param onDoubt told, by the thread of another watch, that the connections may all be silent
+     */
+    public synchronized Turn join(Runnable onDoubt) {
+        int place = freePlace();
+        Turn turn = new Turn(place, onDoubt);
+        if (taken[place] == null) {
+            taken[place] = turn;
+        }
+        members.add(turn);
+        return turn;
+    }
+
+    private int freePlace() {
+        for (int place = 0; place < TURNS; place++) {
+            if (taken[place] == null) {
+                return place;
+            }
+        }
+        return members.size() % TURNS;
+    }
+
+    private synchronized void leave(Turn turn) {
+        members.remove(turn);
+        if (taken[turn.place] == turn) {
+            taken[turn.place] = null;
+        }
+    }
+
+    private synchronized List<Turn> members() {
+        return List.copyOf(members);
+    }
+
+    /** One watch's turn in the round. */
+    public final class Turn {
+        private final int place;
+        private final Runnable onDoubt;
+
+        private Turn(int place, Runnable onDoubt) {
+            this.place = place;
+            this.onDoubt = onDoubt;
+        }
+
+        /** How long a call that begins now is to wait. */
+        public long waitMs(long nowMs) {
+            long untilTurnMs = Math.floorMod(place * (ROUND_MS / TURNS) - nowMs, ROUND_MS);
+            return Math.max(LEAST_WAIT_MS, untilTurnMs);
+        }
+
+        /** The watch's call ended without an answer: it is over, and so are the others. */
+        public void unanswered() {
+            leave();
+            members().forEach(other -> other.onDoubt.run());
+        }
+
+        /** The watch is over. */
+        public void leave() {
+            WatchTurns.this.leave(this);
+        }
+    }
+}
