Leave all resting connections to an address when one of them got no answer

Before: OutcomeUnknown after three attempts; after: answered by the second one, which has a new connection. Etcd*, Claim*, Configuration* and Platform* tests pass.

--- a/daemon/src/main/java/org/marjoramswitch/daemon/platform/GatewayCaller.java
+++ b/daemon/src/main/java/org/marjoramswitch/daemon/platform/GatewayCaller.java
@@ -212,6 +212,7 @@
             end();
             // Its late answer would be taken for the next exchange's, so the connection never goes back.
             link.close();
+            connections.closeResting(link.address());
             failed(call, link.address(), reason);
         }
 
--- a/daemon/src/main/java/org/marjoramswitch/daemon/platform/GatewayConnections.java
+++ b/daemon/src/main/java/org/marjoramswitch/daemon/platform/GatewayConnections.java
@@ -89,6 +89,17 @@
         pooled.push(link);
     }
 
+    /**
+     * Closes the connections to an address that rest. One that got no answer has probably gone silent, and what made it
+     * so did the same to these: a read that took them one after the other spent its whole time on them.
+     */
+    void closeResting(HostPort address) {
+        Deque<Link> pooled = idle.remove(address);
+        if (pooled != null) {
+            pooled.forEach(Link::close);
+        }
+    }
+
     void close() {
         closed = true;
         Set.copyOf(open).forEach(Link::close);
