--- a/kernel/src/test/java/org/marjoramswitch/kernel/watch/WatchSharingTest.java
+++ b/kernel/src/test/java/org/marjoramswitch/kernel/watch/WatchSharingTest.java
@@ -77,6 +77,23 @@
         assertEquals(List.of(), deaf);
     }
 
+    /**
+     * Requests would be sent to a target that has left, and refused by settings that have changed. The service tells no watch
+     * of a change for a second, then drops its history and cuts them all. Only readers had a watch; they read the whole, and
+     * their next beat shows their neighbours that they miss something.
+     */
+    @Test
+    void whatALostHistoryHidReachesAllInTime() {
+        fleet.run(5_000);
+        fleet.holdBackNews();
+        fleet.put("a", "ready");
+        fleet.run(1_000);
+        assertEquals(0, fleet.holding("a", "ready").size());
+        fleet.loseHistory();
+        fleet.run(BOUND_MS - 1_000);
+        assertEquals(ALL, fleet.holding("a", "ready").size());
+    }
+
     /** All readers crash at once, before any view shows it: after the silence each instance watches for itself. */
     @Test
     void withoutReadersEachInstanceWatchesByItself() {
--- a/kernel/src/test/java/org/marjoramswitch/kernel/watch/WatchedFleet.java
+++ b/kernel/src/test/java/org/marjoramswitch/kernel/watch/WatchedFleet.java
@@ -34,6 +34,7 @@
     private final Set<InstanceId> still = new HashSet<>();
     private final Set<InstanceId> turnedAway = new HashSet<>();
     private final Set<InstanceId> loseNext = new HashSet<>();
+    private boolean holdingBack;
     private long revision = 1;
     private long nowMs;
     private long order;
@@ -104,6 +105,18 @@
         turnedAway.remove(instance);
     }
 
+    /** From now on no watch hears of a change, until the history is lost. */
+    void holdBackNews() {
+        holdingBack = true;
+    }
+
+    /** The service drops its history and cuts the watches, whose owners read the whole. */
+    void loseHistory() {
+        holdingBack = false;
+        changes.clear();
+        instances.values().stream().filter(instance -> instance.reading).forEach(Instance::cut);
+    }
+
     /** The next message to the instance is lost on its way. */
     void loseNextTo(InstanceId instance) {
         loseNext.add(instance);
@@ -251,14 +264,21 @@
             at(nowMs + WAIT_MS, () -> answerWhenOver(after));
         }
 
+        /** The watch is broken; where the service answers, the whole is read at once. */
+        private void cut() {
+            reading = false;
+            sharing.broken(PREFIX);
+            at(nowMs + WAY_MS, this::readWhole);
+        }
+
         private void answerIfChanged() {
-            if (reading && changes.stream().anyMatch(change -> change.revision() > afterRevision)) {
+            if (reading && !holdingBack && changes.stream().anyMatch(change -> change.revision() > afterRevision)) {
                 answer();
             }
         }
 
         private void answerWhenOver(long after) {
-            if (reading && after == afterRevision && nowMs - askedAtMs >= WAIT_MS) {
+            if (reading && !holdingBack && after == afterRevision && nowMs - askedAtMs >= WAIT_MS) {
                 answer();
             }
         }
@@ -268,9 +288,7 @@
                 return;
             }
             if (turnedAway.contains(member.id())) {
-                reading = false;
-                sharing.broken(PREFIX);
-                at(nowMs + 250, this::readWhole);
+                cut();
                 return;
             }
             List<WatchedEntry> news = changes.stream()
