Dismiss all watches before they are told of a silence

Cause, by reading: a watch could be told of another one's silence while its own constructor still ran, and would have looked for its turn before it was set. Watches are dismissed by the one that speaks, and need no turn then. SilentWatchTest, LostHistoryTest and PlatformFleetTest pass.

--- a/daemon/src/main/java/org/marjoramswitch/daemon/platform/WatchTurns.java
+++ b/daemon/src/main/java/org/marjoramswitch/daemon/platform/WatchTurns.java
@@ -39,7 +39,7 @@
     /**
      * A watch begins.
      *
-     * @param onDoubt told, by the thread of another watch, that the connections may all be silent
+     * @param onDoubt told, by the thread of any watch, that the connections may all be silent and the watch is over
      */
     public synchronized Turn join(Runnable onDoubt) {
         int place = freePlace();
@@ -67,8 +67,11 @@
         }
     }
 
-    private synchronized List<Turn> members() {
-        return List.copyOf(members);
+    /** All members, none of which is one from now on. */
+    private synchronized List<Turn> dismiss() {
+        List<Turn> dismissed = List.copyOf(members);
+        dismissed.forEach(this::leave);
+        return dismissed;
     }
 
     /** One watch's turn in the round. */
@@ -87,10 +90,9 @@
             return Math.max(LEAST_WAIT_MS, untilTurnMs);
         }
 
-        /** The watch's call ended without an answer: it is over, and so are the others. */
+        /** The watch's call ended without an answer: all watches are over, and are told so. */
         public void unanswered() {
-            leave();
-            members().forEach(other -> other.onDoubt.run());
+            dismiss().forEach(turn -> turn.onDoubt.run());
         }
 
         /** The watch is over. */
