--- a/tool/src/main/java/org/marjoramswitch/tool/command/FleetCommand.java
+++ b/tool/src/main/java/org/marjoramswitch/tool/command/FleetCommand.java
@@ -2,30 +2,24 @@
 
 import com.github.rvesse.airline.annotations.AirlineModule;
 import com.github.rvesse.airline.annotations.Command;
-import java.io.IOException;
-import java.io.UncheckedIOException;
-import org.marjoramswitch.daemon.platform.KeyValueStore;
 import org.marjoramswitch.tool.Console;
 import org.marjoramswitch.tool.ExitCode;
 import org.marjoramswitch.tool.ToolCommand;
 import org.marjoramswitch.tool.fleet.FleetReader;
 import org.marjoramswitch.tool.fleet.FleetStatus;
-import org.marjoramswitch.tool.http.CallerClient;
-import org.marjoramswitch.tool.settings.SettingsView;
-import org.marjoramswitch.tool.settings.SettingsView.UnavailableException;
 
 /** Shows instances, targets and arbiters. */
 @Command(name = "fleet", description = "Shows the instances, the targets and which instance arbitrates which cell")
 public final class FleetCommand implements ToolCommand {
-    private static final int IO_THREADS = 1;
-
     @AirlineModule
     PlatformOptions platform = new PlatformOptions();
 
     @Override
     public ExitCode run(Console console) throws InterruptedException {
         return platform.withStore(console, store -> {
-            FleetStatus status = read(store);
+            FleetStatus status = FleetReader.ask(
+                    store,
+                    (view, reader) -> FleetStatus.of(reader.settings(), reader.instances(), reader.targetStates()));
             if (platform.json()) {
                 console.json(status);
             } else {
@@ -35,15 +29,6 @@
         });
     }
 
-    private static FleetStatus read(KeyValueStore store) throws UnavailableException {
-        try (CallerClient client = CallerClient.start(IO_THREADS)) {
-            FleetReader reader = FleetReader.of(SettingsView.of(store), client);
-            return FleetStatus.of(reader.settings(), reader.instances(), reader.targetStates());
-        } catch (IOException noThreads) {
-            throw new UncheckedIOException(noThreads);
-        }
-    }
-
     private static void print(Console console, FleetStatus status) {
         status.instances().forEach(instance -> console.out().println(InstanceLines.line(instance)));
         status.targets()
--- a/tool/src/main/java/org/marjoramswitch/tool/command/SettingsStatusCommand.java
+++ b/tool/src/main/java/org/marjoramswitch/tool/command/SettingsStatusCommand.java
@@ -3,17 +3,11 @@
 import com.github.rvesse.airline.annotations.AirlineModule;
 import com.github.rvesse.airline.annotations.Command;
 import com.github.rvesse.airline.annotations.help.Discussion;
-import java.io.IOException;
-import java.io.UncheckedIOException;
-import org.marjoramswitch.daemon.platform.KeyValueStore;
 import org.marjoramswitch.tool.Console;
 import org.marjoramswitch.tool.ExitCode;
 import org.marjoramswitch.tool.ToolCommand;
 import org.marjoramswitch.tool.fleet.FleetReader;
 import org.marjoramswitch.tool.fleet.SettingsStatus;
-import org.marjoramswitch.tool.http.CallerClient;
-import org.marjoramswitch.tool.settings.SettingsView;
-import org.marjoramswitch.tool.settings.SettingsView.UnavailableException;
 
 /** Shows what is in force where, and why drafts were refused. */
 @Command(name = "status", description = "Shows which generation is in force on which instance, and refused drafts")
@@ -23,15 +17,14 @@
                     + " refused or still to be accepted, with 1 otherwise."
         })
 public final class SettingsStatusCommand implements ToolCommand {
-    private static final int IO_THREADS = 1;
-
     @AirlineModule
     PlatformOptions platform = new PlatformOptions();
 
     @Override
     public ExitCode run(Console console) throws InterruptedException {
         return platform.withStore(console, store -> {
-            SettingsStatus status = read(store);
+            SettingsStatus status =
+                    FleetReader.ask(store, (view, reader) -> SettingsStatus.read(view, reader.instances()));
             if (platform.json()) {
                 console.json(status);
             } else {
@@ -41,15 +34,6 @@
         });
     }
 
-    private static SettingsStatus read(KeyValueStore store) throws UnavailableException {
-        try (CallerClient client = CallerClient.start(IO_THREADS)) {
-            SettingsView view = SettingsView.of(store);
-            return SettingsStatus.read(view, FleetReader.of(view, client).instances());
-        } catch (IOException noThreads) {
-            throw new UncheckedIOException(noThreads);
-        }
-    }
-
     private static void print(Console console, SettingsStatus status) {
         console.out().println("accepted_generation=" + status.acceptedGeneration());
         status.instances().forEach(instance -> console.out().println(InstanceLines.line(instance)));
--- a/tool/src/main/java/org/marjoramswitch/tool/fleet/FleetReader.java
+++ b/tool/src/main/java/org/marjoramswitch/tool/fleet/FleetReader.java
@@ -4,9 +4,13 @@
 import com.fasterxml.jackson.databind.JsonNode;
 import com.fasterxml.jackson.databind.ObjectMapper;
 import com.fasterxml.jackson.databind.node.JsonNodeFactory;
+import java.io.IOException;
+import java.io.UncheckedIOException;
 import java.util.List;
 import java.util.Map;
+import java.util.TreeMap;
 import java.util.concurrent.CompletableFuture;
+import org.marjoramswitch.daemon.platform.KeyValueStore;
 import org.marjoramswitch.daemon.settings.HostPort;
 import org.marjoramswitch.kernel.configuration.AcceptedTree;
 import org.marjoramswitch.kernel.configuration.SettingsKeys;
@@ -23,6 +27,8 @@
     private static final String INSTANCES = "list/instances/";
     private static final String TARGETS = "list/targets/";
     private static final long ASK_TIMEOUT_MS = 2_000;
+    /** One command asks a few hundred instances once. */
+    private static final int IO_THREADS = 1;
 
     private final SettingsView view;
     private final CallerClient client;
@@ -36,6 +42,22 @@
         return new FleetReader(view, client);
     }
 
+    /** What a command wants to know of the fleet. */
+    @FunctionalInterface
+    public interface Question<T> {
+        T ask(SettingsView view, FleetReader reader) throws UnavailableException;
+    }
+
+    /** Answers a question over connections of its own, which are closed afterwards. */
+    public static <T> T ask(KeyValueStore store, Question<T> question) throws UnavailableException {
+        try (CallerClient client = CallerClient.start(IO_THREADS)) {
+            SettingsView view = SettingsView.of(store);
+            return question.ask(view, of(view, client));
+        } catch (IOException noThreads) {
+            throw new UncheckedIOException(noThreads);
+        }
+    }
+
     /** The listed instances by name; all are asked at the same time. */
     public List<InstanceStatus> instances() throws UnavailableException {
         List<CompletableFuture<InstanceStatus>> asked = view.values(INSTANCES).entrySet().stream()
@@ -51,7 +73,7 @@
 
     /** The platform's state of each target that it lists. */
     public Map<String, String> targetStates() throws UnavailableException {
-        Map<String, String> states = new java.util.TreeMap<>();
+        Map<String, String> states = new TreeMap<>();
         view.values(TARGETS)
                 .forEach((key, value) -> states.put(
                         key.substring(TARGETS.length()),
