--- a/daemon/src/test/java/org/marjoramswitch/daemon/configuration/FakeStore.java
+++ b/daemon/src/test/java/org/marjoramswitch/daemon/configuration/FakeStore.java
@@ -12,10 +12,10 @@
 import java.util.function.Supplier;
 import org.jspecify.annotations.Nullable;
 import org.marjoramswitch.daemon.platform.KeyValueResult;
-import org.marjoramswitch.daemon.platform.KeyValueStore;
+import org.marjoramswitch.daemon.platform.UnusedStore;
 
 /** The platform's service in memory, with its failures; shared by all instances of a test. */
-final class FakeStore implements KeyValueStore {
+final class FakeStore extends UnusedStore {
     private final TreeMap<String, Entry> entries = new TreeMap<>();
     private final List<Watcher> watchers = new ArrayList<>();
     private final List<WatchEvent> history = new ArrayList<>();
@@ -182,23 +182,5 @@
         return calls.get();
     }
 
-    @Override
-    public CompletableFuture<KeyValueResult<Long>> grantLease(long ttlSeconds) {
-        throw new UnsupportedOperationException();
-    }
-
-    @Override
-    public CompletableFuture<KeyValueResult<Long>> renewLease(long leaseId) {
-        throw new UnsupportedOperationException();
-    }
-
-    @Override
-    public CompletableFuture<KeyValueResult<Boolean>> revokeLease(long leaseId) {
-        throw new UnsupportedOperationException();
-    }
-
-    @Override
-    public void close() {}
-
     private record Watcher(String prefix, Consumer<WatchEvent> listener) {}
 }
--- a/daemon/src/test/java/org/marjoramswitch/daemon/platform/PrefixFollowerTest.java
+++ b/daemon/src/test/java/org/marjoramswitch/daemon/platform/PrefixFollowerTest.java
@@ -4,7 +4,6 @@
 import static org.marjoramswitch.daemon.platform.PlatformFixture.until;
 
 import java.util.List;
-import java.util.Map;
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.TimeUnit;
 import java.util.concurrent.atomic.AtomicInteger;
@@ -69,7 +68,7 @@
     }
 
     /** A service without entries, which can be away or cut its watches. */
-    private static final class ReadStore implements KeyValueStore {
+    private static final class ReadStore extends UnusedStore {
         private final AtomicInteger reads = new AtomicInteger();
         private volatile boolean away;
         private volatile boolean cutsWatches;
@@ -100,38 +99,9 @@
             return () -> {};
         }
 
-        @Override
-        public CompletableFuture<KeyValueResult<@Nullable Entry>> get(String key) {
-            throw new UnsupportedOperationException();
-        }
-
-        @Override
-        public CompletableFuture<KeyValueResult<Boolean>> compareAndSwap(
-                Map<String, Long> expectedModRevisions, Map<String, String> puts, List<String> deletes, long leaseId) {
-            throw new UnsupportedOperationException();
-        }
-
-        @Override
-        public CompletableFuture<KeyValueResult<Long>> grantLease(long ttlSeconds) {
-            throw new UnsupportedOperationException();
-        }
-
-        @Override
-        public CompletableFuture<KeyValueResult<Long>> renewLease(long leaseId) {
-            throw new UnsupportedOperationException();
-        }
-
-        @Override
-        public CompletableFuture<KeyValueResult<Boolean>> revokeLease(long leaseId) {
-            throw new UnsupportedOperationException();
-        }
-
         @Override
         public long calls() {
             return reads.get();
         }
-
-        @Override
-        public void close() {}
     }
 }
--- /dev/null
+++ b/daemon/src/test/java/org/marjoramswitch/daemon/platform/UnusedStore.java
@@ -0,0 +1,38 @@
+package org.marjoramswitch.daemon.platform;
+
+import java.util.List;
+import java.util.Map;
+import java.util.concurrent.CompletableFuture;
+import org.jspecify.annotations.Nullable;
+
+/** A service of which a test uses a part: the calls that the test's own store does not override fail it. */
+public abstract class UnusedStore implements KeyValueStore {
+    @Override
+    public CompletableFuture<KeyValueResult<@Nullable Entry>> get(String key) {
+        throw new UnsupportedOperationException();
+    }
+
+    @Override
+    public CompletableFuture<KeyValueResult<Boolean>> compareAndSwap(
+            Map<String, Long> expectedModRevisions, Map<String, String> puts, List<String> deletes, long leaseId) {
+        throw new UnsupportedOperationException();
+    }
+
+    @Override
+    public CompletableFuture<KeyValueResult<Long>> grantLease(long ttlSeconds) {
+        throw new UnsupportedOperationException();
+    }
+
+    @Override
+    public CompletableFuture<KeyValueResult<Long>> renewLease(long leaseId) {
+        throw new UnsupportedOperationException();
+    }
+
+    @Override
+    public CompletableFuture<KeyValueResult<Boolean>> revokeLease(long leaseId) {
+        throw new UnsupportedOperationException();
+    }
+
+    @Override
+    public void close() {}
+}
