--- a/daemon/src/main/java/org/marjoramswitch/daemon/caller/ApiKeyIndex.java
+++ b/daemon/src/main/java/org/marjoramswitch/daemon/caller/ApiKeyIndex.java
@@ -1,12 +1,9 @@
 package org.marjoramswitch.daemon.caller;
 
-import java.nio.charset.StandardCharsets;
-import java.security.MessageDigest;
-import java.security.NoSuchAlgorithmException;
 import java.util.HashMap;
-import java.util.HexFormat;
 import java.util.Map;
 import org.jspecify.annotations.Nullable;
+import org.marjoramswitch.kernel.misc.Sha256;
 import org.marjoramswitch.kernel.model.CustomerId;
 import org.marjoramswitch.kernel.settings.CustomerSettings;
 
@@ -43,18 +40,6 @@
             return null;
         }
         return customerByHash.get(
-                sha256Hex(authorization.substring(BEARER.length()).trim()));
-    }
-
-    static String sha256Hex(String text) {
-        return HexFormat.of().formatHex(sha256(text.getBytes(StandardCharsets.UTF_8)));
-    }
-
-    static byte[] sha256(byte[] bytes) {
-        try {
-            return MessageDigest.getInstance("SHA-256").digest(bytes);
-        } catch (NoSuchAlgorithmException e) {
-            throw new IllegalStateException("every Java platform has SHA-256", e);
-        }
+                Sha256.hex(authorization.substring(BEARER.length()).trim()));
     }
 }
--- a/daemon/src/main/java/org/marjoramswitch/daemon/caller/CallIntake.java
+++ b/daemon/src/main/java/org/marjoramswitch/daemon/caller/CallIntake.java
@@ -11,6 +11,7 @@
 import org.marjoramswitch.kernel.error.ErrorType;
 import org.marjoramswitch.kernel.error.Failure;
 import org.marjoramswitch.kernel.message.PeerMessage.KeyState;
+import org.marjoramswitch.kernel.misc.Sha256;
 import org.marjoramswitch.kernel.model.RequestSpec;
 import org.marjoramswitch.kernel.model.RunState;
 import org.marjoramswitch.kernel.request.RequestKey;
@@ -97,8 +98,7 @@
         }
         long requestId = gate.nextRequestId();
         RequestKey claimed = key == null ? keys.ownKey(requestId) : key;
-        String keyHash =
-                ApiKeyIndex.sha256Hex(Objects.requireNonNull(call.headers().idempotencyKey()));
+        String keyHash = Sha256.hex(Objects.requireNonNull(call.headers().idempotencyKey()));
         CompletableFuture<?> unused = claims.claim(call.customer(), keyHash, claimed.toString())
                 .whenComplete((result, fault) -> {
                     Claims.Result known = fault == null ? result : new Claims.Result.NotClaimed("a fault");
--- a/daemon/src/test/java/org/marjoramswitch/daemon/caller/Fixture.java
+++ b/daemon/src/test/java/org/marjoramswitch/daemon/caller/Fixture.java
@@ -18,6 +18,7 @@
 import java.util.function.UnaryOperator;
 import org.jspecify.annotations.Nullable;
 import org.marjoramswitch.daemon.settings.HostPort;
+import org.marjoramswitch.kernel.misc.Sha256;
 import org.marjoramswitch.kernel.model.CustomerId;
 import org.marjoramswitch.kernel.model.DataCentreId;
 import org.marjoramswitch.kernel.model.InstanceId;
@@ -81,15 +82,11 @@
     }
 
     private static FleetSettings settings() {
-        CustomerSettings one = new CustomerSettings(ONE, "team", 1, Set.of(ApiKeyIndex.sha256Hex(KEY_ONE)), 100);
+        CustomerSettings one = new CustomerSettings(ONE, "team", 1, Set.of(Sha256.hex(KEY_ONE)), 100);
         CustomerId two = CustomerId.of("two");
         return FleetSettings.of(
                 1,
-                Map.of(
-                        ONE,
-                        one,
-                        two,
-                        new CustomerSettings(two, "team", 1, Set.of(ApiKeyIndex.sha256Hex(KEY_TWO)), 100)),
+                Map.of(ONE, one, two, new CustomerSettings(two, "team", 1, Set.of(Sha256.hex(KEY_TWO)), 100)),
                 Map.of(MODEL, PoolSettings.modelEngines(MODEL), SERVICE, PoolSettings.plainServices(SERVICE)),
                 Map.of());
     }
--- a/daemon/src/test/java/org/marjoramswitch/daemon/platform/ClaimStoreTest.java
+++ b/daemon/src/test/java/org/marjoramswitch/daemon/platform/ClaimStoreTest.java
@@ -1,6 +1,5 @@
 package org.marjoramswitch.daemon.platform;
 
-import static java.nio.charset.StandardCharsets.UTF_8;
 import static org.junit.jupiter.api.Assertions.assertEquals;
 import static org.junit.jupiter.api.Assertions.assertInstanceOf;
 import static org.junit.jupiter.api.Assertions.assertTrue;
@@ -9,10 +8,7 @@
 import static org.marjoramswitch.daemon.platform.PlatformFixture.options;
 import static org.marjoramswitch.daemon.platform.PlatformFixture.until;
 
-import java.security.MessageDigest;
-import java.security.NoSuchAlgorithmException;
 import java.util.ArrayList;
-import java.util.HexFormat;
 import java.util.List;
 import java.util.concurrent.CompletableFuture;
 import org.junit.jupiter.api.AfterEach;
@@ -20,6 +16,7 @@
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.api.Timeout;
 import org.marjoramswitch.daemon.caller.Claims;
+import org.marjoramswitch.kernel.misc.Sha256;
 import org.marjoramswitch.kernel.model.CustomerId;
 import org.marjoramswitch.kernel.model.InstanceId;
 import org.marjoramswitch.kernel.model.RunState;
@@ -55,11 +52,11 @@
     @Test
     void aKeyIsClaimedOnceAndItsHolderNamed() throws Exception {
         claims = claims("a", PATIENT);
-        ClaimResult.Claimed first = claimed(claims.claim(CUSTOMER, sha256("stop-7"), "a-1-1"));
+        ClaimResult.Claimed first = claimed(claims.claim(CUSTOMER, Sha256.hex("stop-7"), "a-1-1"));
         assertEquals("a-1-1", first.value().requestKey());
-        ClaimResult.HeldBy again = held(claims("b", PATIENT).claim(CUSTOMER, sha256("stop-7"), "b-1-9"));
+        ClaimResult.HeldBy again = held(claims("b", PATIENT).claim(CUSTOMER, Sha256.hex("stop-7"), "b-1-9"));
         assertEquals(first.value(), again.holder().orElseThrow());
-        claimed(claims.claim(CustomerId.of("quay"), sha256("stop-7"), "a-1-2"));
+        claimed(claims.claim(CustomerId.of("quay"), Sha256.hex("stop-7"), "a-1-2"));
     }
 
     @Test
@@ -71,8 +68,8 @@
         List<CompletableFuture<ClaimResult>> here = new ArrayList<>();
         List<CompletableFuture<ClaimResult>> there = new ArrayList<>();
         for (int i = 0; i < 300; i++) {
-            here.add(claims.claim(CUSTOMER, sha256("note-" + i), "a-" + i));
-            there.add(other.claim(CUSTOMER, sha256("note-" + i), "b-" + i));
+            here.add(claims.claim(CUSTOMER, Sha256.hex("note-" + i), "a-" + i));
+            there.add(other.claim(CUSTOMER, Sha256.hex("note-" + i), "b-" + i));
         }
         for (int i = 0; i < 300; i++) {
             ClaimResult mine = await(here.get(i));
@@ -92,12 +89,12 @@
         // once the service is back, all others share four transactions of at most 128. A key that is held by another
         // entry spoils it for none of the others.
         ClaimStore patient = claims("c", PATIENT);
-        claimed(claims.claim(CUSTOMER, sha256("k-250"), "a-1"));
+        claimed(claims.claim(CUSTOMER, Sha256.hex("k-250"), "a-1"));
         long writesBefore = platform.gateway.calls(CallKind.TXN);
         platform.gateway.refuseConnections();
         List<CompletableFuture<ClaimResult>> results = new ArrayList<>();
         for (int i = 0; i < 500; i++) {
-            results.add(patient.claim(CUSTOMER, sha256("k-" + i), "c-" + i));
+            results.add(patient.claim(CUSTOMER, Sha256.hex("k-" + i), "c-" + i));
         }
         platform.gateway.recover();
         for (int i = 0; i < 500; i++) {
@@ -117,9 +114,9 @@
         platform.gateway.refuseConnections();
         List<CompletableFuture<ClaimResult>> repeats = new ArrayList<>();
         for (int i = 0; i < 400; i++) {
-            repeats.add(patient.claim(CUSTOMER, sha256("again"), "c-" + i));
+            repeats.add(patient.claim(CUSTOMER, Sha256.hex("again"), "c-" + i));
         }
-        CompletableFuture<ClaimResult> last = patient.claim(CustomerId.of("quay"), sha256("other"), "c-400");
+        CompletableFuture<ClaimResult> last = patient.claim(CustomerId.of("quay"), Sha256.hex("other"), "c-400");
         platform.gateway.recover();
         claimed(last);
         int owners = 0;
@@ -134,9 +131,9 @@
     void aLostAnswerIsSettledByTheClaimsOwnEntry() throws Exception {
         // The service creates the entry and the connection is cut. The entry does not know whether it may run the
         // request; it writes the claim again, finds its own id there, and runs the request this once.
-        claimed(claims.claim(CUSTOMER, sha256("warm-up"), "a-0"));
+        claimed(claims.claim(CUSTOMER, Sha256.hex("warm-up"), "a-0"));
         platform.gateway.loseAnswers(1);
-        ClaimResult.Claimed result = claimed(claims.claim(CUSTOMER, sha256("stop-7"), "a-1"));
+        ClaimResult.Claimed result = claimed(claims.claim(CUSTOMER, Sha256.hex("stop-7"), "a-1"));
         assertEquals(
                 1, platform.metrics.meter("platform.claims.uncertain-groups").getCount());
         assertEquals(
@@ -148,7 +145,7 @@
         // The very first call, which asks for the lease, takes effect without an answer. A second lease is asked for,
         // and the claim goes on as if nothing had happened; the first one ends by itself.
         platform.gateway.loseAnswers(1);
-        claimed(claims.claim(CUSTOMER, sha256("stop-7"), "a-1"));
+        claimed(claims.claim(CUSTOMER, Sha256.hex("stop-7"), "a-1"));
         assertEquals(2, platform.gateway.calls(CallKind.LEASE_GRANT));
     }
 
@@ -156,9 +153,9 @@
     void anOutageEndsInATrueRefusalInBoundedTime() throws Exception {
         // The service is down. The caller hears "not run" and when to come back, and the entry never runs the request;
         // when the service is back, the same key can be claimed.
-        claimed(claims.claim(CUSTOMER, sha256("warm-up"), "a-0"));
+        claimed(claims.claim(CUSTOMER, Sha256.hex("warm-up"), "a-0"));
         platform.gateway.refuseConnections();
-        notClaimed(claims.claim(CUSTOMER, sha256("stop-7"), "a-1"));
+        notClaimed(claims.claim(CUSTOMER, Sha256.hex("stop-7"), "a-1"));
         platform.gateway.recover();
         until(() -> claimedNow(claims));
     }
@@ -170,9 +167,9 @@
         // outage the one that tries finds the service back, and all are served.
         ClaimStore entry = claims("b", new ClaimOptions(600_000, 2_000, 500, 50, 2, 128, 1_024));
         platform.gateway.hang();
-        notClaimed(entry.claim(CUSTOMER, sha256("first"), "b-0"));
-        CompletableFuture<ClaimResult> trying = entry.claim(CUSTOMER, sha256("k"), "b-1");
-        until(() -> entry.claim(CUSTOMER, sha256("other"), "b-2").isDone());
+        notClaimed(entry.claim(CUSTOMER, Sha256.hex("first"), "b-0"));
+        CompletableFuture<ClaimResult> trying = entry.claim(CUSTOMER, Sha256.hex("k"), "b-1");
+        until(() -> entry.claim(CUSTOMER, Sha256.hex("other"), "b-2").isDone());
         assertEquals(false, trying.isDone());
         platform.gateway.recover();
         until(() -> claimedNow(entry));
@@ -183,9 +180,9 @@
         // The service takes writes in and answers too late each time, until the claim's time is over. The caller is
         // told "not run", which is true. The entry that was created all the same is deleted once the service
         // answers, so the caller's next attempt with this key, at any entry, gets it.
-        claimed(claims.claim(CUSTOMER, sha256("warm-up"), "a-0"));
+        claimed(claims.claim(CUSTOMER, Sha256.hex("warm-up"), "a-0"));
         platform.gateway.delayMs(900);
-        notClaimed(claims.claim(CUSTOMER, sha256("stop-7"), "a-1"));
+        notClaimed(claims.claim(CUSTOMER, Sha256.hex("stop-7"), "a-1"));
         platform.gateway.recover();
         until(() -> platform.metrics.meter("platform.claims.taken-back").getCount() == 1);
         ClaimStore other = claims("b", OPTIONS);
@@ -196,18 +193,18 @@
     void aRateLimitedServiceDelaysClaimsOnly() throws Exception {
         // The service refuses some calls as too many. Nothing was written by those, so the claim is written again
         // within its time, and the caller notices a delay at most.
-        claimed(claims.claim(CUSTOMER, sha256("warm-up"), "a-0"));
+        claimed(claims.claim(CUSTOMER, Sha256.hex("warm-up"), "a-0"));
         platform.gateway.limitNextCalls(3);
-        claimed(claims.claim(CUSTOMER, sha256("stop-7"), "a-1"));
+        claimed(claims.claim(CUSTOMER, Sha256.hex("stop-7"), "a-1"));
     }
 
     @Test
     void aLapsedLeaseIsReplaced() throws Exception {
         // The service has lost all leases while this entry believed in its own. The next claim is rejected for the
         // unknown lease, asks for a new one, and succeeds.
-        claimed(claims.claim(CUSTOMER, sha256("warm-up"), "a-0"));
+        claimed(claims.claim(CUSTOMER, Sha256.hex("warm-up"), "a-0"));
         platform.gateway.lapseLeases();
-        claimed(claims.claim(CUSTOMER, sha256("stop-7"), "a-1"));
+        claimed(claims.claim(CUSTOMER, Sha256.hex("stop-7"), "a-1"));
         assertEquals(2, platform.gateway.calls(CallKind.LEASE_GRANT));
     }
 
@@ -215,12 +212,12 @@
     void aPausedEntryKnowsThatItsClaimIsOver() throws Exception {
         // An entry claims a key and is paused for longer than the lease before it sends the request. Meanwhile another
         // entry gets the key. The time that came with the claim forbids the first one to send, with time to spare.
-        ClaimResult.Claimed first = claimed(claims.claim(CUSTOMER, sha256("stop-7"), "a-1"));
+        ClaimResult.Claimed first = claimed(claims.claim(CUSTOMER, Sha256.hex("stop-7"), "a-1"));
         long now = System.currentTimeMillis();
         assertTrue(first.usableUntilMs() >= now + OPTIONS.retentionMs());
         platform.skippedMs.set(2 * OPTIONS.retentionMs());
         platform.gateway.lapseLeases();
-        claimed(claims("b", OPTIONS).claim(CUSTOMER, sha256("stop-7"), "b-1"));
+        claimed(claims("b", OPTIONS).claim(CUSTOMER, Sha256.hex("stop-7"), "b-1"));
         assertTrue(nowMs() > first.usableUntilMs());
     }
 
@@ -229,25 +226,25 @@
         // The claim is made, and the instance is paused before it can act on it; by its clock more than half the
         // retention has gone when it goes on. It tells the caller "not run", sends nothing, and gives the key back.
         PlatformClaims inTime = PlatformClaims.of(claims, OPTIONS.retentionMs() / 2, this::nowMs);
-        Claims.Result result = await(inTime.claim(CUSTOMER, sha256("1"), "a-1"));
+        Claims.Result result = await(inTime.claim(CUSTOMER, Sha256.hex("1"), "a-1"));
         assertInstanceOf(Claims.Result.Claimed.class, result);
-        assertEquals(new Claims.Result.HeldBy("a-1"), await(inTime.claim(CUSTOMER, sha256("1"), "a-2")));
+        assertEquals(new Claims.Result.HeldBy("a-1"), await(inTime.claim(CUSTOMER, Sha256.hex("1"), "a-2")));
         PlatformClaims paused =
                 PlatformClaims.of(claims, OPTIONS.retentionMs() / 2, () -> nowMs() + 2 * OPTIONS.retentionMs());
-        assertInstanceOf(Claims.Result.NotClaimed.class, await(paused.claim(CUSTOMER, sha256("2"), "a-3")));
+        assertInstanceOf(Claims.Result.NotClaimed.class, await(paused.claim(CUSTOMER, Sha256.hex("2"), "a-3")));
         until(() -> platform.metrics.meter("platform.claims.taken-back").getCount() == 1);
         platform.gateway.refuseConnections();
-        assertInstanceOf(Claims.Result.NotClaimed.class, await(inTime.claim(CUSTOMER, sha256("3"), "a-4")));
+        assertInstanceOf(Claims.Result.NotClaimed.class, await(inTime.claim(CUSTOMER, Sha256.hex("3"), "a-4")));
     }
 
     @Test
     void leasesAreSharedAndRolled() throws Exception {
-        claimed(claims.claim(CUSTOMER, sha256("1"), "a-1"));
+        claimed(claims.claim(CUSTOMER, Sha256.hex("1"), "a-1"));
         platform.skippedMs.set(OPTIONS.retentionMs() / 2 - 10_000);
-        claimed(claims.claim(CUSTOMER, sha256("2"), "a-2"));
+        claimed(claims.claim(CUSTOMER, Sha256.hex("2"), "a-2"));
         assertEquals(1, platform.gateway.calls(CallKind.LEASE_GRANT));
         platform.skippedMs.set(OPTIONS.retentionMs() / 2 + 10_000);
-        ClaimResult.Claimed late = claimed(claims.claim(CUSTOMER, sha256("3"), "a-3"));
+        ClaimResult.Claimed late = claimed(claims.claim(CUSTOMER, Sha256.hex("3"), "a-3"));
         assertEquals(2, platform.gateway.calls(CallKind.LEASE_GRANT));
         assertTrue(late.usableUntilMs() - nowMs() >= OPTIONS.retentionMs());
     }
@@ -257,10 +254,10 @@
         claims = claims("a", PATIENT);
         // A request is refused as not run after its claim, and gives the key back. The caller's next attempt gets it;
         // the first request's claim, given back a second time, does not touch the new one.
-        ClaimResult.Claimed first = claimed(claims.claim(CUSTOMER, sha256("stop-7"), "a-1"));
+        ClaimResult.Claimed first = claimed(claims.claim(CUSTOMER, Sha256.hex("stop-7"), "a-1"));
         claims.release(first);
         until(() -> platform.gateway.value(first.key()).isEmpty());
-        ClaimResult.Claimed second = claimed(claims("b", PATIENT).claim(CUSTOMER, sha256("stop-7"), "b-1"));
+        ClaimResult.Claimed second = claimed(claims("b", PATIENT).claim(CUSTOMER, Sha256.hex("stop-7"), "b-1"));
         claims.release(first);
         until(() -> platform.metrics.meter("platform.claims.taken-back").getCount() == 2);
         assertEquals(
@@ -275,34 +272,27 @@
         platform.gateway.hang();
         List<CompletableFuture<ClaimResult>> waiting = new ArrayList<>();
         for (int i = 0; i < 8; i++) {
-            waiting.add(small.claim(CUSTOMER, sha256("k-" + i), "d-" + i));
+            waiting.add(small.claim(CUSTOMER, Sha256.hex("k-" + i), "d-" + i));
         }
-        notClaimed(small.claim(CUSTOMER, sha256("k-8"), "d-8"));
+        notClaimed(small.claim(CUSTOMER, Sha256.hex("k-8"), "d-8"));
         assertEquals(1, platform.metrics.meter("platform.claims.overflowed").getCount());
         small.close();
         for (CompletableFuture<ClaimResult> claim : waiting) {
             notClaimed(claim);
         }
-        notClaimed(small.claim(CUSTOMER, sha256("k-9"), "d-9"));
+        notClaimed(small.claim(CUSTOMER, Sha256.hex("k-9"), "d-9"));
     }
 
     @Test
     void anUnreadableHolderIsHeldByNobodyKnown() throws Exception {
-        ClaimResult.Claimed probe = claimed(claims.claim(CUSTOMER, sha256("stop-7"), "a-1"));
+        ClaimResult.Claimed probe = claimed(claims.claim(CUSTOMER, Sha256.hex("stop-7"), "a-1"));
         platform.gateway.put(probe.key(), "scribble");
-        assertTrue(
-                held(claims.claim(CUSTOMER, sha256("stop-7"), "a-2")).holder().isEmpty());
+        assertTrue(held(claims.claim(CUSTOMER, Sha256.hex("stop-7"), "a-2"))
+                .holder()
+                .isEmpty());
         assertEquals("scribble", answered(store.get(probe.key())).value());
     }
 
-    private static String sha256(String key) {
-        try {
-            return HexFormat.of().formatHex(MessageDigest.getInstance("SHA-256").digest(key.getBytes(UTF_8)));
-        } catch (NoSuchAlgorithmException e) {
-            throw new IllegalStateException(e);
-        }
-    }
-
     private long nowMs() {
         return System.currentTimeMillis() + platform.skippedMs.get();
     }
@@ -317,7 +307,7 @@
 
     private static boolean claimedNow(ClaimStore entry) {
         try {
-            return await(entry.claim(CUSTOMER, sha256("stop-7"), "again")) instanceof ClaimResult.Claimed;
+            return await(entry.claim(CUSTOMER, Sha256.hex("stop-7"), "again")) instanceof ClaimResult.Claimed;
         } catch (Exception e) {
             throw new IllegalStateException(e);
         }
--- a/kernel/src/main/java/org/marjoramswitch/kernel/configuration/AcceptedTree.java
+++ b/kernel/src/main/java/org/marjoramswitch/kernel/configuration/AcceptedTree.java
@@ -32,7 +32,7 @@
     /** The tree of these bodies; null where they do not add up to {@code digest} or cannot be read. */
     public static @Nullable AcceptedTree verified(long generation, String digest, Map<String, String> bodyByTeam) {
         SortedMap<String, String> bodies = new TreeMap<>(bodyByTeam);
-        if (!Digests.ofGeneration(generation, bodies).equals(digest)) {
+        if (!GenerationDigest.of(generation, bodies).equals(digest)) {
             return null;
         }
         try {
@@ -68,7 +68,7 @@
             revisions.put(body.getKey(), TeamBody.parse(body.getValue()).revision());
         }
         AcceptedHead head = new AcceptedHead(
-                generation, Digests.ofGeneration(generation, bodies), Collections.unmodifiableSortedMap(revisions));
+                generation, GenerationDigest.of(generation, bodies), Collections.unmodifiableSortedMap(revisions));
         return new AcceptedTree(head, Collections.unmodifiableSortedMap(bodies));
     }
 
--- a/kernel/src/main/java/org/marjoramswitch/kernel/configuration/Draft.java
+++ b/kernel/src/main/java/org/marjoramswitch/kernel/configuration/Draft.java
@@ -2,6 +2,7 @@
 
 import java.util.regex.Pattern;
 import org.jspecify.annotations.Nullable;
+import org.marjoramswitch.kernel.misc.Sha256;
 
 /**
  * One document as an operator wrote it.
@@ -24,6 +25,6 @@
 
     /** What tells this draft from every other at its place. */
     public DraftVersion version() {
-        return new DraftVersion(modRevision, Digests.sha256(json));
+        return new DraftVersion(modRevision, Sha256.hex(json));
     }
 }
--- a/kernel/src/test/java/org/marjoramswitch/kernel/configuration/SettingsAcceptorTest.java
+++ b/kernel/src/test/java/org/marjoramswitch/kernel/configuration/SettingsAcceptorTest.java
@@ -10,6 +10,7 @@
 import java.util.stream.IntStream;
 import org.junit.jupiter.api.Test;
 import org.marjoramswitch.kernel.error.ErrorType;
+import org.marjoramswitch.kernel.misc.Sha256;
 import org.marjoramswitch.kernel.model.CustomerId;
 
 class SettingsAcceptorTest {
@@ -108,7 +109,7 @@
         IntStream.range(0, 10_000)
                 .forEach(i -> customers
                         .append(i == 0 ? "" : ",")
-                        .append("'customer-" + i + "':{'apiKeysSha256':['" + Digests.sha256("" + i) + "']}"));
+                        .append("'customer-" + i + "':{'apiKeysSha256':['" + Sha256.hex("" + i) + "']}"));
         Draft large = draft("floor", customers.append("}}").toString(), 1);
         assertTrue(large.json().length() > SettingsAcceptor.MAX_BODY_BYTES, "the draft must exceed the limit");
         Acceptance acceptance = decide(AcceptedTree.NONE, List.of(large, draft("port", customer("acme", 1), 2)));
--- a/testsuite/src/test/java/org/marjoramswitch/testsuite/path/TestFleet.java
+++ b/testsuite/src/test/java/org/marjoramswitch/testsuite/path/TestFleet.java
@@ -4,11 +4,7 @@
 
 import com.fasterxml.jackson.databind.ObjectMapper;
 import com.fasterxml.jackson.databind.node.ObjectNode;
-import java.nio.charset.StandardCharsets;
-import java.security.MessageDigest;
-import java.security.NoSuchAlgorithmException;
 import java.util.ArrayList;
-import java.util.HexFormat;
 import java.util.List;
 import java.util.Map;
 import java.util.TreeMap;
@@ -17,6 +13,7 @@
 import org.marjoramswitch.daemon.Daemon;
 import org.marjoramswitch.daemon.settings.HostPort;
 import org.marjoramswitch.daemon.settings.LocalSettings;
+import org.marjoramswitch.kernel.misc.Sha256;
 import org.marjoramswitch.kernel.model.DataCentreId;
 import org.marjoramswitch.kernel.model.InstanceId;
 import org.marjoramswitch.testkit.engine.EngineOptions;
@@ -59,7 +56,7 @@
         putTarget(targets, "service-1", SERVICE, fleet.service.port(), 4);
         ObjectNode named = fleet.document.putObject("customers");
         for (String customer : customers) {
-            named.putObject(customer).putArray("apiKeysSha256").add(sha256(apiKey(customer)));
+            named.putObject(customer).putArray("apiKeysSha256").add(Sha256.hex(apiKey(customer)));
         }
         fleet.putSettings();
         return fleet;
@@ -203,15 +200,6 @@
         }
     }
 
-    private static String sha256(String text) {
-        try {
-            byte[] digest = MessageDigest.getInstance("SHA-256").digest(text.getBytes(StandardCharsets.UTF_8));
-            return HexFormat.of().formatHex(digest);
-        } catch (NoSuchAlgorithmException missing) {
-            throw new IllegalStateException(missing);
-        }
-    }
-
     @Override
     public void close() {
         daemons.values().forEach(Daemon::close);
--- a/tool/src/main/java/org/marjoramswitch/tool/demo/DocumentWriter.java
+++ b/tool/src/main/java/org/marjoramswitch/tool/demo/DocumentWriter.java
@@ -2,10 +2,7 @@
 
 import com.fasterxml.jackson.databind.node.JsonNodeFactory;
 import com.fasterxml.jackson.databind.node.ObjectNode;
-import java.nio.charset.StandardCharsets;
-import java.security.MessageDigest;
-import java.security.NoSuchAlgorithmException;
-import java.util.HexFormat;
+import org.marjoramswitch.kernel.misc.Sha256;
 
 /** Writes a settings document as an operator would. */
 final class DocumentWriter {
@@ -37,19 +34,10 @@
     }
 
     void customer(String name, String apiKey) {
-        root.withObject("/customers").putObject(name).putArray("apiKeysSha256").add(sha256(apiKey));
+        root.withObject("/customers").putObject(name).putArray("apiKeysSha256").add(Sha256.hex(apiKey));
     }
 
     ObjectNode document() {
         return root;
     }
-
-    private static String sha256(String text) {
-        try {
-            byte[] digest = MessageDigest.getInstance("SHA-256").digest(text.getBytes(StandardCharsets.UTF_8));
-            return HexFormat.of().formatHex(digest);
-        } catch (NoSuchAlgorithmException everyJavaHasIt) {
-            throw new IllegalStateException(everyJavaHasIt);
-        }
-    }
 }
