Sight: the end of a request tells by a digest which requests are alike

The logs of the incident could not tell whether the requests under which targets end are one that comes again: callers name each try anew. request_ended has the digest of customer, path and body; RequestSpec carries it to the decisions.

--- a/daemon/src/main/java/org/marjoramswitch/daemon/caller/Call.java
+++ b/daemon/src/main/java/org/marjoramswitch/daemon/caller/Call.java
@@ -10,6 +10,7 @@
  *
  * @param hintTokens the caller's guess of the output tokens, 0 where it gives none
  * @param prefixHash hash of the prompt's beginning, 0 where there is none
+ * @param digest see {@link RequestDigest}
  */
 record Call(
         CustomerId customer,
@@ -17,7 +18,8 @@
         CallHeaders headers,
         TargetCall targetCall,
         long hintTokens,
-        long prefixHash) {
+        long prefixHash,
+        long digest) {
     private static final long BYTES_PER_TOKEN = 4;
     private static final long FINGERPRINT_FACTOR = 31;
 
--- a/daemon/src/main/java/org/marjoramswitch/daemon/caller/CallIntake.java
+++ b/daemon/src/main/java/org/marjoramswitch/daemon/caller/CallIntake.java
@@ -68,6 +68,7 @@
     /** Takes a call; its body's bytes are reserved in the budget. To be called on the exchange's IO thread. */
     void take(CallerExchange caller, Call call) {
         caller.assign(call.pool().id());
+        caller.digested(call.digest());
         String keyText = call.headers().requestKey();
         RequestKey key = keyText == null ? null : RequestKey.parse(keyText);
         if (keyText != null && (key == null || RequestKeys.isReserved(key))) {
@@ -237,7 +238,7 @@
                 call.prefixHash(),
                 clockMs.getAsLong() + call.pool().waitTimeoutMs());
         gate.submit(
-                spec,
+                spec.withDigest(call.digest()),
                 call.targetCall(),
                 new AnswerRelay(
                         buffer, keyed ? noted(requestId) : AnswerRelay.Progress.NONE, UnaryOperator.identity()));
--- a/daemon/src/main/java/org/marjoramswitch/daemon/caller/CallReader.java
+++ b/daemon/src/main/java/org/marjoramswitch/daemon/caller/CallReader.java
@@ -32,14 +32,15 @@
         try {
             CallHeaders headers = CallHeaders.read(exchange.getRequestHeaders());
             return exchange.getRequestPath().equals(CHAT_PATH)
-                    ? readChat(customer, settings, headers, body)
+                    ? readChat(exchange, customer, settings, headers, body)
                     : readService(exchange, customer, settings, headers, body);
         } catch (MalformedCallException e) {
             return refused(ErrorType.MALFORMED_REQUEST, String.valueOf(e.getMessage()));
         }
     }
 
-    private static Result readChat(CustomerId customer, FleetSettings settings, CallHeaders headers, byte[] body)
+    private static Result readChat(
+            HttpServerExchange exchange, CustomerId customer, FleetSettings settings, CallHeaders headers, byte[] body)
             throws MalformedCallException {
         ChatBody chat = ChatBody.parse(body);
         PoolSettings pool = pool(settings, chat.model(), TargetKind.MODEL_ENGINE);
@@ -51,7 +52,14 @@
         forwarded.put(ForwardedHeaders.CUSTOMER, customer.name());
         TargetCall call =
                 TargetCall.of(TargetKind.MODEL_ENGINE, Methods.POST_STRING, CHAT_PATH, forwarded, body, chat.stream());
-        return new Result.Understood(new Call(customer, pool, headers, call, chat.maxTokens(), chat.prefixHash()));
+        return new Result.Understood(new Call(
+                customer,
+                pool,
+                headers,
+                call,
+                chat.maxTokens(),
+                chat.prefixHash(),
+                RequestDigest.of(customer, exchange, body)));
     }
 
     private static Result readService(
@@ -72,7 +80,8 @@
                 ForwardedHeaders.toTarget(exchange.getRequestHeaders(), customer),
                 body,
                 false);
-        return new Result.Understood(new Call(customer, pool, headers, call, 0, 0));
+        return new Result.Understood(
+                new Call(customer, pool, headers, call, 0, 0, RequestDigest.of(customer, exchange, body)));
     }
 
     private static String serviceName(String path) {
--- a/daemon/src/main/java/org/marjoramswitch/daemon/caller/CallerExchange.java
+++ b/daemon/src/main/java/org/marjoramswitch/daemon/caller/CallerExchange.java
@@ -22,6 +22,7 @@
     private @Nullable PoolId pool;
     private long requestId;
     private String callerName = NONE;
+    private String digest = NONE;
     private @Nullable Route route;
     private final LongestPause pause = new LongestPause();
     private long headMs;
@@ -60,6 +61,11 @@
         callerName = name;
     }
 
+    /** What the request is told by, whatever its caller names it: the same for requests that are alike. */
+    void digested(long requestDigest) {
+        digest = Long.toHexString(requestDigest);
+    }
+
     void assign(Route toRoute) {
         route = toRoute;
     }
@@ -128,6 +134,8 @@
                 requestId,
                 "caller",
                 callerName,
+                "digest",
+                digest,
                 "customer",
                 customer == null ? NONE : customer,
                 "route",
--- a/daemon/src/main/java/org/marjoramswitch/daemon/caller/ForwardHandler.java
+++ b/daemon/src/main/java/org/marjoramswitch/daemon/caller/ForwardHandler.java
@@ -193,8 +193,10 @@
                 .start(buffer);
         RoutedCall call =
                 new RoutedCall(requestId, Objects.requireNonNull(caller.customer()), current, route, pool, facts);
+        long digest = RequestDigest.of(call.customer(), caller.http(), body);
+        caller.digested(digest);
         gate.submit(
-                call.spec(clockMs.getAsLong(), elapsedMs(route, facts)),
+                call.spec(clockMs.getAsLong(), elapsedMs(route, facts)).withDigest(digest),
                 call.toTarget(caller.http(), decoder, headers, body, System.nanoTime()),
                 new AnswerRelay(buffer, new PartsHeard(caller), TruthfulStatus::of));
     }
--- a/kernel/src/main/java/org/marjoramswitch/kernel/model/RequestSpec.java
+++ b/kernel/src/main/java/org/marjoramswitch/kernel/model/RequestSpec.java
@@ -13,6 +13,7 @@
  * @param prefixHash hash of the prompt's leading part, 0 where there is none to match
  * @param deadlineMs the time at which a request still waiting is refused; one with a placement also ends then if it runs
  * @param placement what its placement depends on, null for a request that is granted by numbers
+ * @param digest the same for requests that are alike in customer, path and body; 0 where that is not known
  */
 public record RequestSpec(
         long requestId,
@@ -24,7 +25,8 @@
         long hintTokens,
         long prefixHash,
         long deadlineMs,
-        @Nullable PlacementSpec placement) {
+        @Nullable PlacementSpec placement,
+        long digest) {
     public static final int DEFAULT_URGENCY = 3;
     public static final int LOWEST_URGENCY = 7;
 
@@ -41,4 +43,46 @@
             long deadlineMs) {
         this(requestId, customer, pool, urgency, repeatable, promptTokens, hintTokens, prefixHash, deadlineMs, null);
     }
+
+    /** A request of which is not known whether others are alike. */
+    public RequestSpec(
+            long requestId,
+            CustomerId customer,
+            PoolId pool,
+            int urgency,
+            boolean repeatable,
+            long promptTokens,
+            long hintTokens,
+            long prefixHash,
+            long deadlineMs,
+            @Nullable PlacementSpec placement) {
+        this(
+                requestId,
+                customer,
+                pool,
+                urgency,
+                repeatable,
+                promptTokens,
+                hintTokens,
+                prefixHash,
+                deadlineMs,
+                placement,
+                0);
+    }
+
+    /** The same request, to be told from others by this digest. */
+    public RequestSpec withDigest(long newDigest) {
+        return new RequestSpec(
+                requestId,
+                customer,
+                pool,
+                urgency,
+                repeatable,
+                promptTokens,
+                hintTokens,
+                prefixHash,
+                deadlineMs,
+                placement,
+                newDigest);
+    }
 }
