--- /dev/null
+++ b/kernel/src/test/java/org/marjoramswitch/kernel/PlacementFleet.java
@@ -0,0 +1,186 @@
+package org.marjoramswitch.kernel;
+
+import java.util.ArrayDeque;
+import java.util.ArrayList;
+import java.util.Deque;
+import java.util.HashSet;
+import java.util.List;
+import java.util.Map;
+import java.util.Objects;
+import java.util.Set;
+import java.util.TreeMap;
+import org.junit.jupiter.api.BeforeEach;
+import org.marjoramswitch.kernel.action.Action;
+import org.marjoramswitch.kernel.capacity.WindowedRetryBudget;
+import org.marjoramswitch.kernel.event.Event;
+import org.marjoramswitch.kernel.message.PeerMessage;
+import org.marjoramswitch.kernel.model.CellId;
+import org.marjoramswitch.kernel.model.CustomerId;
+import org.marjoramswitch.kernel.model.DataCentreId;
+import org.marjoramswitch.kernel.model.FleetView;
+import org.marjoramswitch.kernel.model.InstanceId;
+import org.marjoramswitch.kernel.model.Member;
+import org.marjoramswitch.kernel.model.PlacementSpec;
+import org.marjoramswitch.kernel.model.PoolId;
+import org.marjoramswitch.kernel.model.PromptPart;
+import org.marjoramswitch.kernel.model.RequestSpec;
+import org.marjoramswitch.kernel.model.TargetId;
+import org.marjoramswitch.kernel.model.TargetOutcome;
+import org.marjoramswitch.kernel.model.Usage;
+import org.marjoramswitch.kernel.settings.FleetSettings;
+import org.marjoramswitch.kernel.settings.PoolSettings;
+import org.marjoramswitch.kernel.settings.TargetSettings;
+
+/**
+ * Three kernels that place requests, in virtual time: what one tells another arrives at once, but at a frozen one, and
+ * what they start is noted.
+ */
+abstract class PlacementFleet {
+    static final PoolId POOL = PoolId.of("pool");
+    static final CellId CELL = CellId.of(POOL, 0);
+    static final CustomerId CUSTOMER = CustomerId.of("a");
+    static final DataCentreId DATA_CENTRE = DataCentreId.of("dc");
+    static final List<InstanceId> INSTANCES =
+            List.of(InstanceId.of("entry-1"), InstanceId.of("entry-2"), InstanceId.of("entry-3"));
+    static final int SLOTS = 2;
+    static final long PATIENCE_MS = 5_000;
+    static final WindowedRetryBudget.Limits RESENDS = new WindowedRetryBudget.Limits(10_000, 0.2, 12);
+
+    final Map<InstanceId, InstanceKernel> kernels = new TreeMap<>();
+    final Deque<Sent> wire = new ArrayDeque<>();
+    final List<Action.Dispatch> dispatched = new ArrayList<>();
+    final List<Action.CancelAttempt> cancelled = new ArrayList<>();
+    final Map<Long, Action> ends = new TreeMap<>();
+    final Set<InstanceId> frozen = new HashSet<>();
+    InstanceId arbiter = INSTANCES.get(0);
+    InstanceId entry = INSTANCES.get(0);
+    long nowMs = 1_000;
+    long requests;
+
+    record Sent(InstanceId from, InstanceId to, PeerMessage message) {}
+
+    @BeforeEach
+    void start() {
+        List<Member> members = INSTANCES.stream()
+                .map(id -> Member.of(id, 1, DATA_CENTRE, false))
+                .toList();
+        members.forEach(this::boot);
+        targets("t1", "t2");
+        INSTANCES.forEach(id -> tell(id, new Event.ViewChanged(FleetView.of(members))));
+        arbiter = Objects.requireNonNull(kernels.get(INSTANCES.get(0))).arbiterOf(CELL);
+        InstanceId named = arbiter;
+        entry = INSTANCES.stream().filter(id -> !id.equals(named)).findFirst().orElseThrow();
+    }
+
+    private void boot(Member member) {
+        kernels.put(
+                member.id(),
+                InstanceKernel.create(member, KernelOptions.defaults().withResendLimits(RESENDS)));
+    }
+
+    /** The instance's process ends and starts anew, with nothing of before; the others hear of both. */
+    void restart(InstanceId id, long incarnation, String... targetNames) {
+        loseLink(id);
+        wire.clear();
+        List<Member> members = INSTANCES.stream()
+                .map(other -> Member.of(other, other.equals(id) ? incarnation : 1, DATA_CENTRE, false))
+                .toList();
+        boot(Member.of(id, incarnation, DATA_CENTRE, false));
+        frozen.remove(id);
+        tell(id, new Event.SettingsAccepted(settings(targetNames)));
+        INSTANCES.forEach(other -> tell(other, new Event.ViewChanged(FleetView.of(members))));
+        INSTANCES.stream().filter(other -> !other.equals(id)).forEach(other -> {
+            tell(other, new Event.PeerLinkChanged(id, true));
+            tell(id, new Event.PeerLinkChanged(other, true));
+        });
+    }
+
+    boolean isRunning(long request) {
+        return dispatched.stream().anyMatch(start -> start.requestId() == request);
+    }
+
+    Action.Fail failure(long request) {
+        return (Action.Fail) Objects.requireNonNull(ends.get(request));
+    }
+
+    long arrive(boolean repeatable, int attempts, boolean resumable) {
+        return arrive(repeatable, attempts, resumable, 0);
+    }
+
+    long arrive(boolean repeatable, int attempts, boolean resumable, long digest) {
+        requests++;
+        PlacementSpec placement = new PlacementSpec(
+                List.of(PromptPart.of(1, 10), PromptPart.of(100 + requests, 10)), 5, nowMs + 400, attempts, resumable);
+        RequestSpec spec = new RequestSpec(
+                requests, CUSTOMER, POOL, 1, repeatable, 20, 5, 0, nowMs + PATIENCE_MS, placement, digest);
+        tell(entry, new Event.RequestArrived(spec));
+        return requests;
+    }
+
+    void end(long request, TargetOutcome outcome) {
+        tell(entry, new Event.TargetEnded(request, outcome, Usage.NONE));
+    }
+
+    void targets(String... names) {
+        INSTANCES.forEach(id -> tell(id, new Event.SettingsAccepted(settings(names))));
+    }
+
+    static FleetSettings settings(String... names) {
+        Map<TargetId, TargetSettings> targets = new TreeMap<>();
+        for (String name : names) {
+            TargetId id = TargetId.of(name);
+            targets.put(id, new TargetSettings(id, POOL, "10.0.0.1", 80, DATA_CENTRE, SLOTS, false));
+        }
+        return FleetSettings.of(
+                1, Map.of(), Map.of(POOL, PoolSettings.modelEngines(POOL).withCellTargets(100)), targets);
+    }
+
+    void loseLink(InstanceId peer) {
+        INSTANCES.stream().filter(id -> !id.equals(peer)).forEach(id -> {
+            tell(id, new Event.PeerLinkChanged(peer, false));
+            tell(peer, new Event.PeerLinkChanged(id, false));
+        });
+        frozen.add(peer);
+    }
+
+    void pass(long forMs) {
+        for (long untilMs = nowMs + forMs; nowMs < untilMs; ) {
+            nowMs += 10;
+            INSTANCES.stream().filter(id -> !frozen.contains(id)).forEach(id -> tell(id, new Event.Tick()));
+        }
+    }
+
+    void tell(InstanceId id, Event event) {
+        Objects.requireNonNull(kernels.get(id)).apply(event, nowMs).forEach(action -> perform(id, action));
+        deliver();
+    }
+
+    void deliver() {
+        List<Sent> kept = new ArrayList<>();
+        while (!wire.isEmpty()) {
+            Sent sent = wire.poll();
+            if (frozen.contains(sent.to())) {
+                kept.add(sent);
+                continue;
+            }
+            Objects.requireNonNull(kernels.get(sent.to()))
+                    .apply(new Event.PeerReceived(sent.from(), 1, sent.message()), nowMs)
+                    .forEach(action -> perform(sent.to(), action));
+        }
+        wire.addAll(kept);
+    }
+
+    void perform(InstanceId at, Action action) {
+        if (action instanceof Action.SendPeer send) {
+            wire.add(new Sent(at, send.to(), send.message()));
+        } else if (action instanceof Action.Dispatch dispatch) {
+            dispatched.add(dispatch);
+        } else if (action instanceof Action.CancelAttempt cancel) {
+            cancelled.add(cancel);
+        } else if (action instanceof Action.Complete complete) {
+            ends.put(complete.requestId(), action);
+        } else if (action instanceof Action.Fail fail) {
+            ends.put(fail.requestId(), action);
+        }
+    }
+}
