--- a/daemon/src/main/java/org/marjoramswitch/daemon/exchange/TargetClient.java
+++ b/daemon/src/main/java/org/marjoramswitch/daemon/exchange/TargetClient.java
@@ -21,6 +21,9 @@
     interface AttemptListener {
         void onHead(int status, Map<String, String> headers);
 
+        /** The target says this of itself beside its answer, whatever becomes of the answer. */
+        default void onNotice(TargetNotice notice) {}
+
         void onBytes(byte[] bytes);
 
         /** All whole events so far have gone to the listener; the last of them has this id, empty where it has none. */
--- /dev/null
+++ b/daemon/src/main/java/org/marjoramswitch/daemon/exchange/TargetNotice.java
@@ -0,0 +1,15 @@
+package org.marjoramswitch.daemon.exchange;
+
+/**
+ * What a target says of itself beside an answer.
+ *
+ * @param leaving whether it leaves and wants no new request
+ * @param restMs how long it wants nothing from this instance; 0 where it does not say
+ */
+public record TargetNotice(boolean leaving, long restMs) {
+    public static final TargetNotice NONE = new TargetNotice(false, 0);
+
+    public boolean isNone() {
+        return equals(NONE);
+    }
+}
--- a/daemon/src/main/java/org/marjoramswitch/daemon/target/AnswerReader.java
+++ b/daemon/src/main/java/org/marjoramswitch/daemon/target/AnswerReader.java
@@ -10,6 +10,7 @@
 import java.util.Map;
 import org.jspecify.annotations.Nullable;
 import org.marjoramswitch.daemon.exchange.TargetCall;
+import org.marjoramswitch.daemon.exchange.TargetNotice;
 import org.xnio.channels.StreamSourceChannel;
 
 /**
@@ -62,6 +63,11 @@
         return status;
     }
 
+    /** What the target says of itself. */
+    TargetNotice notice() {
+        return protocol.notices().read(status, headers);
+    }
+
     @Nullable
     String echoedId() {
         return echoedId;
--- a/daemon/src/main/java/org/marjoramswitch/daemon/target/AttemptLog.java
+++ b/daemon/src/main/java/org/marjoramswitch/daemon/target/AttemptLog.java
@@ -1,5 +1,6 @@
 package org.marjoramswitch.daemon.target;
 
+import org.marjoramswitch.daemon.exchange.TargetNotice;
 import org.marjoramswitch.daemon.log.KeyValueLog;
 import org.marjoramswitch.daemon.target.EnginePatience.Verdict;
 import org.marjoramswitch.kernel.error.ErrorType;
@@ -29,6 +30,19 @@
                 String.valueOf(answer.echoedId()));
     }
 
+    void notice(TargetNotice notice) {
+        LOG.info(
+                "target_notice",
+                TARGET,
+                spec.target().id(),
+                REQUEST,
+                spec.requestId(),
+                "leaving",
+                notice.leaving(),
+                "rest_ms",
+                notice.restMs());
+    }
+
     void lost(RuntimeException fault) {
         LOG.error(
                 fault,
--- a/daemon/src/main/java/org/marjoramswitch/daemon/target/TargetProtocol.java
+++ b/daemon/src/main/java/org/marjoramswitch/daemon/target/TargetProtocol.java
@@ -13,6 +13,7 @@
  * @param endsWithConnection whether an answer without a length is whole when its connection ends in order
  * @param refusals judges whether an answer says that the request was not executed
  * @param headers what is set on a call beside the headers that go on
+ * @param notices reads what a target says of itself beside its answers
  */
 public record TargetProtocol(
         String idHeader,
@@ -20,13 +21,20 @@
         boolean forwarding,
         boolean endsWithConnection,
         RefusalRule refusals,
-        HeaderSource headers) {
+        HeaderSource headers,
+        NoticeReader notices) {
     private static final String REQUEST_ID = "x-request-id";
 
     /** The product's own: model engines that speak the OpenAI-compatible protocol, and plain services. */
     public static TargetProtocol own() {
         return new TargetProtocol(
-                REQUEST_ID, false, false, false, RefusalRule.explicit(), (target, call, leftMs) -> Map.of());
+                REQUEST_ID,
+                false,
+                false,
+                false,
+                RefusalRule.explicit(),
+                (target, call, leftMs) -> Map.of(),
+                NoticeReader.SILENT);
     }
 
     /** Gives the headers of a call that is about to be sent. */
