Heed a target's own word that it leaves

Callers were sent to a target for seconds after its answers had said that it leaves, since the store that lists targets was away; their answers would be cut when it ends. Cause: only the list told the decisions which targets leave.

The word in an answer goes to the decisions as an event, with the start of the target that said it; it holds until that target starts again, whatever the list says and when it is read, and is passed on to the cell's arbiter, so that other instances are not sent there either. Ruled out: treating it as the list's word (the next reading of the list of instances would take it back; the test reads it).

--- a/daemon/src/main/java/org/marjoramswitch/daemon/core/ActionRunner.java
+++ b/daemon/src/main/java/org/marjoramswitch/daemon/core/ActionRunner.java
@@ -91,7 +91,7 @@
             requests.stopWaiting();
         }
         request.setEndOutstanding(true);
-        AttemptRelay relay = AttemptRelay.of(request, dispatch.attempt(), events);
+        AttemptRelay relay = AttemptRelay.of(request, dispatch.attempt(), target, events);
         try {
             TargetCall call = request.nextCall().fetchingFrom(source(dispatch));
             request.setRunning(targets.start(target, pool, call, relay));
--- a/daemon/src/main/java/org/marjoramswitch/daemon/core/AttemptRelay.java
+++ b/daemon/src/main/java/org/marjoramswitch/daemon/core/AttemptRelay.java
@@ -3,9 +3,11 @@
 import java.util.Map;
 import java.util.concurrent.TimeUnit;
 import org.marjoramswitch.daemon.exchange.TargetClient.AttemptListener;
+import org.marjoramswitch.daemon.exchange.TargetNotice;
 import org.marjoramswitch.kernel.event.Event;
 import org.marjoramswitch.kernel.model.TargetOutcome;
 import org.marjoramswitch.kernel.model.Usage;
+import org.marjoramswitch.kernel.settings.TargetSettings;
 
 /** Passes one attempt's answer to the request's caller and its progress and end to the decisions. */
 final class AttemptRelay implements AttemptListener {
@@ -16,19 +18,21 @@
 
     private final OpenRequest request;
     private final int attempt;
+    private final TargetSettings target;
     private final EventSink events;
     private boolean answering;
     private long reportedTokens;
     private long reportedNs = System.nanoTime();
 
-    private AttemptRelay(OpenRequest request, int attempt, EventSink events) {
+    private AttemptRelay(OpenRequest request, int attempt, TargetSettings target, EventSink events) {
         this.request = request;
         this.attempt = attempt;
+        this.target = target;
         this.events = events;
     }
 
-    static AttemptRelay of(OpenRequest request, int attempt, EventSink events) {
-        return new AttemptRelay(request, attempt, events);
+    static AttemptRelay of(OpenRequest request, int attempt, TargetSettings target, EventSink events) {
+        return new AttemptRelay(request, attempt, target, events);
     }
 
     @Override
@@ -36,6 +40,13 @@
         request.onHead(attempt, status, headers);
     }
 
+    @Override
+    public void onNotice(TargetNotice notice) {
+        if (notice.leaving()) {
+            events.offer(new Event.TargetSaidLeaving(target.id(), target.startedAtMs()));
+        }
+    }
+
     @Override
     public void onBytes(byte[] bytes) {
         request.onBytes(attempt, bytes);
--- a/daemon/src/main/java/org/marjoramswitch/daemon/core/DecisionDuty.java
+++ b/daemon/src/main/java/org/marjoramswitch/daemon/core/DecisionDuty.java
@@ -37,13 +37,13 @@
  * takes microseconds.
  *
  * <p>What happens when the ring fills up is stated in {@link EventClass}. Room for the events that must get through is
- * there by arithmetic: an open request has at most one end of an attempt and one loss of its caller outstanding,
- * requests are bounded in number, and the ring keeps {@value #RING_PER_REQUEST} places for each of them, half of which
- * no other class may use.
+ * there by arithmetic: an open request has at most one end of an attempt, one word of its target and one loss of its
+ * caller outstanding, requests are bounded in number, and the ring keeps {@value #RING_PER_REQUEST} places for each of
+ * them, half of which no other class may use.
  *
  * <p>For example, with 2,000 waiting requests allowed, 4,000 may be open and the ring has 32,768 places. A peer that
- * floods the instance fills 16,384 of them before its link is cut. The 4,000 ends and 4,000 losses of callers that may
- * come in that moment still fit, and so do thousands of changes of links, targets and settings.
+ * floods the instance fills 16,384 of them before its link is cut. The 4,000 ends, 4,000 words of targets and 4,000 losses
+ * of callers that may come in that moment still fit, and so do thousands of changes of links, targets and settings.
  */
 public final class DecisionDuty implements RequestGate, PeerListener, EventSink, AutoCloseable {
     /** When a caller that found the instance full should come back. */
--- a/kernel/src/main/java/org/marjoramswitch/kernel/InstanceKernel.java
+++ b/kernel/src/main/java/org/marjoramswitch/kernel/InstanceKernel.java
@@ -11,6 +11,7 @@
 import org.jspecify.annotations.Nullable;
 import org.marjoramswitch.kernel.action.Action;
 import org.marjoramswitch.kernel.action.ActionSink;
+import org.marjoramswitch.kernel.action.Decision;
 import org.marjoramswitch.kernel.arbiter.Arbiter;
 import org.marjoramswitch.kernel.entry.Entry;
 import org.marjoramswitch.kernel.entry.FleetPlan;
@@ -190,6 +191,8 @@
             settingsAccepted(accepted.settings(), nowMs, sink);
         } else if (event instanceof Event.TargetsLeaving leaving) {
             targetsLeaving(leaving.leaving(), sink);
+        } else if (event instanceof Event.TargetSaidLeaving said) {
+            targetSaidLeaving(said, sink);
         } else if (event instanceof Event.TargetReported reported) {
             targetReported(reported, nowMs);
         } else if (event instanceof Event.PrefixCached cached) {
@@ -244,12 +247,20 @@
         } else if (message instanceof PeerMessage.Charges charges) {
             chargesReceived(charges);
         } else if (message instanceof PeerMessage.TargetLeaving leaving) {
-            Set<TargetId> all = new TreeSet<>(plan.leavingTargets());
-            all.add(leaving.target());
-            targetsLeaving(all, sink);
+            peerSaysLeaving(leaving, sink);
         }
     }
 
+    private void peerSaysLeaving(PeerMessage.TargetLeaving leaving, ActionSink sink) {
+        if (leaving.startedAtMs() != PeerMessage.TargetLeaving.LISTED) {
+            noteSaidLeaving(leaving.target(), leaving.startedAtMs(), sink);
+            return;
+        }
+        Set<TargetId> all = new TreeSet<>(plan.leavingTargets());
+        all.add(leaving.target());
+        targetsLeaving(all, sink);
+    }
+
     /** Takes a message about placements; false for any other. */
     private boolean receivedPlacement(InstanceId from, PeerMessage message, long nowMs, ActionSink sink) {
         if (message instanceof PeerMessage.Placed placed) {
@@ -397,15 +408,34 @@
         news.removeAll(plan.leavingTargets());
         plan.leavingTargets(leaving);
         refreshTargets();
-        news.forEach(target -> passOnLeaving(target, sink));
+        news.forEach(target -> passOnLeaving(target, PeerMessage.TargetLeaving.LISTED, sink));
+    }
+
+    /**
+     * Where the list cannot tell that a target leaves, as the service behind it is away, the target's own answers still do. A
+     * caller that was sent to it until the list comes back would see its answer cut when the target ends.
+     */
+    private void targetSaidLeaving(Event.TargetSaidLeaving said, ActionSink sink) {
+        if (noteSaidLeaving(said.target(), said.startedAtMs(), sink)) {
+            passOnLeaving(said.target(), said.startedAtMs(), sink);
+        }
+    }
+
+    private boolean noteSaidLeaving(TargetId target, long startedAtMs, ActionSink sink) {
+        if (!plan.saidLeaving(target, startedAtMs)) {
+            return false;
+        }
+        sink.accept(new Action.Decided(Decision.of("target_said_leaving", "target", target)));
+        refreshTargets();
+        return true;
     }
 
-    /** The list reaches instances at different times; the arbiter is told by whoever knows first. */
-    private void passOnLeaving(TargetId target, ActionSink sink) {
+    /** News reach instances at different times; the arbiter is told by whoever knows first. */
+    private void passOnLeaving(TargetId target, long startedAtMs, ActionSink sink) {
         CellId cell = plan.cells().cellOf(target);
         InstanceId arbiter = cell == null ? null : plan.arbiter(cell);
         if (cell != null && arbiter != null && !arbiter.equals(self.id())) {
-            sink.accept(new Action.SendPeer(arbiter, new PeerMessage.TargetLeaving(cell.pool(), target)));
+            sink.accept(new Action.SendPeer(arbiter, new PeerMessage.TargetLeaving(cell.pool(), target, startedAtMs)));
         }
     }
 
--- a/kernel/src/main/java/org/marjoramswitch/kernel/entry/FleetPlan.java
+++ b/kernel/src/main/java/org/marjoramswitch/kernel/entry/FleetPlan.java
@@ -1,6 +1,8 @@
 package org.marjoramswitch.kernel.entry;
 
 import java.util.Collection;
+import java.util.LinkedHashMap;
+import java.util.Map;
 import java.util.Set;
 import java.util.TreeSet;
 import org.jspecify.annotations.Nullable;
@@ -13,16 +15,23 @@
 import org.marjoramswitch.kernel.model.TargetId;
 import org.marjoramswitch.kernel.settings.CustomerSettings;
 import org.marjoramswitch.kernel.settings.FleetSettings;
+import org.marjoramswitch.kernel.settings.TargetSettings;
 
 /** What one instance holds of the fleet now: settings, view, cells, arbiters, leaving targets, broken links. */
 public final class FleetPlan {
     private static final double DEFAULT_WEIGHT = 1.0;
+    /** Above the targets of a fleet, so that what is dropped is long gone. */
+    private static final int MOST_SAID_LEAVING = 2_048;
 
     private final Set<InstanceId> unreachable = new TreeSet<>();
     private FleetSettings settings = FleetSettings.NONE;
     private FleetView view;
     private CellMap cells = CellMap.of(FleetSettings.NONE);
     private ArbiterAssignment assignment;
+    private Set<TargetId> listedLeaving = Set.of();
+    /** By the start that said so. A target never takes it back, so it is kept whatever lists say and when they come. */
+    private final Map<TargetId, Long> saidLeaving = new LinkedHashMap<>();
+
     private Set<TargetId> leavingTargets = Set.of();
 
     private FleetPlan(FleetView view) {
@@ -46,6 +55,7 @@
         return cells;
     }
 
+    /** Those that a list names, and those that have said so themselves and have not started again since. */
     public Set<TargetId> leavingTargets() {
         return leavingTargets;
     }
@@ -56,6 +66,7 @@
 
     public void settings(FleetSettings newSettings) {
         settings = newSettings;
+        joinLeaving();
         cells = CellMap.of(newSettings);
         assignment = ArbiterAssignment.of(cells.cells(), view);
     }
@@ -67,7 +78,29 @@
     }
 
     public void leavingTargets(Collection<TargetId> leaving) {
-        leavingTargets = new TreeSet<>(leaving);
+        listedLeaving = new TreeSet<>(leaving);
+        joinLeaving();
+    }
+
+    /** A target has said that it leaves; false where that is known. */
+    public boolean saidLeaving(TargetId target, long startedAtMs) {
+        Long known = saidLeaving.put(target, startedAtMs);
+        if (saidLeaving.size() > MOST_SAID_LEAVING) {
+            saidLeaving.remove(saidLeaving.keySet().iterator().next());
+        }
+        joinLeaving();
+        return known == null || known != startedAtMs;
+    }
+
+    private void joinLeaving() {
+        Set<TargetId> all = new TreeSet<>(listedLeaving);
+        saidLeaving.forEach((target, startedAtMs) -> {
+            TargetSettings now = settings.targets().get(target);
+            if (now == null || now.startedAtMs() == startedAtMs) {
+                all.add(target);
+            }
+        });
+        leavingTargets = all;
     }
 
     public void reachable(InstanceId peer, boolean isReachable) {
--- a/kernel/src/main/java/org/marjoramswitch/kernel/event/Event.java
+++ b/kernel/src/main/java/org/marjoramswitch/kernel/event/Event.java
@@ -44,6 +44,14 @@
     /** The platform's list names these targets as leaving; all others are live. */
     record TargetsLeaving(Set<TargetId> leaving) implements Event {}
 
+    /**
+     * A target said beside an answer that it leaves.
+     *
+     * @param startedAtMs tells the start of the target that said so, see {@link
+     *     org.marjoramswitch.kernel.settings.TargetSettings#startedAtMs}
+     */
+    record TargetSaidLeaving(TargetId target, long startedAtMs) implements Event {}
+
     /** A target reported its load. */
     record TargetReported(TargetId target, LoadReport report) implements Event {}
 
--- a/kernel/src/main/java/org/marjoramswitch/kernel/message/PeerMessage.java
+++ b/kernel/src/main/java/org/marjoramswitch/kernel/message/PeerMessage.java
@@ -82,8 +82,20 @@
     record Load(CellId cell, TargetId target, long ageMs, int running, int queued, int maxBatch)
             implements PeerMessage {}
 
-    /** Any to any: this target is leaving or was seen to be gone. */
-    record TargetLeaving(PoolId pool, TargetId target) implements PeerMessage {}
+    /**
+     * Any to any: this target is leaving or was seen to be gone.
+     *
+     * @param startedAtMs the start of the target that said so itself, {@link #LISTED} where a list tells it, which may
+     *     take it back
+     */
+    record TargetLeaving(PoolId pool, TargetId target, long startedAtMs) implements PeerMessage {
+        public static final long LISTED = -1;
+
+        /** As a list tells it. */
+        public TargetLeaving(PoolId pool, TargetId target) {
+            this(pool, target, LISTED);
+        }
+    }
 
     /** Asks the instance that issued a request key what became of the request. */
     record KeyQuery(long queryId, String key, CustomerId customer) implements PeerMessage {}
--- a/kernel/src/main/java/org/marjoramswitch/kernel/wire/MessageCodec.java
+++ b/kernel/src/main/java/org/marjoramswitch/kernel/wire/MessageCodec.java
@@ -1,5 +1,7 @@
 package org.marjoramswitch.kernel.wire;
 
+import static org.marjoramswitch.kernel.message.PeerMessage.TargetLeaving.LISTED;
+
 import java.io.IOException;
 import java.util.EnumMap;
 import java.util.List;
@@ -119,8 +121,9 @@
         put(
                 MessageType.TARGET_LEAVING,
                 TargetLeaving.class,
-                (out, message) -> out.pool(message.pool()).target(message.target()),
-                in -> new TargetLeaving(in.pool(), in.target()));
+                (out, message) ->
+                        out.pool(message.pool()).target(message.target()).number(message.startedAtMs(), LISTED),
+                in -> new TargetLeaving(in.pool(), in.target(), in.number(LISTED)));
         put(
                 MessageType.KEY_QUERY,
                 KeyQuery.class,
--- a/kernel/src/test/java/org/marjoramswitch/kernel/PlacementFleet.java
+++ b/kernel/src/test/java/org/marjoramswitch/kernel/PlacementFleet.java
@@ -131,10 +131,15 @@
     }
 
     static FleetSettings settings(String... names) {
+        return settings(0, names);
+    }
+
+    static FleetSettings settings(long startedAtMs, String... names) {
         Map<TargetId, TargetSettings> targets = new TreeMap<>();
         for (String name : names) {
             TargetId id = TargetId.of(name);
-            targets.put(id, new TargetSettings(id, POOL, "10.0.0.1", 80, DATA_CENTRE, SLOTS, false));
+            targets.put(
+                    id, new TargetSettings(id, POOL, "10.0.0.1", 80, DATA_CENTRE, SLOTS, false).withStart(startedAtMs));
         }
         return FleetSettings.of(
                 1, Map.of(), Map.of(POOL, PoolSettings.modelEngines(POOL).withCellTargets(100)), targets);
--- a/kernel/src/test/java/org/marjoramswitch/kernel/PlacementFleetTest.java
+++ b/kernel/src/test/java/org/marjoramswitch/kernel/PlacementFleetTest.java
@@ -5,6 +5,7 @@
 import static org.junit.jupiter.api.Assertions.assertNull;
 import static org.junit.jupiter.api.Assertions.assertTrue;
 
+import java.util.Set;
 import org.junit.jupiter.api.Test;
 import org.marjoramswitch.kernel.action.Action;
 import org.marjoramswitch.kernel.error.ErrorType;
@@ -135,6 +136,27 @@
         assertTrue(dispatched.stream().allMatch(start -> start.target().equals(TargetId.of("t2"))));
     }
 
+    /**
+     * Callers are sent to no target that has said itself that it leaves, from no instance that asks the same arbiter, though
+     * the list does not know and is read again. When it has started again under its name it is used.
+     */
+    @Test
+    void aTargetsWordThatItLeavesHoldsUntilItStartsAgain() {
+        tell(entry, new Event.TargetSaidLeaving(TargetId.of("t1"), 0));
+        INSTANCES.forEach(id -> tell(id, new Event.TargetsLeaving(Set.of())));
+        targets("t1", "t2");
+        entry = arbiter;
+        for (int i = 0; i < 2 * SLOTS; i++) {
+            arrive(true, 2, false);
+        }
+        pass(100);
+        assertEquals(SLOTS, dispatched.size());
+        assertTrue(dispatched.stream().allMatch(start -> start.target().equals(TargetId.of("t2"))));
+        INSTANCES.forEach(id -> tell(id, new Event.SettingsAccepted(settings(5, "t1", "t2"))));
+        pass(100);
+        assertEquals(2 * SLOTS, dispatched.size());
+    }
+
     /** With every target failing, second sends stay within the fleet's budget: a share of the requests and a slack. */
     @Test
     void secondSendsStayWithinTheBudget() {
--- a/kernel/src/test/java/org/marjoramswitch/kernel/wire/RandomMessages.java
+++ b/kernel/src/test/java/org/marjoramswitch/kernel/wire/RandomMessages.java
@@ -36,7 +36,7 @@
             case 6 -> new PeerMessage.Ended(cell(), number(), number(), random.nextBoolean());
             case 7 -> new PeerMessage.Charges(cell(), charges(), random.nextInt(100));
             case 8 -> new PeerMessage.Load(cell(), target(), number(), random.nextInt(), random.nextInt(3), 0);
-            case 9 -> new PeerMessage.TargetLeaving(cell().pool(), target());
+            case 9 -> new PeerMessage.TargetLeaving(cell().pool(), target(), number());
             case 10 -> new PeerMessage.KeyQuery(number(), "schlüssel-" + random.nextInt(), customer());
             case 11 -> new PeerMessage.KeyReply(number(), any(PeerMessage.KeyState.values()));
             case 12 -> new PeerMessage.WitnessQuery(number(), cell(), "entry", number(), number());
