Leave a target alone that has asked for rest

Callers got 503 though engines were free: two of six turned new requests away and asked for 3 s of rest, and went on to get 40 to 59 requests a second, each of which took a second send, until none was left (162 ended so in 4 s). Cause: Retry-After of a target was not read; ejection did not help, since streams that the target had begun before ended well and passed for health.

An instance keeps until when each target rests. Its questions to arbiters leave those out; a placement under way is given back and asked for anew; where all targets of a service rest, the caller is told at once when to come back. When a rest ends, what waits is asked for anew, so that it doesn't wait beside a free target. Ruled out: resting at the arbiter for all instances (the target asks each by itself, and others may still be served there); leaving it to the last resort (the arbiter takes any target where all are left out, and the two would go back and forth).

--- a/kernel/src/main/java/org/marjoramswitch/kernel/InstanceKernel.java
+++ b/kernel/src/main/java/org/marjoramswitch/kernel/InstanceKernel.java
@@ -193,6 +193,8 @@
             targetsLeaving(leaving.leaving(), sink);
         } else if (event instanceof Event.TargetSaidLeaving said) {
             targetSaidLeaving(said, sink);
+        } else if (event instanceof Event.TargetAskedForRest asked) {
+            entry.askedForRest(asked.target(), asked.restMs(), nowMs, sink);
         } else if (event instanceof Event.TargetReported reported) {
             targetReported(reported, nowMs);
         } else if (event instanceof Event.PrefixCached cached) {
--- a/kernel/src/main/java/org/marjoramswitch/kernel/entry/Entry.java
+++ b/kernel/src/main/java/org/marjoramswitch/kernel/entry/Entry.java
@@ -64,6 +64,7 @@
     private final Placements placements;
     private final PeerWatch placementWatch = PeerWatch.create();
     private final CrashExchange crashes = CrashExchange.create();
+    private final TargetRests rests = new TargetRests();
     private int waitingInAll;
     private boolean draining;
 
@@ -73,7 +74,7 @@
         this.plan = plan;
         this.offers = new DemandOffers(options, plan);
         this.registrations = new Registrations(self, options, plan, offers, this::pool, requests.values());
-        this.placements = new Placements(self, plan);
+        this.placements = new Placements(self, plan, rests);
     }
 
     public static Entry create(InstanceId self, KernelOptions options, FleetPlan plan) {
@@ -147,15 +148,19 @@
         if (request == null) {
             return;
         }
-        if (mayStartAt(placed.target())) {
+        boolean usable = mayStartAt(placed.target());
+        if (usable && !rests.isResting(placed.target(), nowMs)) {
             waitingInAll--;
             request.fetchFrom(usableSource(placed.fetchFrom()));
             start(request, placed.target(), placed.cell(), placed.ask(), "placed", nowMs, sink);
             return;
         }
-        // The arbiter does not know yet that the target is gone or leaving; it is asked to leave that target out.
+        // The arbiter does not know yet that the target is gone, leaving or resting; it is asked to leave that target
+        // out.
         placements.ended(request, PlacementEnd.NOT_RUN, sink);
-        request.failedAtUnused(placed.target());
+        if (!usable) {
+            request.failedAtUnused(placed.target());
+        }
         askAgain(request, nowMs, sink);
     }
 
@@ -192,6 +197,13 @@
         crashes.connected(peer, nowMs, sink);
     }
 
+    /** A target turned a request away and wants nothing from here for a while. */
+    public void askedForRest(TargetId target, long restMs, long nowMs, ActionSink sink) {
+        if (rests.add(target, nowMs + restMs, nowMs)) {
+            sink.accept(new Action.Decided(Decision.of("target_rests", "target", target, "restMs", restMs)));
+        }
+    }
+
     /** A peer saw targets end under requests, or such requests served. */
     public void crashNews(PeerMessage.CrashNews news, long nowMs, ActionSink sink) {
         crashes.received(news, nowMs).forEach(digest -> refuseBlocked(digest, nowMs, sink));
@@ -277,6 +289,9 @@
         watchPlacementArbiters(nowMs, sink);
         tellCrashes(sink);
         placements.follow(nowMs, sink);
+        if (rests.expire(nowMs)) {
+            placements.restEnded(nowMs, sink);
+        }
         pools.values().forEach(pool -> offers.spill(pool, nowMs, sink));
     }
 
@@ -339,6 +354,17 @@
     }
 
     private void askAgain(EntryRequest request, long nowMs, ActionSink sink) {
+        long restLeftMs = placements.restLeftMs(request, nowMs);
+        if (restLeftMs > 0) {
+            waitingInAll--;
+            fail(
+                    request,
+                    ErrorType.TARGETS_REST,
+                    restLeftMs,
+                    request.spec().pool().name(),
+                    sink);
+            return;
+        }
         if (!placements.ask(request, nowMs, sink)) {
             waitingInAll--;
             fail(request, ErrorType.NO_TARGET_IN_TIME, RETRY_AFTER_MS, "", sink);
--- a/kernel/src/main/java/org/marjoramswitch/kernel/entry/Placements.java
+++ b/kernel/src/main/java/org/marjoramswitch/kernel/entry/Placements.java
@@ -20,6 +20,7 @@
 import org.marjoramswitch.kernel.model.PoolId;
 import org.marjoramswitch.kernel.model.PromptPart;
 import org.marjoramswitch.kernel.model.TargetId;
+import org.marjoramswitch.kernel.settings.TargetSettings;
 
 /**
  * This entry's questions to the arbiters of cells: where a request may run, and what became of it there.
@@ -32,6 +33,7 @@
 final class Placements {
     private final InstanceId self;
     private final FleetPlan plan;
+    private final TargetRests rests;
     private final Map<Long, Question> byNumber = new TreeMap<>();
     private final Map<Long, Question> byRequest = new HashMap<>();
     /** The arbiters that know what this entry has at the targets of a cell. */
@@ -39,9 +41,10 @@
 
     private long lastNumber;
 
-    Placements(InstanceId self, FleetPlan plan) {
+    Placements(InstanceId self, FleetPlan plan, TargetRests rests) {
         this.self = self;
         this.plan = plan;
+        this.rests = rests;
     }
 
     /** Asks for a target; false where the pool has none, so that nothing is worth waiting for. */
@@ -59,6 +62,21 @@
         return true;
     }
 
+    /** How long no target wants the request; 0 where one may be asked for now. */
+    long restLeftMs(EntryRequest request, long nowMs) {
+        CellId cell = cell(request);
+        return cell == null ? 0 : rests.leftMs(targets(cell), nowMs);
+    }
+
+    /** Targets have had their rest: requests for which they were left out may be placed there, and not wait beside them. */
+    void restEnded(long nowMs, ActionSink sink) {
+        for (Question question : List.copyOf(byNumber.values())) {
+            if (question.spared) {
+                put(question, nowMs, sink);
+            }
+        }
+    }
+
     /** A request that waited ended otherwise. */
     void withdraw(EntryRequest request, ActionSink sink) {
         Question question = byRequest.get(request.spec().requestId());
@@ -197,6 +215,8 @@
         }
         EntryRequest request = question.request;
         PlacementSpec spec = question.spec();
+        Set<TargetId> resting = rests.resting(nowMs);
+        question.spared = !resting.isEmpty();
         send(
                 question,
                 new PeerMessage.Place(
@@ -208,10 +228,25 @@
                         spec.outputTokens(),
                         spec.objectiveAtMs() - nowMs,
                         request.spec().deadlineMs() - nowMs,
-                        List.copyOf(request.failedTargets())),
+                        excluded(question, resting)),
                 sink);
     }
 
+    /**
+     * The targets that rest or have failed the request. With all of them left out the arbiter would take any, so those that
+     * have failed it are taken in again then; one that rests would turn it away.
+     */
+    private List<TargetId> excluded(Question question, Set<TargetId> resting) {
+        Set<TargetId> excluded = new TreeSet<>(resting);
+        excluded.addAll(question.request.failedTargets());
+        boolean anyLeft = !excluded.containsAll(targets(question.cell));
+        return List.copyOf(anyLeft ? excluded : resting);
+    }
+
+    private List<TargetId> targets(CellId cell) {
+        return plan.cells().targets(cell).stream().map(TargetSettings::id).toList();
+    }
+
     private void close(Question question) {
         byNumber.remove(question.number);
         byRequest.remove(question.request.spec().requestId());
@@ -244,6 +279,8 @@
         private InstanceId arbiter;
         private boolean placed;
         private boolean answering;
+        /** Whether targets are left out because they rest. */
+        private boolean spared;
 
         private Question(long number, EntryRequest request, CellId cell, InstanceId arbiter) {
             this.number = number;
--- a/kernel/src/main/java/org/marjoramswitch/kernel/event/Event.java
+++ b/kernel/src/main/java/org/marjoramswitch/kernel/event/Event.java
@@ -52,6 +52,9 @@
      */
     record TargetSaidLeaving(TargetId target, long startedAtMs) implements Event {}
 
+    /** A target turned a request away and wants nothing from this instance for a while. */
+    record TargetAskedForRest(TargetId target, long restMs) implements Event {}
+
     /** A target reported its load. */
     record TargetReported(TargetId target, LoadReport report) implements Event {}
 
--- a/kernel/src/test/java/org/marjoramswitch/kernel/PlacementFleetTest.java
+++ b/kernel/src/test/java/org/marjoramswitch/kernel/PlacementFleetTest.java
@@ -157,6 +157,65 @@
         assertEquals(2 * SLOTS, dispatched.size());
     }
 
+    /** A target that wants nothing for a while gets nothing. When its rest is over, what waits goes there at once. */
+    @Test
+    void aRestingTargetIsLeftAloneAndUsedAgainAfterwards() {
+        tell(entry, new Event.TargetAskedForRest(TargetId.of("t1"), 200));
+        for (int i = 0; i < 2 * SLOTS; i++) {
+            arrive(true, 2, false);
+        }
+        pass(190);
+        assertEquals(SLOTS, dispatched.size());
+        assertTrue(dispatched.stream().allMatch(start -> start.target().equals(TargetId.of("t2"))));
+        pass(30);
+        assertEquals(2 * SLOTS, dispatched.size());
+    }
+
+    /** The instance that was not asked for rest goes on to use the target. */
+    @Test
+    void aTargetRestsFromOneInstanceAlone() {
+        tell(entry, new Event.TargetAskedForRest(TargetId.of("t1"), 60_000));
+        entry = arbiter;
+        for (int i = 0; i < 2 * SLOTS; i++) {
+            arrive(true, 2, false);
+        }
+        assertEquals(2 * SLOTS, dispatched.size());
+    }
+
+    /** A placement that was on its way when the target asked for rest is given back, and the request goes elsewhere. */
+    @Test
+    void aPlacementAtATargetThatRestsByNowIsGivenBack() {
+        tell(entry, new Event.TargetAskedForRest(TargetId.of("t1"), 60_000));
+        arriveAndBePlacedAtT1(TargetId.of("t1"));
+        pass(100);
+        assertEquals(1, dispatched.size());
+        assertEquals(TargetId.of("t2"), dispatched.get(0).target());
+    }
+
+    /** Callers hear at once when to come back: no target wants their request, so waiting here is of no use to them. */
+    @Test
+    void whereAllTargetsRestARequestIsRefusedAtOnce() {
+        tell(entry, new Event.TargetAskedForRest(TargetId.of("t1"), 2_000));
+        tell(entry, new Event.TargetAskedForRest(TargetId.of("t2"), 3_000));
+        long request = arrive(true, 2, false);
+        assertEquals(ErrorType.TARGETS_REST, failure(request).failure().type());
+        assertEquals(RunState.NOT_RUN, failure(request).failure().run());
+        assertEquals(2_000, failure(request).failure().retryAfterMs());
+    }
+
+    /** A request whose only other target failed it before goes there again, and not to the one that rests. */
+    @Test
+    void aRestingTargetIsNotTheLastResort() {
+        long request = arrive(true, 3, true);
+        TargetId failed = dispatched.get(0).target();
+        TargetId resting = TargetId.of(failed.equals(TargetId.of("t1")) ? "t2" : "t1");
+        tell(entry, new Event.TargetAskedForRest(resting, 60_000));
+        end(request, TargetOutcome.BROKEN_BEFORE_ANSWER);
+        pass(100);
+        assertEquals(2, dispatched.size());
+        assertEquals(failed, dispatched.get(1).target());
+    }
+
     /** With every target failing, second sends stay within the fleet's budget: a share of the requests and a slack. */
     @Test
     void secondSendsStayWithinTheBudget() {
