Keep what is known of harmful requests in the platform's service

Targets would go on to end though three had: what instances tell one another is gone when all of them end together.

Each listed end is told to the decisions once, since a request that was served meanwhile would be blocked again by what the list still says.

--- a/daemon/src/main/java/org/marjoramswitch/daemon/Daemon.java
+++ b/daemon/src/main/java/org/marjoramswitch/daemon/Daemon.java
@@ -66,6 +66,7 @@
                 this::startTargets,
                 callerOptions.times().addressKeepMs());
         EtcdGatewayStore store = startStore();
+        core.keepCrashesIn(store);
         startLoadReader();
         this.configuration = parts.add(ConfigurationDuty.start(
                 core.self(), store, core.peers(), this::onSettings, ConfigurationOptions.DEFAULT, core.metrics()));
--- a/daemon/src/main/java/org/marjoramswitch/daemon/ForwardingDaemon.java
+++ b/daemon/src/main/java/org/marjoramswitch/daemon/ForwardingDaemon.java
@@ -66,6 +66,7 @@
                 core.peers(),
                 core.clock(),
                 core.worker().getIoThread()));
+        core.keepCrashesIn(store);
         this.callers = parts.add(ForwardServer.start(
                 new ForwardServer.Parts(
                         local.callers(),
--- a/daemon/src/main/java/org/marjoramswitch/daemon/InstanceCore.java
+++ b/daemon/src/main/java/org/marjoramswitch/daemon/InstanceCore.java
@@ -1,5 +1,7 @@
 package org.marjoramswitch.daemon;
 
+import static java.util.concurrent.TimeUnit.MILLISECONDS;
+
 import com.codahale.metrics.MetricRegistry;
 import java.io.IOException;
 import java.nio.file.Path;
@@ -14,16 +16,19 @@
 import org.marjoramswitch.daemon.core.EventRecorder;
 import org.marjoramswitch.daemon.core.KernelDriver;
 import org.marjoramswitch.daemon.exchange.TargetClient;
+import org.marjoramswitch.daemon.fleet.CrashStore;
 import org.marjoramswitch.daemon.fleet.CustomerSpread;
 import org.marjoramswitch.daemon.fleet.FleetDirectory;
 import org.marjoramswitch.daemon.log.KeyValueLog;
 import org.marjoramswitch.daemon.membership.MembershipDuty;
 import org.marjoramswitch.daemon.peer.PeerLinks;
 import org.marjoramswitch.daemon.platform.FleetList;
+import org.marjoramswitch.daemon.platform.KeyValueStore;
 import org.marjoramswitch.daemon.settings.HostPort;
 import org.marjoramswitch.daemon.settings.LocalSettings;
 import org.marjoramswitch.kernel.InstanceKernel;
 import org.marjoramswitch.kernel.KernelOptions;
+import org.marjoramswitch.kernel.action.Action;
 import org.marjoramswitch.kernel.event.Event;
 import org.marjoramswitch.kernel.membership.ListedInstance;
 import org.marjoramswitch.kernel.membership.MemberAddress;
@@ -67,6 +72,9 @@
     private volatile @Nullable MembershipDuty membership;
 
     private volatile Consumer<FleetView> onView = view -> {};
+    /** Null only while the instance starts: it has sent no request yet. */
+    private volatile @Nullable CrashStore crashStore;
+
     private volatile long generation;
 
     private InstanceCore(
@@ -83,6 +91,7 @@
                 .targets(targets.start(worker, metrics))
                 .observer(recorder(RecordingHeader.of(self, options)))
                 .linkCutter(peers::cut)
+                .crashKeeper(this::keepCrashes)
                 .start());
         this.directory = directory(addressKeepMs);
         this.drain = parts.add(
@@ -199,6 +208,19 @@
         return HostPort.of(settings.peers().host(), port);
     }
 
+    /** From now on what is held against blocked requests is kept in the platform's service. */
+    void keepCrashesIn(KeyValueStore store) {
+        CrashStore.Delay delay = (delayMs, task) -> worker.getIoThread().executeAfter(task, delayMs, MILLISECONDS);
+        crashStore = CrashStore.of(store, decisions, System::currentTimeMillis, delay);
+    }
+
+    private void keepCrashes(Action.KeepCrashes kept) {
+        CrashStore current = crashStore;
+        if (current != null) {
+            current.keep(kept);
+        }
+    }
+
     /** This generation of settings is in force here. */
     void announceGeneration(long newGeneration) {
         generation = newGeneration;
@@ -225,6 +247,10 @@
         }
         directory.setListed(list.instances());
         decisions.offer(new Event.TargetsLeaving(new TreeSet<>(list.leavingTargets())));
+        CrashStore crashes = crashStore;
+        if (crashes != null) {
+            crashes.listed(list.crashes());
+        }
     }
 
     /** Tells the peers that this instance leaves; false where it had been told before. */
--- a/daemon/src/main/java/org/marjoramswitch/daemon/core/ActionRunner.java
+++ b/daemon/src/main/java/org/marjoramswitch/daemon/core/ActionRunner.java
@@ -2,6 +2,7 @@
 
 import java.util.List;
 import java.util.concurrent.CompletableFuture;
+import java.util.function.Consumer;
 import org.jspecify.annotations.Nullable;
 import org.marjoramswitch.daemon.exchange.TargetCall;
 import org.marjoramswitch.daemon.exchange.TargetClient;
@@ -27,18 +28,30 @@
     private final EventSink events;
     private final PeerSender peers;
     private final TargetClient targets;
+    private final Consumer<Action.KeepCrashes> crashKeeper;
     private final CompletableFuture<Void> drained = new CompletableFuture<>();
     private FleetSettings settings = FleetSettings.NONE;
 
-    private ActionRunner(OpenRequests requests, EventSink events, PeerSender peers, TargetClient targets) {
+    private ActionRunner(
+            OpenRequests requests,
+            EventSink events,
+            PeerSender peers,
+            TargetClient targets,
+            Consumer<Action.KeepCrashes> crashKeeper) {
         this.requests = requests;
         this.events = events;
         this.peers = peers;
         this.targets = targets;
+        this.crashKeeper = crashKeeper;
     }
 
-    static ActionRunner of(OpenRequests requests, EventSink events, PeerSender peers, TargetClient targets) {
-        return new ActionRunner(requests, events, peers, targets);
+    static ActionRunner of(
+            OpenRequests requests,
+            EventSink events,
+            PeerSender peers,
+            TargetClient targets,
+            Consumer<Action.KeepCrashes> crashKeeper) {
+        return new ActionRunner(requests, events, peers, targets, crashKeeper);
     }
 
     CompletableFuture<Void> drained() {
@@ -67,6 +80,8 @@
             complete(complete.requestId());
         } else if (action instanceof Action.Fail fail) {
             fail(fail.requestId(), fail.failure());
+        } else if (action instanceof Action.KeepCrashes kept) {
+            crashKeeper.accept(kept);
         } else if (action instanceof Action.Decided decided) {
             DECISIONS.info(decided.decision().event(), decided.decision().fields());
         } else if (action instanceof Action.Drained) {
--- a/daemon/src/main/java/org/marjoramswitch/daemon/core/DecisionDuty.java
+++ b/daemon/src/main/java/org/marjoramswitch/daemon/core/DecisionDuty.java
@@ -77,7 +77,7 @@
         this.linkCutter = builder.linkCutter;
         this.ring = EventRing.of(RING_PER_REQUEST * OpenRequests.maxOpen(builder.maxWaiting));
         this.requests = OpenRequests.of(builder.maxWaiting);
-        this.actions = ActionRunner.of(requests, this, builder.peers, builder.targets);
+        this.actions = ActionRunner.of(requests, this, builder.peers, builder.targets, builder.crashKeeper);
         this.metrics = DecisionMetrics.of(builder.registry, ring, requests);
         this.thread = new Thread(this::run, "decisions");
     }
@@ -277,6 +277,7 @@
         };
         private EventObserver observer = EventObserver.NONE;
         private Consumer<InstanceId> linkCutter = peer -> {};
+        private Consumer<Action.KeepCrashes> crashKeeper = kept -> {};
 
         private Builder(Decider decider, LongSupplier clockMs, int maxWaiting, MetricRegistry registry) {
             this.decider = decider;
@@ -306,6 +307,12 @@
             return this;
         }
 
+        /** @param keeper writes what is held against a request where it outlasts the instances; must not block */
+        public Builder crashKeeper(Consumer<Action.KeepCrashes> keeper) {
+            this.crashKeeper = keeper;
+            return this;
+        }
+
         public DecisionDuty start() {
             return new DecisionDuty(this).start();
         }
--- a/daemon/src/main/java/org/marjoramswitch/daemon/platform/FleetListParser.java
+++ b/daemon/src/main/java/org/marjoramswitch/daemon/platform/FleetListParser.java
@@ -11,6 +11,7 @@
 import java.util.Map;
 import java.util.Optional;
 import java.util.Set;
+import org.marjoramswitch.daemon.platform.FleetList.ListedCrash;
 import org.marjoramswitch.daemon.platform.FleetList.ListedInstance;
 import org.marjoramswitch.daemon.platform.KeyValueStore.Entry;
 import org.marjoramswitch.daemon.settings.HostPort;
@@ -20,7 +21,8 @@
 
 /**
  * Reads the list's entries: {@code list/instances/<id>} holds {@code callers}, {@code peers}, {@code dataCentre} and
- * {@code state}, {@code list/targets/<id>} holds {@code state}; a state is {@code live} or {@code leaving}.
+ * {@code state}, {@code list/targets/<id>} holds {@code state}; a state is {@code live} or {@code leaving}. {@code
+ * list/crashes/<digest>} holds {@code ends}, each with {@code target} and {@code atMs}.
  *
  * <p>An entry that cannot be read says nothing. What the list said of that instance or target before stays in force, so
  * that a slip of the pen neither takes an instance out of the fleet nor makes a leaving target live again.
@@ -31,12 +33,14 @@
     private static final String TARGETS = PREFIX + "targets/";
     private static final String LIVE = "live";
     private static final String LEAVING = "leaving";
+    private static final int HEX = 16;
     private static final int MAX_PORT = 65_535;
     private static final ObjectMapper JSON = new ObjectMapper();
 
     private final FleetList before;
     private final Map<InstanceId, ListedInstance> instances = new HashMap<>();
     private final Set<TargetId> leavingTargets = new HashSet<>();
+    private final Set<ListedCrash> crashes = new HashSet<>();
     private final List<Entry> malformed = new ArrayList<>();
 
     private FleetListParser(FleetList before) {
@@ -49,7 +53,8 @@
     static Reading parse(Collection<Entry> entries, FleetList before) {
         FleetListParser parser = new FleetListParser(before);
         entries.forEach(parser::add);
-        return new Reading(FleetList.of(parser.instances, parser.leavingTargets), List.copyOf(parser.malformed));
+        return new Reading(
+                FleetList.of(parser.instances, parser.leavingTargets, parser.crashes), List.copyOf(parser.malformed));
     }
 
     private void add(Entry entry) {
@@ -57,6 +62,8 @@
             addInstance(InstanceId.of(entry.key().substring(INSTANCES.length())), entry);
         } else if (entry.key().startsWith(TARGETS)) {
             addTarget(TargetId.of(entry.key().substring(TARGETS.length())), entry);
+        } else if (entry.key().startsWith(FleetList.CRASHES_PREFIX)) {
+            addCrashes(entry.key().substring(FleetList.CRASHES_PREFIX.length()), entry);
         } else {
             malformed.add(entry);
         }
@@ -85,6 +92,23 @@
         }
     }
 
+    private void addCrashes(String digest, Entry entry) {
+        try {
+            long parsed = Long.parseUnsignedLong(digest, HEX);
+            for (JsonNode end : body(entry).path("ends")) {
+                String target = end.path("target").asText("");
+                long atMs = end.path("atMs").asLong(0);
+                if (target.isEmpty() || atMs <= 0) {
+                    malformed.add(entry);
+                    return;
+                }
+                crashes.add(new ListedCrash(parsed, TargetId.of(target), atMs));
+            }
+        } catch (NumberFormatException e) {
+            malformed.add(entry);
+        }
+    }
+
     private static JsonNode body(Entry entry) {
         try {
             return JSON.readTree(entry.value());
--- a/kernel/src/main/java/org/marjoramswitch/kernel/InstanceKernel.java
+++ b/kernel/src/main/java/org/marjoramswitch/kernel/InstanceKernel.java
@@ -195,6 +195,8 @@
             targetSaidLeaving(said, sink);
         } else if (event instanceof Event.TargetAskedForRest asked) {
             entry.askedForRest(asked.target(), asked.restMs(), nowMs, sink);
+        } else if (event instanceof Event.CrashesListed listed) {
+            entry.crashNews(new PeerMessage.CrashNews(listed.crashes(), List.of()), nowMs, sink);
         } else if (event instanceof Event.TargetReported reported) {
             targetReported(reported, nowMs);
         } else if (event instanceof Event.PrefixCached cached) {
--- a/kernel/src/main/java/org/marjoramswitch/kernel/action/Action.java
+++ b/kernel/src/main/java/org/marjoramswitch/kernel/action/Action.java
@@ -1,8 +1,10 @@
 package org.marjoramswitch.kernel.action;
 
+import java.util.List;
 import org.jspecify.annotations.Nullable;
 import org.marjoramswitch.kernel.error.Failure;
 import org.marjoramswitch.kernel.message.PeerMessage;
+import org.marjoramswitch.kernel.message.PeerMessage.RequestCrash;
 import org.marjoramswitch.kernel.model.InstanceId;
 import org.marjoramswitch.kernel.model.TargetId;
 
@@ -32,6 +34,9 @@
     /** The request is over with this failure. Each request ends by exactly one of Complete and Fail. */
     record Fail(long requestId, Failure failure) implements Action {}
 
+    /** What is held against a request that is blocked is to outlast the end of all instances. */
+    record KeepCrashes(long digest, List<RequestCrash> crashes) implements Action {}
+
     /** A decision to be logged. */
     record Decided(Decision decision) implements Action {}
 
--- a/kernel/src/main/java/org/marjoramswitch/kernel/crash/CrashExchange.java
+++ b/kernel/src/main/java/org/marjoramswitch/kernel/crash/CrashExchange.java
@@ -37,11 +37,9 @@
         return records;
     }
 
-    /** A target ended under a request of this instance. */
-    public void crashed(RequestCrash crash, long nowMs) {
-        if (records.add(crash, nowMs)) {
-            crashesToTell.add(crash);
-        }
+    /** A target ended under a request of this instance; false where that is known. */
+    public boolean crashed(RequestCrash crash, long nowMs) {
+        return records.add(crash, nowMs) && crashesToTell.add(crash);
     }
 
     /** A request of this instance was answered whole. */
--- a/kernel/src/main/java/org/marjoramswitch/kernel/crash/CrashRecords.java
+++ b/kernel/src/main/java/org/marjoramswitch/kernel/crash/CrashRecords.java
@@ -93,12 +93,17 @@
         return record == null ? 0 : record.ends.size();
     }
 
+    /** What is held against one request. */
+    public List<RequestCrash> of(long digest, long nowMs) {
+        CrashRecord record = records.get(digest);
+        return record == null ? List.of() : record.crashes(digest, nowMs);
+    }
+
     /** All that is known, for an instance that may know less. */
     public List<RequestCrash> all(long nowMs) {
         forget(nowMs);
         List<RequestCrash> all = new ArrayList<>();
-        records.forEach((digest, record) ->
-                record.ends.forEach(end -> all.add(new RequestCrash(digest, end.target(), nowMs - end.atMs()))));
+        records.forEach((digest, record) -> all.addAll(record.crashes(digest, nowMs)));
         return all;
     }
 
@@ -137,6 +142,12 @@
             return ends.add(end);
         }
 
+        private List<RequestCrash> crashes(long digest, long nowMs) {
+            return ends.stream()
+                    .map(end -> new RequestCrash(digest, end.target(), nowMs - end.atMs()))
+                    .toList();
+        }
+
         private boolean isHarmful() {
             return ends.size() >= TARGETS_TO_BLOCK;
         }
--- a/kernel/src/main/java/org/marjoramswitch/kernel/entry/Entry.java
+++ b/kernel/src/main/java/org/marjoramswitch/kernel/entry/Entry.java
@@ -319,7 +319,10 @@
         if (digest == 0 || !outcome.brokeOff()) {
             return;
         }
-        crashes.crashed(new PeerMessage.RequestCrash(digest, target, 0), nowMs);
+        boolean news = crashes.crashed(new PeerMessage.RequestCrash(digest, target, 0), nowMs);
+        if (news && crashes.records().blockedForMs(digest, nowMs) > 0) {
+            sink.accept(new Action.KeepCrashes(digest, crashes.records().of(digest, nowMs)));
+        }
         refuseBlocked(digest, nowMs, sink);
     }
 
--- a/kernel/src/main/java/org/marjoramswitch/kernel/event/Event.java
+++ b/kernel/src/main/java/org/marjoramswitch/kernel/event/Event.java
@@ -1,5 +1,6 @@
 package org.marjoramswitch.kernel.event;
 
+import java.util.List;
 import java.util.Set;
 import org.marjoramswitch.kernel.message.PeerMessage;
 import org.marjoramswitch.kernel.model.FleetView;
@@ -55,6 +56,9 @@
     /** A target turned a request away and wants nothing from this instance for a while. */
     record TargetAskedForRest(TargetId target, long restMs) implements Event {}
 
+    /** Ends of targets under requests that the platform's list names. */
+    record CrashesListed(List<PeerMessage.RequestCrash> crashes) implements Event {}
+
     /** A target reported its load. */
     record TargetReported(TargetId target, LoadReport report) implements Event {}
 
