--- a/daemon/src/main/java/org/marjoramswitch/daemon/platform/EtcdGatewayStore.java
+++ b/daemon/src/main/java/org/marjoramswitch/daemon/platform/EtcdGatewayStore.java
@@ -38,7 +38,8 @@
     public static EtcdGatewayStore start(
             List<HostPort> addresses, KeyValueOptions options, XnioWorker worker, MetricRegistry metrics) {
         return new EtcdGatewayStore(
-                worker, StoreClient.start(addresses, options, worker, metrics, GatewayCodec::revision));
+                worker,
+                StoreClient.start(addresses, options, worker, metrics, (body, headers) -> GatewayCodec.revision(body)));
     }
 
     /** As above, with a clock of the caller's own. */
@@ -49,7 +50,9 @@
             MetricRegistry metrics,
             LongSupplier clock) {
         return new EtcdGatewayStore(
-                worker, StoreClient.start(addresses, options, worker, metrics, GatewayCodec::revision, clock));
+                worker,
+                StoreClient.start(
+                        addresses, options, worker, metrics, (body, headers) -> GatewayCodec.revision(body), clock));
     }
 
     @Override
--- a/daemon/src/main/java/org/marjoramswitch/daemon/platform/GatewayCall.java
+++ b/daemon/src/main/java/org/marjoramswitch/daemon/platform/GatewayCall.java
@@ -1,5 +1,6 @@
 package org.marjoramswitch.daemon.platform;
 
+import io.undertow.util.HeaderMap;
 import java.util.function.Consumer;
 
 /** One call on its way: what is sent, until when, and who hears its end. */
@@ -9,7 +10,7 @@
     sealed interface Outcome {
         /** An answer was read whole. */
         @SuppressWarnings("ArrayRecordComponent") // answers are never compared, and nobody else keeps the array
-        record Answer(int status, byte[] body) implements Outcome {}
+        record Answer(int status, HeaderMap headers, byte[] body) implements Outcome {}
 
         /** No byte of the call left this process, or the service itself says that it did nothing. */
         record NotSent(String reason) implements Outcome {}
--- a/daemon/src/main/java/org/marjoramswitch/daemon/platform/GatewayCaller.java
+++ b/daemon/src/main/java/org/marjoramswitch/daemon/platform/GatewayCaller.java
@@ -1,5 +1,6 @@
 package org.marjoramswitch.daemon.platform;
 
+import io.undertow.util.HeaderMap;
 import java.io.ByteArrayOutputStream;
 import java.nio.ByteBuffer;
 import org.jspecify.annotations.Nullable;
@@ -20,6 +21,7 @@
  */
 final class GatewayCaller {
     private static final KeyValueLog LOG = KeyValueLog.of(GatewayCaller.class);
+    private static final HeaderMap NO_HEADERS = new HeaderMap();
     private static final int TOO_MANY_REQUESTS = 429;
     private static final int FIRST_SERVER_ERROR = 500;
 
@@ -127,25 +129,26 @@
         link.send(call.method(), call.path(), call.body(), attempt);
     }
 
-    private void answered(GatewayCall call, HostPort address, int status, byte[] body) {
+    private void answered(GatewayCall call, HostPort address, GatewayCall.Outcome.Answer answer) {
+        int status = answer.status();
         if (status == TOO_MANY_REQUESTS) {
-            limited(call, body);
+            limited(call, answer);
             return;
         }
         if (status >= FIRST_SERVER_ERROR) {
             // A server error may come after the write was handed on ("request timed out"), so it settles nothing.
-            failed(call, address, "status " + status + ": " + GatewayCodec.errorMessage(body));
+            failed(call, address, "status " + status + ": " + GatewayCodec.errorMessage(answer.body()));
             return;
         }
         addresses.succeeded(address);
-        call.end(new GatewayCall.Outcome.Answer(status, body));
+        call.end(answer);
     }
 
-    private void limited(GatewayCall call, byte[] body) {
+    private void limited(GatewayCall call, GatewayCall.Outcome.Answer answer) {
         runtime.metrics().rateLimited();
         long waitMs = addresses.backoffMs(call.countLimited());
         if (waitMs >= call.remainingMs(runtime.nowMs())) {
-            call.end(new GatewayCall.Outcome.Answer(TOO_MANY_REQUESTS, body));
+            call.end(answer);
             return;
         }
         startLater(call, waitMs);
@@ -167,6 +170,7 @@
         private final ByteArrayOutputStream body = new ByteArrayOutputStream();
         private XnioExecutor.@Nullable Key timer;
         private int status;
+        private HeaderMap headers = NO_HEADERS;
         private boolean over;
 
         private Attempt(GatewayCall call, GatewayConnections.Link link) {
@@ -175,8 +179,9 @@
         }
 
         @Override
-        public void status(int received) {
-            status = received;
+        public void head(int receivedStatus, HeaderMap receivedHeaders) {
+            status = receivedStatus;
+            headers = receivedHeaders;
         }
 
         @Override
@@ -201,7 +206,7 @@
             } else {
                 link.close();
             }
-            answered(call, link.address(), status, body.toByteArray());
+            answered(call, link.address(), new GatewayCall.Outcome.Answer(status, headers, body.toByteArray()));
         }
 
         @Override
--- a/daemon/src/main/java/org/marjoramswitch/daemon/platform/GatewayExchange.java
+++ b/daemon/src/main/java/org/marjoramswitch/daemon/platform/GatewayExchange.java
@@ -6,6 +6,7 @@
 import io.undertow.client.ClientRequest;
 import io.undertow.connector.ByteBufferPool;
 import io.undertow.connector.PooledByteBuffer;
+import io.undertow.util.HeaderMap;
 import io.undertow.util.Headers;
 import io.undertow.util.HttpString;
 import io.undertow.util.Methods;
@@ -22,7 +23,7 @@
 
     /** What becomes of the exchange; exactly one of ended and cut comes last. */
     interface Listener {
-        void status(int status);
+        void head(int status, HeaderMap headers);
 
         void bytes(ByteBuffer bytes);
 
@@ -104,7 +105,9 @@
                 if (over) {
                     return;
                 }
-                listener.status(exchange.getResponse().getResponseCode());
+                listener.head(
+                        exchange.getResponse().getResponseCode(),
+                        exchange.getResponse().getResponseHeaders());
                 read(exchange.getResponseChannel());
             }
 
--- a/daemon/src/main/java/org/marjoramswitch/daemon/platform/GatewayWatch.java
+++ b/daemon/src/main/java/org/marjoramswitch/daemon/platform/GatewayWatch.java
@@ -1,6 +1,7 @@
 package org.marjoramswitch.daemon.platform;
 
 import com.fasterxml.jackson.databind.JsonNode;
+import io.undertow.util.HeaderMap;
 import io.undertow.util.Methods;
 import java.io.ByteArrayOutputStream;
 import java.io.IOException;
@@ -227,7 +228,7 @@
         }
 
         @Override
-        public void status(int status) {
+        public void head(int status, HeaderMap headers) {
             if (status != HTTP_OK) {
                 fail("status " + status);
             }
--- a/daemon/src/main/java/org/marjoramswitch/daemon/platform/StoreClient.java
+++ b/daemon/src/main/java/org/marjoramswitch/daemon/platform/StoreClient.java
@@ -2,6 +2,7 @@
 
 import com.codahale.metrics.MetricRegistry;
 import com.fasterxml.jackson.databind.JsonNode;
+import io.undertow.util.HeaderMap;
 import java.io.IOException;
 import java.util.List;
 import java.util.concurrent.CompletableFuture;
@@ -9,7 +10,7 @@
 import java.util.concurrent.TimeUnit;
 import java.util.function.Function;
 import java.util.function.LongSupplier;
-import java.util.function.ToLongFunction;
+import java.util.function.ToLongBiFunction;
 import org.jspecify.annotations.Nullable;
 import org.marjoramswitch.daemon.log.KeyValueLog;
 import org.marjoramswitch.daemon.settings.HostPort;
@@ -30,10 +31,13 @@
     private final XnioWorker worker;
     private final GatewayRuntime runtime;
     private final GatewayCaller caller;
-    private final ToLongFunction<JsonNode> revisionOf;
+    private final ToLongBiFunction<JsonNode, HeaderMap> revisionOf;
 
     private StoreClient(
-            List<HostPort> addresses, XnioWorker worker, GatewayRuntime runtime, ToLongFunction<JsonNode> revisionOf) {
+            List<HostPort> addresses,
+            XnioWorker worker,
+            GatewayRuntime runtime,
+            ToLongBiFunction<JsonNode, HeaderMap> revisionOf) {
         this.worker = worker;
         this.runtime = runtime;
         this.caller = GatewayCaller.on(runtime, GatewayAddresses.of(addresses, runtime.options()));
@@ -43,14 +47,14 @@
     /**
      * A client of these addresses; connects with the first call.
      *
-     * @param revisionOf the service's revision in the body of an answer, 0 where it has none
+     * @param revisionOf the service's revision in the body and headers of an answer, 0 where it has none
      */
     public static StoreClient start(
             List<HostPort> addresses,
             KeyValueOptions options,
             XnioWorker worker,
             MetricRegistry metrics,
-            ToLongFunction<JsonNode> revisionOf) {
+            ToLongBiFunction<JsonNode, HeaderMap> revisionOf) {
         return start(addresses, options, worker, metrics, revisionOf, StoreClient::steadyMs);
     }
 
@@ -60,7 +64,7 @@
             KeyValueOptions options,
             XnioWorker worker,
             MetricRegistry metrics,
-            ToLongFunction<JsonNode> revisionOf,
+            ToLongBiFunction<JsonNode, HeaderMap> revisionOf,
             LongSupplier clock) {
         GatewayRuntime runtime = new GatewayRuntime(worker.getIoThread(), clock, options, PlatformMetrics.in(metrics));
         return new StoreClient(addresses, worker, runtime, revisionOf);
@@ -189,7 +193,7 @@
         }
         try {
             JsonNode body = GatewayCodec.parse(answer.body());
-            return new KeyValueResult.Answered<>(decode.apply(body), revisionOf.applyAsLong(body));
+            return new KeyValueResult.Answered<>(decode.apply(body), revisionOf.applyAsLong(body, answer.headers()));
         } catch (IOException | IllegalArgumentException e) {
             return new KeyValueResult.OutcomeUnknown<>("unreadable answer: " + e.getMessage());
         }
--- a/daemon/src/main/java/org/marjoramswitch/daemon/platform/WatchTurns.java
+++ b/daemon/src/main/java/org/marjoramswitch/daemon/platform/WatchTurns.java
@@ -60,6 +60,11 @@
         return members.size() % TURNS;
     }
 
+    /** All watches are over, and are told so: what they go by holds no longer. */
+    public void endAll() {
+        dismiss().forEach(turn -> turn.onDoubt.run());
+    }
+
     private synchronized void leave(Turn turn) {
         members.remove(turn);
         if (taken[turn.place] == turn) {
@@ -92,7 +97,7 @@
 
         /** The watch's call ended without an answer: all watches are over, and are told so. */
         public void unanswered() {
-            dismiss().forEach(turn -> turn.onDoubt.run());
+            endAll();
         }
 
         /** The watch is over. */
--- a/daemon/src/test/java/org/marjoramswitch/daemon/platform/SilentConnectionsTest.java
+++ b/daemon/src/test/java/org/marjoramswitch/daemon/platform/SilentConnectionsTest.java
@@ -53,7 +53,7 @@
                 PlatformFixture.options().withTimeouts(CALL_MS, ATTEMPT_MS, ATTEMPT_MS),
                 worker,
                 new MetricRegistry(),
-                body -> 0);
+                (body, headers) -> 0);
     }
 
     @AfterEach
