Write an instance's entry anew where the list names it no more

No directory named an instance: the store had come back from an older copy, its entry and lease were gone, and the renewals of a lease whose number another had by now were answered well. An entry that the list has named and names no more is written under a new lease, spread over 2 s; so is one that the list has not named 10 s after it was written.

--- a/daemon/src/main/java/org/marjoramswitch/daemon/ForwardingDaemon.java
+++ b/daemon/src/main/java/org/marjoramswitch/daemon/ForwardingDaemon.java
@@ -95,8 +95,11 @@
                 seen -> configuration.versionSeen(seen.instance(), seen.generation()));
         parts.add(TargetList.start(
                 store, platform.targetPrefix(), platform.targetDecoder(), this::onTargets, core.clock()));
-        parts.add(FleetListReader.start(store, LIST_PAUSE_MS, core.clock().startMs(), core.metrics(), core::onList));
-        parts.add(InstanceRegistration.start(store, local));
+        InstanceRegistration registration = parts.add(InstanceRegistration.start(store, local));
+        parts.add(FleetListReader.start(store, LIST_PAUSE_MS, core.clock().startMs(), core.metrics(), list -> {
+            core.onList(list);
+            registration.listed(list.instances().containsKey(local.instance()));
+        }));
     }
 
     /**
