Pass over the entry that a target had before it left

Requests went to a target that had left: the store had come back from an older copy, in which it was ready. An entry equal to the last one that named the target ready is not taken; one that the target writes again differs at least in its count.

--- a/daemon/src/main/java/org/marjoramswitch/daemon/fleet/TargetList.java
+++ b/daemon/src/main/java/org/marjoramswitch/daemon/fleet/TargetList.java
@@ -1,7 +1,9 @@
 package org.marjoramswitch.daemon.fleet;
 
 import java.util.Collection;
+import java.util.HashMap;
 import java.util.HashSet;
+import java.util.LinkedHashMap;
 import java.util.Map;
 import java.util.Optional;
 import java.util.Set;
@@ -31,12 +33,18 @@
     private static final long READ_PAUSE_MS = 250;
     /** Targets write their entries again within about two seconds of the service's return. */
     private static final long LAPSED_KEPT_MS = 2_300;
+    /** Above the targets that leave within the age of any copy. */
+    private static final int MOST_DEPARTED = 1_024;
 
     private final Decoder decoder;
     private final Consumer<Map<TargetId, TargetSettings>> listener;
     private final LongSupplier clockMs;
     private final LoggedEntries logged = LoggedEntries.create();
     private @Nullable PrefixFollower follower;
+    private final Map<TargetId, Entry> readyEntries = new HashMap<>();
+    /** Of targets that have left, the last entry that named them ready. */
+    private final Map<TargetId, Entry> departed = new LinkedHashMap<>();
+
     private Map<TargetId, TargetSettings> known = Map.of();
     private @Nullable String failing;
     private long keepLapsedUntilMs;
@@ -117,16 +125,46 @@
             }
             TargetSettings settings = target.get().settings();
             listed.add(settings.id());
-            if (target.get().ready()) {
+            if (target.get().ready() && !isOfBefore(settings.id(), entry)) {
                 ready.put(settings.id(), settings);
+                readyEntries.put(settings.id(), entry);
             }
         }
+        noteDeparted(ready.keySet());
         if (nowMs < keepLapsedUntilMs) {
             ready.putAll(LapsedTargets.kept(known, listed));
         }
         tell(ready);
     }
 
+    /**
+     * Whether the entry is the one that a target had before it left: the service has come back from an older copy, and the
+     * target, which is gone, will not write another. One that lives does, and the new entry differs at least in its count.
+     */
+    private boolean isOfBefore(TargetId id, Entry entry) {
+        Entry last = departed.get(id);
+        boolean ofBefore = last != null
+                && last.createRevision() == entry.createRevision()
+                && last.value().equals(entry.value());
+        if (last != null && !ofBefore) {
+            departed.remove(id);
+        }
+        return ofBefore;
+    }
+
+    private void noteDeparted(Set<TargetId> ready) {
+        readyEntries.entrySet().removeIf(was -> {
+            boolean left = !ready.contains(was.getKey());
+            if (left) {
+                departed.put(was.getKey(), was.getValue());
+            }
+            return left;
+        });
+        while (departed.size() > MOST_DEPARTED) {
+            departed.remove(departed.keySet().iterator().next());
+        }
+    }
+
     private void tell(Map<TargetId, TargetSettings> ready) {
         if (told && ready.equals(known)) {
             return;
