Test: 200 seeds of a store that comes back from an older copy, with shared watches

Virtual time: once or twice in a row, while a reader stands still or is turned away, with changes before, between and after; two seconds after the last change all instances that are served hold what the service holds.

--- a/kernel/src/test/java/org/marjoramswitch/kernel/watch/WatchSharingTest.java
+++ b/kernel/src/test/java/org/marjoramswitch/kernel/watch/WatchSharingTest.java
@@ -5,10 +5,14 @@
 
 import java.util.ArrayList;
 import java.util.List;
+import java.util.Map;
 import java.util.Random;
+import java.util.stream.LongStream;
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.MethodSource;
 import org.junit.jupiter.params.provider.ValueSource;
+import org.marjoramswitch.kernel.message.PeerMessage.WatchedEntry;
 import org.marjoramswitch.kernel.model.InstanceId;
 
 /** Every instance hears of every change within the bounds that leaving targets and settings have, at few calls. */
@@ -188,4 +192,52 @@
         }
         assertEquals(ALL, fleet.holding("k4", null).size());
     }
+
+    /**
+     * Requests would go to targets that have left, and settings stay old: the service has come back from a copy that is some
+     * seconds old, perhaps twice, while a reader stands still or is turned away. What was written since is gone and is written
+     * again in another order. Two seconds after the last change all that are served hold what the service holds.
+     */
+    @ParameterizedTest
+    @MethodSource("seeds")
+    void afterAnOlderCopyAllHoldWhatTheServiceHolds(long seed) {
+        Random random = new Random(seed);
+        WatchedFleet drilled = WatchedFleet.of(1 + random.nextInt(3), 2 + random.nextInt(9));
+        drilled.run(5_000);
+        change(drilled, random, 5);
+        InstanceId disturbed = drilled.ids().get(random.nextInt(drilled.ids().size()));
+        for (int drill = 0; drill <= random.nextInt(2); drill++) {
+            Map<String, WatchedEntry> copy = drilled.copy();
+            change(drilled, random, 12);
+            if (random.nextBoolean()) {
+                drilled.standsStill(disturbed);
+            } else {
+                drilled.turnAway(disturbed);
+            }
+            drilled.run(random.nextInt(2_000));
+            drilled.comeBackFrom(copy, random);
+            change(drilled, random, random.nextInt(6));
+            drilled.wakes(disturbed);
+            drilled.serveAgain(disturbed);
+        }
+        drilled.put("last", "ready");
+        drilled.run(BOUND_MS);
+        assertEquals(List.of(), drilled.astray(), "seed " + seed);
+    }
+
+    static LongStream seeds() {
+        return LongStream.range(0, 200);
+    }
+
+    private static void change(WatchedFleet changed, Random random, int times) {
+        for (int i = 0; i < times; i++) {
+            String key = "t" + random.nextInt(6);
+            if (random.nextInt(3) == 0) {
+                changed.remove(key);
+            } else {
+                changed.put(key, "write " + random.nextInt(1_000));
+            }
+            changed.run(random.nextInt(300));
+        }
+    }
 }
--- a/kernel/src/test/java/org/marjoramswitch/kernel/watch/WatchedFleet.java
+++ b/kernel/src/test/java/org/marjoramswitch/kernel/watch/WatchedFleet.java
@@ -6,6 +6,7 @@
 import java.util.List;
 import java.util.Map;
 import java.util.PriorityQueue;
+import java.util.Random;
 import java.util.Set;
 import java.util.TreeMap;
 import org.jspecify.annotations.Nullable;
@@ -25,6 +26,7 @@
     private static final long WAY_MS = 2;
     private static final long TICK_MS = 500;
     private static final long WAIT_MS = 3_000;
+    private static final long REVISIONS_PER_ERA = 1_000_000;
 
     private final PriorityQueue<Due> due =
             new PriorityQueue<>(Comparator.comparingLong(Due::atMs).thenComparingLong(Due::order));
@@ -117,11 +119,48 @@
         instances.values().stream().filter(instance -> instance.reading).forEach(Instance::cut);
     }
 
+    /** The service's entries as they are now. */
+    Map<String, WatchedEntry> copy() {
+        return Map.copyOf(entries);
+    }
+
+    /**
+     * The service comes back from an older copy, as its adapter tells it: entries as they were then, revisions of a later
+     * era. Most watches are cut at once; one between two calls hears of it with its next.
+     */
+    void comeBackFrom(Map<String, WatchedEntry> copy, Random random) {
+        revision = (revision / REVISIONS_PER_ERA + 1) * REVISIONS_PER_ERA + random.nextInt(100);
+        changes.clear();
+        entries.clear();
+        copy.forEach((key, entry) ->
+                entries.put(key, new WatchedEntry(key, entry.value(), entry.createRevision(), revision)));
+        instances.values().stream()
+                .filter(instance -> instance.reading)
+                .forEach(instance -> at(nowMs + random.nextInt(100), instance::cutIfReading));
+    }
+
+    /** What the service holds, by key without the prefix. */
+    Map<String, String> values() {
+        Map<String, String> values = new TreeMap<>();
+        entries.forEach((key, entry) -> values.put(key, String.valueOf(entry.value())));
+        return values;
+    }
+
+    /** The instances that hold anything else than the service does. */
+    List<InstanceId> astray() {
+        Map<String, String> held = values();
+        return ids().stream().filter(id -> !instance(id).told.equals(held)).toList();
+    }
+
     /** The next message to the instance is lost on its way. */
     void loseNextTo(InstanceId instance) {
         loseNext.add(instance);
     }
 
+    void wakes(InstanceId instance) {
+        still.remove(instance);
+    }
+
     void put(String key, String value) {
         revision++;
         changed(new WatchedEntry(PREFIX + key, value, revision, revision));
@@ -264,6 +303,12 @@
             at(nowMs + WAIT_MS, () -> answerWhenOver(after));
         }
 
+        private void cutIfReading() {
+            if (reading) {
+                cut();
+            }
+        }
+
         /** The watch is broken; where the service answers, the whole is read at once. */
         private void cut() {
             reading = false;
@@ -287,7 +332,8 @@
             if (still.contains(member.id())) {
                 return;
             }
-            if (turnedAway.contains(member.id())) {
+            boolean otherEra = afterRevision / REVISIONS_PER_ERA != revision / REVISIONS_PER_ERA;
+            if (turnedAway.contains(member.id()) || otherEra) {
                 cut();
                 return;
             }
