Test, failing: an arbiter offers a resting target over and over

Found on reading the mend again: with every target of the arbiter left out it takes any, so it offers the resting one; the entry gives it back and asks anew, without end. In virtual time the test does not come to an end.

--- a/kernel/src/test/java/org/marjoramswitch/kernel/PlacementFleetTest.java
+++ b/kernel/src/test/java/org/marjoramswitch/kernel/PlacementFleetTest.java
@@ -7,6 +7,7 @@
 
 import java.util.Set;
 import org.junit.jupiter.api.Test;
+import org.junit.jupiter.api.Timeout;
 import org.marjoramswitch.kernel.action.Action;
 import org.marjoramswitch.kernel.error.ErrorType;
 import org.marjoramswitch.kernel.event.Event;
@@ -203,6 +204,21 @@
         assertEquals(2_000, failure(request).failure().retryAfterMs());
     }
 
+    /**
+     * The caller hears at once when to come back. Of two targets one rests, and the arbiter knows already that the other has
+     * left: it has nothing but the resting one to offer, and offered it again each time that it was given back.
+     */
+    @Test
+    @Timeout(value = 20, threadMode = Timeout.ThreadMode.SEPARATE_THREAD)
+    void aRestingTargetIsNotAskedForOverAndOver() {
+        tell(arbiter, new Event.SettingsAccepted(settings("t1")));
+        tell(entry, new Event.TargetAskedForRest(TargetId.of("t1"), 2_000));
+        long request = arrive(true, 2, false);
+        assertEquals(ErrorType.TARGETS_REST, failure(request).failure().type());
+        assertEquals(2_000, failure(request).failure().retryAfterMs());
+        assertEquals(0, dispatched.size());
+    }
+
     /** A request whose only other target failed it before goes there again, and not to the one that rests. */
     @Test
     void aRestingTargetIsNotTheLastResort() {
