--- a/kernel/src/main/java/org/marjoramswitch/kernel/InstanceKernel.java
+++ b/kernel/src/main/java/org/marjoramswitch/kernel/InstanceKernel.java
@@ -260,7 +260,7 @@
             noteSaidLeaving(leaving.target(), leaving.startedAtMs(), sink);
             return;
         }
-        Set<TargetId> all = new TreeSet<>(plan.leavingTargets());
+        Set<TargetId> all = new TreeSet<>(plan.listedLeaving());
         all.add(leaving.target());
         targetsLeaving(all, sink);
     }
--- a/kernel/src/main/java/org/marjoramswitch/kernel/entry/FleetPlan.java
+++ b/kernel/src/main/java/org/marjoramswitch/kernel/entry/FleetPlan.java
@@ -77,6 +77,11 @@
         assignment = ArbiterAssignment.of(cells.cells(), newView);
     }
 
+    /** Those that a list names, alone. */
+    public Set<TargetId> listedLeaving() {
+        return listedLeaving;
+    }
+
     public void leavingTargets(Collection<TargetId> leaving) {
         listedLeaving = new TreeSet<>(leaving);
         joinLeaving();
@@ -88,8 +93,11 @@
         if (saidLeaving.size() > MOST_SAID_LEAVING) {
             saidLeaving.remove(saidLeaving.keySet().iterator().next());
         }
-        joinLeaving();
-        return known == null || known != startedAtMs;
+        boolean news = known == null || known != startedAtMs;
+        if (news) {
+            joinLeaving();
+        }
+        return news;
     }
 
     private void joinLeaving() {
--- a/kernel/src/main/java/org/marjoramswitch/kernel/entry/Placements.java
+++ b/kernel/src/main/java/org/marjoramswitch/kernel/entry/Placements.java
@@ -68,6 +68,12 @@
         return cell == null ? 0 : rests.leftMs(targets(cell), nowMs);
     }
 
+    /** Whether the request's running question left the target out, so that its arbiter has no other to offer. */
+    boolean leftOut(EntryRequest request, TargetId target) {
+        Question question = byRequest.get(request.spec().requestId());
+        return question != null && question.excluded.contains(target);
+    }
+
     /** Targets have had their rest: requests for which they were left out may be placed there, and not wait beside them. */
     void restEnded(long nowMs, ActionSink sink) {
         for (Question question : List.copyOf(byNumber.values())) {
@@ -217,6 +223,7 @@
         PlacementSpec spec = question.spec();
         Set<TargetId> resting = rests.resting(nowMs);
         question.spared = !resting.isEmpty();
+        question.excluded = excluded(question, resting);
         send(
                 question,
                 new PeerMessage.Place(
@@ -228,7 +235,7 @@
                         spec.outputTokens(),
                         spec.objectiveAtMs() - nowMs,
                         request.spec().deadlineMs() - nowMs,
-                        excluded(question, resting)),
+                        question.excluded),
                 sink);
     }
 
@@ -282,6 +289,8 @@
         /** Whether targets are left out because they rest. */
         private boolean spared;
 
+        private List<TargetId> excluded = List.of();
+
         private Question(long number, EntryRequest request, CellId cell, InstanceId arbiter) {
             this.number = number;
             this.request = request;
