--- a/daemon/src/main/java/org/marjoramswitch/daemon/fleet/CrashStore.java
+++ b/daemon/src/main/java/org/marjoramswitch/daemon/fleet/CrashStore.java
@@ -20,9 +20,9 @@
 import org.marjoramswitch.kernel.message.PeerMessage.RequestCrash;
 
 /**
- * Writes under which requests targets have ended to the platform's list, and tells the decisions what stands there, for the case that all instances end together:
- * each would let a harmful request end as many targets again. Peers tell one another without it, so it may be late, and
- * an entry that could not be written in time is given up.
+ * Writes under which requests targets have ended to the platform's list, and tells the decisions what stands there. It is
+ * for the case that all instances end together and start anew knowing nothing: a harmful request would end as many targets
+ * again. Peers tell one another without it, so it may be late, and an entry that cannot be written for a while is given up.
  */
 public final class CrashStore {
     private static final KeyValueLog LOG = KeyValueLog.of(CrashStore.class);
--- a/kernel/src/main/java/org/marjoramswitch/kernel/crash/CrashExchange.java
+++ b/kernel/src/main/java/org/marjoramswitch/kernel/crash/CrashExchange.java
@@ -66,11 +66,13 @@
         return changed;
     }
 
+    /** Whether anything was learned that the peers have not been told. */
+    public boolean hasNews() {
+        return !crashesToTell.isEmpty() || !servedToTell.isEmpty();
+    }
+
     /** Tells the peers what was learned since the last time. */
     public void tell(Collection<InstanceId> peers, ActionSink sink) {
-        if (crashesToTell.isEmpty() && servedToTell.isEmpty()) {
-            return;
-        }
         CrashNews news = new CrashNews(take(crashesToTell), take(servedToTell));
         peers.forEach(peer -> sink.accept(new Action.SendPeer(peer, news)));
     }
--- a/kernel/src/main/java/org/marjoramswitch/kernel/entry/Entry.java
+++ b/kernel/src/main/java/org/marjoramswitch/kernel/entry/Entry.java
@@ -310,6 +310,9 @@
     }
 
     private void tellCrashes(ActionSink sink) {
+        if (!crashes.hasNews()) {
+            return;
+        }
         Set<InstanceId> peers = new TreeSet<>(plan.view().members().keySet());
         peers.remove(self);
         crashes.tell(peers, sink);
