--- a/kernel/src/main/java/org/marjoramswitch/kernel/entry/Entry.java
+++ b/kernel/src/main/java/org/marjoramswitch/kernel/entry/Entry.java
@@ -45,6 +45,9 @@
  * <p>While a cell's arbiter cannot be reached, or is new and still collects registrations, a request that ends hands
  * its slot to the next request waiting here, in the order of the standings last told. So capacity does not idle
  * through a change of arbiter; the entry registers anew afterwards and the arbiter accounts for it.
+ *
+ * <p>A request under which several targets have ended is not sent on, whichever instance saw them end ({@link
+ * CrashExchange}); a target that asked this instance for rest is left out until the rest is over ({@link TargetRests}).
  */
 public final class Entry {
     private static final long RETRY_AFTER_MS = 1_000;
