--- a/daemon/src/main/java/org/marjoramswitch/daemon/caller/MetricsText.java
+++ b/daemon/src/main/java/org/marjoramswitch/daemon/caller/MetricsText.java
@@ -19,15 +19,16 @@
 
     static byte[] prometheus(MetricRegistry registry) {
         StringBuilder out = new StringBuilder();
-        registry.getGauges().forEach((name, gauge) -> appendGauge(out, name, gauge));
-        registry.getCounters().forEach((name, counter) -> appendValue(out, name, "gauge", counter.getCount()));
-        registry.getMeters().forEach((name, meter) -> appendValue(out, name + "_total", "counter", meter.getCount()));
-        registry.getHistograms()
-                .forEach((name, histogram) ->
-                        appendSummary(out, name, histogram.getSnapshot(), histogram.getCount(), 1));
+        // Latencies and gauges come first: collectors that cap the page size drop its end, the many counters by type.
         registry.getTimers()
                 .forEach((name, timer) ->
                         appendSummary(out, name + "_seconds", timer.getSnapshot(), timer.getCount(), secondsPerNano()));
+        registry.getHistograms()
+                .forEach((name, histogram) ->
+                        appendSummary(out, name, histogram.getSnapshot(), histogram.getCount(), 1));
+        registry.getGauges().forEach((name, gauge) -> appendGauge(out, name, gauge));
+        registry.getMeters().forEach((name, meter) -> appendValue(out, name + "_total", "counter", meter.getCount()));
+        registry.getCounters().forEach((name, counter) -> appendValue(out, name, "gauge", counter.getCount()));
         return out.toString().getBytes(StandardCharsets.UTF_8);
     }
 
--- a/daemon/src/main/java/org/marjoramswitch/daemon/core/DecisionDuty.java
+++ b/daemon/src/main/java/org/marjoramswitch/daemon/core/DecisionDuty.java
@@ -63,6 +63,7 @@
     private final OpenRequests requests;
     private final ActionRunner actions;
     private final DecisionMetrics metrics;
+    private final DecisionLag lag = new DecisionLag();
     private final Thread thread;
     private final Set<InstanceId> cutLinks = ConcurrentHashMap.newKeySet();
     private volatile boolean closed;
@@ -222,6 +223,7 @@
             metrics.ringTime().update(waitedNs, TimeUnit.NANOSECONDS);
             lagMs = TimeUnit.NANOSECONDS.toMillis(waitedNs);
             decide(next.event());
+            lag.waited(lagMs, ring.size(), nowMs);
         }
         return true;
     }
