--- a/daemon/src/main/java/org/marjoramswitch/daemon/InstanceCore.java
+++ b/daemon/src/main/java/org/marjoramswitch/daemon/InstanceCore.java
@@ -82,7 +82,8 @@
             throws IOException {
         this.settings = settings;
         this.parts = parts;
-        this.self = Member.of(settings.instance(), clock.startMs(), settings.dataCentre(), false);
+        this.self = Member.of(settings.instance(), clock.startMs(), settings.dataCentre(), false)
+                .withProcessor(settings.processorMillicores());
         ProcessMetrics.register(metrics);
         this.worker = startWorker();
         this.kernel = KernelDriver.of(InstanceKernel.create(self, options));
--- a/daemon/src/main/java/org/marjoramswitch/daemon/fleet/FleetDirectory.java
+++ b/daemon/src/main/java/org/marjoramswitch/daemon/fleet/FleetDirectory.java
@@ -128,6 +128,6 @@
         boolean leaving = member.leaving() || (known != null && known.leaving());
         long incarnation =
                 Math.max(member.incarnation(), provedIncarnations.getOrDefault(member.id(), member.incarnation()));
-        return Member.of(member.id(), incarnation, member.dataCentre(), leaving);
+        return new Member(member.id(), incarnation, member.dataCentre(), leaving, member.processorMillicores());
     }
 }
--- a/daemon/src/main/java/org/marjoramswitch/daemon/settings/LocalSettings.java
+++ b/daemon/src/main/java/org/marjoramswitch/daemon/settings/LocalSettings.java
@@ -4,6 +4,7 @@
 import org.jspecify.annotations.Nullable;
 import org.marjoramswitch.kernel.model.DataCentreId;
 import org.marjoramswitch.kernel.model.InstanceId;
+import org.marjoramswitch.kernel.model.Member;
 
 /**
  * What an instance learns from its own settings file; all else comes from the platform's service.
@@ -15,6 +16,7 @@
  * @param drainDeadlineMs how long a graceful shutdown may wait for its requests
  * @param maxBodyBytes the largest request body taken
  * @param maxWaiting the most requests that may wait at this instance in all
+ * @param processorMillicores the processor time that the instance may use, in thousandths of a core; 0 where unknown
  * @param recordFile where events for replay are written, null for none
  */
 public record LocalSettings(
@@ -28,6 +30,7 @@
         long drainDeadlineMs,
         long maxBodyBytes,
         int maxWaiting,
+        int processorMillicores,
         @Nullable String recordFile) {
     public static final long DEFAULT_DRAIN_DEADLINE_MS = 120_000;
     public static final long DEFAULT_MAX_BODY_BYTES = 4L << 20;
@@ -52,6 +55,7 @@
                 DEFAULT_DRAIN_DEADLINE_MS,
                 DEFAULT_MAX_BODY_BYTES,
                 DEFAULT_MAX_WAITING,
+                Member.UNKNOWN_PROCESSOR,
                 null);
     }
 
@@ -67,6 +71,23 @@
                 deadlineMs,
                 maxBodyBytes,
                 maxWaiting,
+                processorMillicores,
+                recordFile);
+    }
+
+    public LocalSettings withProcessor(int millicores) {
+        return new LocalSettings(
+                instance,
+                dataCentre,
+                callers,
+                peers,
+                platform,
+                fleetKey,
+                logLevel,
+                drainDeadlineMs,
+                maxBodyBytes,
+                maxWaiting,
+                millicores,
                 recordFile);
     }
 }
--- a/daemon/src/main/java/org/marjoramswitch/daemon/settings/LocalSettingsReader.java
+++ b/daemon/src/main/java/org/marjoramswitch/daemon/settings/LocalSettingsReader.java
@@ -22,6 +22,7 @@
 import org.marjoramswitch.daemon.settings.LocalSettingsResult.Valid;
 import org.marjoramswitch.kernel.model.DataCentreId;
 import org.marjoramswitch.kernel.model.InstanceId;
+import org.marjoramswitch.kernel.model.Member;
 
 /** Reads an instance's settings file; the committed schema says what it may hold. */
 public final class LocalSettingsReader {
@@ -106,6 +107,7 @@
                 root.path("drainDeadlineMs").asLong(LocalSettings.DEFAULT_DRAIN_DEADLINE_MS),
                 root.path("maxBodyBytes").asLong(LocalSettings.DEFAULT_MAX_BODY_BYTES),
                 root.path("maxWaiting").asInt(LocalSettings.DEFAULT_MAX_WAITING),
+                root.path("processorMillicores").asInt(Member.UNKNOWN_PROCESSOR),
                 root.hasNonNull("recordFile") ? root.path("recordFile").asText() : null);
     }
 
--- a/kernel/src/main/java/org/marjoramswitch/kernel/membership/Datagram.java
+++ b/kernel/src/main/java/org/marjoramswitch/kernel/membership/Datagram.java
@@ -19,7 +19,8 @@
             boolean leaving,
             boolean left,
             DataCentreId dataCentre,
-            long generation) {}
+            long generation,
+            int processorMillicores) {}
 
     /** The purpose of a datagram. */
     public sealed interface Body {}
--- a/kernel/src/main/java/org/marjoramswitch/kernel/membership/FailureDetector.java
+++ b/kernel/src/main/java/org/marjoramswitch/kernel/membership/FailureDetector.java
@@ -183,7 +183,7 @@
     /** The view as it is held now. */
     public FleetView view() {
         List<Member> members = new ArrayList<>();
-        members.add(Member.of(self.id(), self.incarnation(), self.dataCentre(), leaving));
+        members.add(new Member(self.id(), self.incarnation(), self.dataCentre(), leaving, self.processorMillicores()));
         table.present().forEach(entry -> members.add(entry.toMember()));
         return FleetView.of(members);
     }
@@ -391,7 +391,8 @@
                         sender.leaving(),
                         sender.dataCentre(),
                         from,
-                        sender.generation()),
+                        sender.generation(),
+                        sender.processorMillicores()),
                 nowMs);
         if (sender.generation() > generation) {
             actions.add(new MembershipAction.GenerationSeen(sender.id(), sender.generation()));
@@ -481,7 +482,14 @@
 
     private void sendRaw(MemberAddress to, Datagram.Body body, List<MemberUpdate> updates) {
         Datagram.Sender sender = new Datagram.Sender(
-                self.id(), self.incarnation(), revision, leaving, left, self.dataCentre(), generation);
+                self.id(),
+                self.incarnation(),
+                revision,
+                leaving,
+                left,
+                self.dataCentre(),
+                generation,
+                self.processorMillicores());
         actions.add(new MembershipAction.Send(to, new Datagram(sender, body, List.copyOf(updates))));
     }
 
--- a/kernel/src/main/java/org/marjoramswitch/kernel/membership/MemberEntry.java
+++ b/kernel/src/main/java/org/marjoramswitch/kernel/membership/MemberEntry.java
@@ -15,6 +15,7 @@
     private boolean leaving;
     private DataCentreId dataCentre;
     private MemberAddress address;
+    private int processorMillicores;
     private long generation;
     private long deadlineMs;
     private long endedMs;
@@ -43,6 +44,7 @@
         if (update.whole()) {
             dataCentre = update.dataCentre();
             address = update.address();
+            processorMillicores = update.processorMillicores();
         }
     }
 
@@ -103,14 +105,15 @@
     /** The update that says what is held; a dead member is reported as suspect, so that it can still speak up. */
     MemberUpdate toUpdate() {
         if (status == MemberStatus.ALIVE) {
-            return new MemberUpdate(id, incarnation, revision, status, leaving, dataCentre, address, generation);
+            return new MemberUpdate(
+                    id, incarnation, revision, status, leaving, dataCentre, address, generation, processorMillicores);
         }
         MemberStatus sent = status == MemberStatus.LEFT ? MemberStatus.LEFT : MemberStatus.SUSPECT;
         return MemberUpdate.accusation(id, incarnation, revision, sent, leaving);
     }
 
     Member toMember() {
-        return Member.of(id, incarnation, dataCentre, leaving);
+        return Member.of(id, incarnation, dataCentre, leaving).withProcessor(processorMillicores);
     }
 
     InstanceId id() {
--- a/kernel/src/main/java/org/marjoramswitch/kernel/membership/MemberUpdate.java
+++ b/kernel/src/main/java/org/marjoramswitch/kernel/membership/MemberUpdate.java
@@ -2,6 +2,7 @@
 
 import org.marjoramswitch.kernel.model.DataCentreId;
 import org.marjoramswitch.kernel.model.InstanceId;
+import org.marjoramswitch.kernel.model.Member;
 
 /**
  * One statement about a member, as it is passed on from instance to instance.
@@ -10,7 +11,7 @@
  * @param revision grows within an incarnation with every announcement of the member itself; only the member raises it
  * @param status never {@link MemberStatus#DEAD}
  * @param leaving whether the member has announced its graceful shutdown
- * @param dataCentre known only where {@link #whole()}, as is {@code address}
+ * @param dataCentre known only where {@link #whole()}, as are {@code address} and {@code processorMillicores}
  * @param generation of settings in force there, as far as the sender knows; not part of the order of updates
  */
 public record MemberUpdate(
@@ -21,19 +22,21 @@
         boolean leaving,
         DataCentreId dataCentre,
         MemberAddress address,
-        long generation) {
+        long generation,
+        int processorMillicores) {
     /** Stands for what an accusation does not say. */
     public static final DataCentreId NO_DATA_CENTRE = DataCentreId.of("");
     /** Stands for what an accusation does not say. */
     public static final MemberAddress NO_ADDRESS = MemberAddress.of("", 0);
 
     private static final int ACCUSATION_BYTES = 18;
-    private static final int WHOLE_BYTES = 30;
+    private static final int WHOLE_BYTES = 33;
 
     /** An update that says only whom it means and what became of it. */
     public static MemberUpdate accusation(
             InstanceId id, long incarnation, long revision, MemberStatus status, boolean leaving) {
-        return new MemberUpdate(id, incarnation, revision, status, leaving, NO_DATA_CENTRE, NO_ADDRESS, 0);
+        return new MemberUpdate(
+                id, incarnation, revision, status, leaving, NO_DATA_CENTRE, NO_ADDRESS, 0, Member.UNKNOWN_PROCESSOR);
     }
 
     /** Whether the update says where the member is; an accusation only says whom it means. */
--- a/kernel/src/main/java/org/marjoramswitch/kernel/wire/DatagramCodec.java
+++ b/kernel/src/main/java/org/marjoramswitch/kernel/wire/DatagramCodec.java
@@ -16,6 +16,7 @@
 import org.marjoramswitch.kernel.membership.MemberUpdate;
 import org.marjoramswitch.kernel.model.DataCentreId;
 import org.marjoramswitch.kernel.model.InstanceId;
+import org.marjoramswitch.kernel.model.Member;
 
 /**
  * Datagrams of the failure detector: a truncated HMAC-SHA256 under the fleet key, then one MessagePack array.
@@ -46,7 +47,7 @@
     private static final int SUSPECT = 2;
     private static final int LEFT = 4;
 
-    private static final int WHOLE_FIELDS = 8;
+    private static final int WHOLE_FIELDS = 9;
     private static final int ACCUSATION_FIELDS = 4;
     private static final Map<MemberStatus, Integer> STATUS_FLAGS = Map.of(
             MemberStatus.ALIVE, 0, MemberStatus.SUSPECT, SUSPECT, MemberStatus.DEAD, SUSPECT, MemberStatus.LEFT, LEFT);
@@ -108,7 +109,9 @@
         return Arrays.copyOf(mac.doFinal(), CODE_BYTES);
     }
 
-    // Array: purpose, sender's id, incarnation, revision, flags, data centre, generation, updates, then by purpose.
+    // Array: purpose, sender's id, incarnation, revision, flags, data centre, generation, updates, those of the
+    // purpose,
+    // the sender's processor.
 
     private byte[] payload(Datagram datagram) {
         Datagram.Sender sender = datagram.sender();
@@ -125,6 +128,7 @@
         datagram.updates().forEach(this::put);
         out.endList();
         putBody(datagram.body());
+        out.field(sender.processorMillicores());
         return out.end();
     }
 
@@ -141,7 +145,8 @@
         out.put(update.dataCentre().name())
                 .put(update.address().host())
                 .put(update.address().port())
-                .put(update.generation());
+                .put(update.generation())
+                .put(update.processorMillicores());
     }
 
     private static int purpose(Datagram.Body body) {
@@ -183,10 +188,22 @@
         long revision = in.field();
         int flags = in.intField();
         DataCentreId dataCentre = DataCentreId.of(in.text());
-        Datagram.Sender sender = new Datagram.Sender(
-                id, incarnation, revision, has(flags, LEAVING), has(flags, LEFT), dataCentre, in.field(0));
+        long generation = in.field(0);
         List<MemberUpdate> updates = readUpdates(in);
-        return new Datagram(sender, readBody(in, purpose), updates);
+        Datagram.Body body = readBody(in, purpose);
+        // The fields of an unknown purpose cannot be told from the processor's.
+        boolean isUnknown = body instanceof Datagram.Unknown;
+        int processorMillicores = isUnknown ? Member.UNKNOWN_PROCESSOR : in.intField(Member.UNKNOWN_PROCESSOR);
+        Datagram.Sender sender = new Datagram.Sender(
+                id,
+                incarnation,
+                revision,
+                has(flags, LEAVING),
+                has(flags, LEFT),
+                dataCentre,
+                generation,
+                processorMillicores);
+        return new Datagram(sender, body, updates);
     }
 
     private static List<MemberUpdate> readUpdates(FieldReader in) throws IOException {
@@ -214,7 +231,15 @@
         DataCentreId dataCentre = DataCentreId.of(in.text());
         MemberAddress address = readAddress(in);
         return new MemberUpdate(
-                id, incarnation, revision, MemberStatus.ALIVE, leaving, dataCentre, address, in.field(0));
+                id,
+                incarnation,
+                revision,
+                MemberStatus.ALIVE,
+                leaving,
+                dataCentre,
+                address,
+                in.field(0),
+                in.intField(Member.UNKNOWN_PROCESSOR));
     }
 
     private static Datagram.Body readBody(FieldReader in, int purpose) throws IOException {
--- a/kernel/src/test/java/org/marjoramswitch/kernel/membership/FailureDetectorTest.java
+++ b/kernel/src/test/java/org/marjoramswitch/kernel/membership/FailureDetectorTest.java
@@ -174,7 +174,7 @@
         loop.run(5_000);
         long newer = DatagramLoop.INCARNATION + 2;
         Datagram.Sender young =
-                new Datagram.Sender(DatagramLoop.id(2), newer, 0, false, false, DataCentreId.of("leith-2"), 0);
+                new Datagram.Sender(DatagramLoop.id(2), newer, 0, false, false, DataCentreId.of("leith-2"), 0, 0);
         List<MembershipAction> actions = old.onDatagram(
                 DatagramLoop.address(2), new Datagram(young, new Datagram.Ping(1), List.of()), loop.nowMs);
         assertEquals(
--- a/kernel/src/test/java/org/marjoramswitch/kernel/wire/DatagramCodecTest.java
+++ b/kernel/src/test/java/org/marjoramswitch/kernel/wire/DatagramCodecTest.java
@@ -20,9 +20,10 @@
     private static final InstanceId ID = InstanceId.of("salle-contrôle-3");
     private static final DataCentreId DATA_CENTRE = DataCentreId.of("salle-controle");
     private static final Datagram.Sender SENDER =
-            new Datagram.Sender(ID, 1_800_000_000_000L, 3, true, false, DATA_CENTRE, 77);
+            new Datagram.Sender(ID, 1_800_000_000_000L, 3, true, false, DATA_CENTRE, 77, 360);
     private static final List<MemberUpdate> UPDATES = List.of(
-            new MemberUpdate(ID, 5, 6, MemberStatus.ALIVE, true, DATA_CENTRE, MemberAddress.of("10.1.2.3", 7_001), 9),
+            new MemberUpdate(
+                    ID, 5, 6, MemberStatus.ALIVE, true, DATA_CENTRE, MemberAddress.of("10.1.2.3", 7_001), 9, 1_500),
             MemberUpdate.accusation(ID, 5, 6, MemberStatus.SUSPECT, false),
             MemberUpdate.accusation(ID, 5, 7, MemberStatus.LEFT, true));
 
@@ -56,7 +57,7 @@
                 .field(3);
         fields.list(0).field(1).text("more");
         DatagramResult result = decode(withCode(fields.end()));
-        Datagram.Sender sender = new Datagram.Sender(ID, 1, 2, false, false, DataCentreId.of("dc"), 3);
+        Datagram.Sender sender = new Datagram.Sender(ID, 1, 2, false, false, DataCentreId.of("dc"), 3, 0);
         assertEquals(new DatagramResult.Decoded(new Datagram(sender, new Datagram.Unknown(), List.of())), result);
     }
 
