Add failing test: the arbiter of a pool runs on an instance with too little processor

52 instances of 0.36 of a core and eight of 1.5, 1,400 requests a second, 60 targets that carry 1,800, 0.11 core milliseconds for an event.

--- /dev/null
+++ b/kernel/src/test/java/org/marjoramswitch/kernel/ArbiterProcessorTest.java
@@ -0,0 +1,34 @@
+package org.marjoramswitch.kernel;
+
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import java.util.ArrayList;
+import java.util.Collections;
+import java.util.List;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.ValueSource;
+import org.marjoramswitch.kernel.model.CustomerId;
+import org.marjoramswitch.kernel.model.PoolId;
+
+class ArbiterProcessorTest {
+    private static final int SMALL = 52;
+    private static final int SMALL_MILLICORES = 360;
+    private static final int LARGE = 8;
+    private static final int LARGE_MILLICORES = 1_500;
+    private static final int TARGETS = 60;
+    private static final double EVENT_CORE_MS = 0.11;
+    private static final double REQUESTS_PER_SECOND = 1_400;
+
+    /** Guards against an arbiter on an instance with too little processor, which starves its whole pool beside idle targets. */
+    @ParameterizedTest
+    @ValueSource(strings = {"pool-0", "pool-1", "pool-2", "pool-3", "pool-4", "pool-5"})
+    void arbiterHasEnoughProcessorForItsPool(String pool) {
+        List<Integer> millicores = new ArrayList<>(Collections.nCopies(SMALL, SMALL_MILLICORES));
+        millicores.addAll(Collections.nCopies(LARGE, LARGE_MILLICORES));
+        ProcessorBoundFleet fleet = ProcessorBoundFleet.of(PoolId.of(pool), millicores, EVENT_CORE_MS, 1);
+        fleet.targets(TARGETS);
+        fleet.load(CustomerId.of("a"), REQUESTS_PER_SECOND, 100, 5_000);
+        fleet.run(8_000);
+        assertTrue(fleet.inTimeShare() >= 0.95, fleet::toString);
+    }
+}
--- /dev/null
+++ b/kernel/src/test/java/org/marjoramswitch/kernel/ProcessorBoundFleet.java
@@ -0,0 +1,208 @@
+package org.marjoramswitch.kernel;
+
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.PriorityQueue;
+import java.util.Random;
+import java.util.TreeMap;
+import org.marjoramswitch.kernel.action.Action;
+import org.marjoramswitch.kernel.event.Event;
+import org.marjoramswitch.kernel.model.CustomerId;
+import org.marjoramswitch.kernel.model.DataCentreId;
+import org.marjoramswitch.kernel.model.FleetView;
+import org.marjoramswitch.kernel.model.InstanceId;
+import org.marjoramswitch.kernel.model.Member;
+import org.marjoramswitch.kernel.model.PlacementSpec;
+import org.marjoramswitch.kernel.model.PoolId;
+import org.marjoramswitch.kernel.model.PromptPart;
+import org.marjoramswitch.kernel.model.RequestSpec;
+import org.marjoramswitch.kernel.model.TargetId;
+import org.marjoramswitch.kernel.model.TargetOutcome;
+import org.marjoramswitch.kernel.model.Usage;
+import org.marjoramswitch.kernel.settings.FleetSettings;
+import org.marjoramswitch.kernel.settings.PoolSettings;
+import org.marjoramswitch.kernel.settings.TargetSettings;
+
+/**
+ * A fleet of kernels in virtual time in which each event costs its instance processor time: an instance works off its
+ * events in order of arrival, at the speed of its processor. Targets answer each request after a fixed time.
+ */
+final class ProcessorBoundFleet {
+    private static final DataCentreId DATA_CENTRE = DataCentreId.of("dc");
+    private static final int SLOTS = 24;
+    private static final double WAY_MS = 1.5;
+    private static final double FIRST_BYTE_MS = 60;
+    private static final double ANSWER_MS = 800;
+    private static final long OBJECTIVE_MS = 520;
+    private static final long PATIENCE_MS = 12_000;
+    private static final double MILLICORES_PER_CORE = 1_000;
+    private static final int PROMPT_TOKENS = 200;
+    private static final int OUTPUT_TOKENS = 50;
+
+    private final PoolId pool;
+    private final double eventCoreMs;
+    private final Map<InstanceId, Server> servers = new TreeMap<>();
+    private final List<InstanceId> entries = new ArrayList<>();
+    private final PriorityQueue<Due> due = new PriorityQueue<>();
+    private final Map<Long, Double> arrivedAtMs = new HashMap<>();
+    private final Random random;
+    private double nowMs;
+    private long order;
+    private long requests;
+    private int inTime;
+    private int failed;
+
+    private ProcessorBoundFleet(PoolId pool, double eventCoreMs, long seed) {
+        this.pool = pool;
+        this.eventCoreMs = eventCoreMs;
+        this.random = new Random(seed);
+    }
+
+    /** @param eventCoreMs what an event costs on a whole core */
+    static ProcessorBoundFleet of(PoolId pool, List<Integer> processorMillicores, double eventCoreMs, long seed) {
+        ProcessorBoundFleet fleet = new ProcessorBoundFleet(pool, eventCoreMs, seed);
+        List<Member> members = new ArrayList<>();
+        for (int millicores : processorMillicores) {
+            InstanceId id = InstanceId.of("instance-" + members.size());
+            members.add(Member.of(id, 1, DATA_CENTRE, false).withProcessor(millicores));
+        }
+        members.forEach(fleet::boot);
+        FleetView view = FleetView.of(members);
+        fleet.entries.forEach(id -> fleet.arrive(id, new Event.ViewChanged(view)));
+        return fleet;
+    }
+
+    private void boot(Member member) {
+        servers.put(member.id(), new Server(InstanceKernel.create(member), member.processorMillicores()));
+        entries.add(member.id());
+    }
+
+    void targets(int count) {
+        Map<TargetId, TargetSettings> targets = new TreeMap<>();
+        for (int i = 0; i < count; i++) {
+            TargetId id = TargetId.of("t" + i);
+            targets.put(id, new TargetSettings(id, pool, "10.0.0.1", 80, DATA_CENTRE, SLOTS, false));
+        }
+        PoolSettings settings = PoolSettings.modelEngines(pool).withCellTargets(count);
+        FleetSettings all = FleetSettings.of(1, Map.of(), Map.of(pool, settings), targets);
+        entries.forEach(id -> arrive(id, new Event.SettingsAccepted(all)));
+    }
+
+    /** Requests of one customer at entries drawn at random. */
+    void load(CustomerId customer, double perSecond, double fromMs, double untilMs) {
+        for (double atMs = fromMs; atMs < untilMs; atMs -= Math.log(1 - random.nextDouble()) * 1_000 / perSecond) {
+            InstanceId entry = entries.get(random.nextInt(entries.size()));
+            at(atMs, () -> request(entry, customer));
+        }
+    }
+
+    private void request(InstanceId entry, CustomerId customer) {
+        long id = ++requests;
+        arrivedAtMs.put(id, nowMs);
+        long now = Math.round(nowMs);
+        PlacementSpec placement = new PlacementSpec(
+                List.of(PromptPart.of(id, PROMPT_TOKENS)), OUTPUT_TOKENS, now + OBJECTIVE_MS, 2, true);
+        arrive(
+                entry,
+                new Event.RequestArrived(new RequestSpec(
+                        id,
+                        customer,
+                        pool,
+                        1,
+                        true,
+                        PROMPT_TOKENS,
+                        OUTPUT_TOKENS,
+                        0,
+                        now + PATIENCE_MS,
+                        placement,
+                        0)));
+    }
+
+    void run(double untilMs) {
+        for (double tickMs = InstanceKernel.BUSY_TICK_MS; tickMs < untilMs; tickMs += InstanceKernel.BUSY_TICK_MS) {
+            at(tickMs, () -> entries.forEach(this::tick));
+        }
+        while (!due.isEmpty() && due.peek().atMs() <= untilMs) {
+            Due next = due.poll();
+            nowMs = next.atMs();
+            next.task().run();
+        }
+    }
+
+    private void tick(InstanceId id) {
+        Server server = server(id);
+        if (server.freeAtMs <= nowMs) {
+            apply(id, new Event.Tick());
+        }
+    }
+
+    /** The event is decided on once the instance has worked off what came before it. */
+    private void arrive(InstanceId id, Event event) {
+        Server server = server(id);
+        server.freeAtMs = Math.max(nowMs, server.freeAtMs) + eventCoreMs * MILLICORES_PER_CORE / server.millicores;
+        at(server.freeAtMs, () -> apply(id, event));
+    }
+
+    private void apply(InstanceId id, Event event) {
+        server(id).kernel.apply(event, Math.round(nowMs)).forEach(action -> perform(id, action));
+    }
+
+    private void perform(InstanceId at, Action action) {
+        if (action instanceof Action.SendPeer send) {
+            at(nowMs + WAY_MS, () -> arrive(send.to(), new Event.PeerReceived(at, 1, send.message())));
+        } else if (action instanceof Action.Dispatch dispatch) {
+            at(nowMs + FIRST_BYTE_MS, () -> answering(at, dispatch.requestId()));
+            at(
+                    nowMs + ANSWER_MS,
+                    () -> arrive(at, new Event.TargetEnded(dispatch.requestId(), TargetOutcome.COMPLETED, Usage.NONE)));
+        } else if (action instanceof Action.Fail) {
+            failed++;
+        }
+    }
+
+    private void answering(InstanceId entry, long request) {
+        if (nowMs - arrivedAtMs.getOrDefault(request, 0.0) <= OBJECTIVE_MS) {
+            inTime++;
+        }
+        arrive(entry, new Event.TargetAnswering(request));
+    }
+
+    /** Of all requests, the share whose first byte came within the objective. */
+    double inTimeShare() {
+        return (double) inTime / requests;
+    }
+
+    @Override
+    public String toString() {
+        return pool + ": " + requests + " requests, " + inTime + " in time, " + failed + " failed";
+    }
+
+    private void at(double atMs, Runnable task) {
+        due.add(new Due(atMs, order++, task));
+    }
+
+    private Server server(InstanceId id) {
+        return servers.get(id);
+    }
+
+    private static final class Server {
+        private final InstanceKernel kernel;
+        private final int millicores;
+        private double freeAtMs;
+
+        private Server(InstanceKernel kernel, int millicores) {
+            this.kernel = kernel;
+            this.millicores = millicores;
+        }
+    }
+
+    private record Due(double atMs, long order, Runnable task) implements Comparable<Due> {
+        @Override
+        public int compareTo(Due other) {
+            int byTime = Double.compare(atMs, other.atMs);
+            return byTime != 0 ? byTime : Long.compare(order, other.order);
+        }
+    }
+}
