Choose arbiters among the instances with the most processor

Callers of a whole pool failed at their deadlines beside idle targets, customers got what their entries happened to get through, while the other pool was served. Cause: rendezvous hashing names a pool's arbiter whatever processor the instance has.

Now each cell ranks instances with at least half of the largest processor first, and the bound on load follows the processor. Equal or unknown processors are treated as before.

--- a/daemon/src/main/java/org/marjoramswitch/daemon/InstanceCore.java
+++ b/daemon/src/main/java/org/marjoramswitch/daemon/InstanceCore.java
@@ -84,7 +84,7 @@
         this.parts = parts;
         this.self = Member.of(settings.instance(), clock.startMs(), settings.dataCentre(), false)
                 .withProcessor(settings.processorMillicores());
-        ProcessMetrics.register(metrics);
+        ProcessMetrics.register(metrics, settings.processorMillicores());
         this.worker = startWorker();
         this.kernel = KernelDriver.of(InstanceKernel.create(self, options));
         this.decisions = parts.add(DecisionDuty.builder(kernel, clock, settings.maxWaiting(), metrics)
--- a/daemon/src/main/java/org/marjoramswitch/daemon/ProcessMetrics.java
+++ b/daemon/src/main/java/org/marjoramswitch/daemon/ProcessMetrics.java
@@ -20,12 +20,14 @@
 
     private ProcessMetrics() {}
 
-    static void register(MetricRegistry registry) {
+    /** @param processorMillicores what the process may use, in thousandths of a core; 0 where unknown */
+    static void register(MetricRegistry registry, int processorMillicores) {
         Runtime runtime = Runtime.getRuntime();
         gauge(registry, "heap_used_bytes", () -> runtime.totalMemory() - runtime.freeMemory());
         gauge(registry, "heap_max_bytes", runtime::maxMemory);
         gauge(registry, "resident_bytes", ProcessMetrics::residentBytes);
         gauge(registry, "cpu_ms", ProcessMetrics::cpuMs);
+        gauge(registry, "processor_millicores", () -> (long) processorMillicores);
         gauge(registry, "threads", () -> (long) Thread.activeCount());
         gauge(registry, "log_lines_dropped", QueueAppender::dropped);
     }
--- a/kernel/src/main/java/org/marjoramswitch/kernel/cell/ArbiterAssignment.java
+++ b/kernel/src/main/java/org/marjoramswitch/kernel/cell/ArbiterAssignment.java
@@ -1,6 +1,9 @@
 package org.marjoramswitch.kernel.cell;
 
+import java.util.ArrayList;
 import java.util.Collection;
+import java.util.Collections;
+import java.util.Comparator;
 import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
@@ -10,22 +13,32 @@
 import org.marjoramswitch.kernel.model.CellId;
 import org.marjoramswitch.kernel.model.FleetView;
 import org.marjoramswitch.kernel.model.InstanceId;
+import org.marjoramswitch.kernel.model.Member;
 
 /**
- * Names the arbiter of each cell: rendezvous hashing with a bound on load.
+ * Names the arbiter of each cell: rendezvous hashing among the instances with the most processor, with a bound on load.
  *
- * <p>Each cell ranks the eligible instances by rendezvous weight and takes the first that has fewer than
- * ceil(cells / instances) cells already. Plain rendezvous hashing gave one of 9 instances three of 8 cells, and the
- * control budget counts the worst instance. The result depends on the membership view and the cells alone, so equal
- * views name equal arbiters. Unequal views may name two: only the entry starts requests, each at most once, so two
- * arbiters can over-admit for a while but run nothing twice.
+ * <p>Every request of a cell passes through its arbiter, so an arbiter that runs out of processor stalls the cell for all
+ * customers while its targets idle. Each cell therefore ranks the eligible instances in two tiers, those with at least
+ * half of the largest processor in the view first, by rendezvous weight within a tier. It takes the first that has fewer
+ * cells than its processor's share of all cells, rounded up. Plain rendezvous hashing would give one of 9 equal instances
+ * three of 8 cells.
  *
- * <p>An entry that cannot reach a cell's arbiter takes the next in that cell's rank that it can reach, see {@link
- * #reachable}. All entries that lost the same arbiter fall back to the same one.
+ * <p>Example: 52 instances of 360 millicores, 8 of 1,500 and 2 cells. The share of a large instance is 0.1 of a cell,
+ * rounded up to 1, so two of the large ones are arbiters.
+ *
+ * <p>Correctness: the result depends on the membership view and the cells alone, so equal views name equal arbiters.
+ * Unequal views may name two: only the entry starts requests, each at most once, so two arbiters can over-admit for a
+ * while but run nothing twice. An entry that cannot reach a cell's arbiter takes the next in that cell's rank that it can
+ * reach, see {@link #reachable}. All entries that lost the same arbiter fall back to the same one.
  *
  * <p>Cost: cells times instances hashes on a change of view; 160 cells and 350 instances are 56,000.
  */
 public final class ArbiterAssignment {
+    private static final int LEAST_MILLICORES = 1;
+    /** Instances with at least the largest processor divided by this are in the first tier. */
+    private static final int TIER_DIVISOR = 2;
+
     private final Map<CellId, List<InstanceId>> rankByCell = new TreeMap<>();
     private final Map<CellId, InstanceId> arbiterByCell = new TreeMap<>();
 
@@ -33,9 +46,9 @@
 
     public static ArbiterAssignment of(Collection<CellId> cells, FleetView view) {
         ArbiterAssignment assignment = new ArbiterAssignment();
-        List<InstanceId> eligible = view.eligible();
-        if (!eligible.isEmpty()) {
-            assignment.assign(cells, eligible);
+        Map<InstanceId, Integer> processors = processors(view);
+        if (!processors.isEmpty()) {
+            assignment.assign(cells, processors);
         }
         return assignment;
     }
@@ -57,18 +70,44 @@
                 .orElse(null);
     }
 
-    private void assign(Collection<CellId> cells, List<InstanceId> eligible) {
-        int bound = (cells.size() + eligible.size() - 1) / eligible.size();
+    private void assign(Collection<CellId> cells, Map<InstanceId, Integer> processors) {
+        long totalMillicores =
+                processors.values().stream().mapToLong(Integer::longValue).sum();
         Map<InstanceId, Integer> load = new HashMap<>();
         for (CellId cell : cells) {
-            List<InstanceId> rank = Rendezvous.rank(cell.toString(), eligible);
+            List<InstanceId> rank = rank(cell, processors);
             rankByCell.put(cell, rank);
             InstanceId arbiter = rank.stream()
-                    .filter(instance -> load.getOrDefault(instance, 0) < bound)
+                    .filter(instance -> load.getOrDefault(instance, 0)
+                            < mostCells(
+                                    cells.size(), processors.getOrDefault(instance, LEAST_MILLICORES), totalMillicores))
                     .findFirst()
                     .orElse(rank.get(0));
             load.merge(arbiter, 1, Integer::sum);
             arbiterByCell.put(cell, arbiter);
         }
     }
+
+    private static List<InstanceId> rank(CellId cell, Map<InstanceId, Integer> processors) {
+        int largest = Collections.max(processors.values());
+        List<InstanceId> rank = new ArrayList<>(Rendezvous.rank(cell.toString(), processors.keySet()));
+        rank.sort(Comparator.comparing(
+                instance -> TIER_DIVISOR * processors.getOrDefault(instance, LEAST_MILLICORES) < largest));
+        return rank;
+    }
+
+    private static long mostCells(int cells, int millicores, long totalMillicores) {
+        return ((long) cells * millicores + totalMillicores - 1) / totalMillicores;
+    }
+
+    /** Instances that have not announced their processor count as the smallest, and as equal to one another. */
+    private static Map<InstanceId, Integer> processors(FleetView view) {
+        Map<InstanceId, Integer> processors = new TreeMap<>();
+        for (Member member : view.members().values()) {
+            if (!member.leaving()) {
+                processors.put(member.id(), Math.max(LEAST_MILLICORES, member.processorMillicores()));
+            }
+        }
+        return processors;
+    }
 }
--- a/tool/src/main/java/org/marjoramswitch/tool/fleet/FleetReader.java
+++ b/tool/src/main/java/org/marjoramswitch/tool/fleet/FleetReader.java
@@ -110,7 +110,8 @@
                 health.path("ready").asBoolean(),
                 health.path("reason").asText(),
                 metrics.path("configuration.generation").asLong(),
-                metrics.path("caller.open_requests").asLong());
+                metrics.path("caller.open_requests").asLong(),
+                metrics.path("process.processor_millicores").asInt());
     }
 
     private static JsonNode parse(String json) {
--- a/tool/src/main/java/org/marjoramswitch/tool/fleet/InstanceStatus.java
+++ b/tool/src/main/java/org/marjoramswitch/tool/fleet/InstanceStatus.java
@@ -8,6 +8,7 @@
  * @param ready whether it takes new requests; {@code reason} says why not
  * @param generation the settings in force there, 0 for none
  * @param openRequests requests of callers at this instance now
+ * @param processorMillicores the processor that it may use, in thousandths of a core; 0 where unknown
  */
 public record InstanceStatus(
         String instance,
@@ -18,4 +19,5 @@
         boolean ready,
         String reason,
         long generation,
-        long openRequests) {}
+        long openRequests,
+        int processorMillicores) {}
