--- a/kernel/src/main/java/org/marjoramswitch/kernel/cell/ArbiterAssignment.java
+++ b/kernel/src/main/java/org/marjoramswitch/kernel/cell/ArbiterAssignment.java
@@ -2,7 +2,6 @@
 
 import java.util.ArrayList;
 import java.util.Collection;
-import java.util.Collections;
 import java.util.Comparator;
 import java.util.HashMap;
 import java.util.List;
@@ -13,16 +12,14 @@
 import org.marjoramswitch.kernel.model.CellId;
 import org.marjoramswitch.kernel.model.FleetView;
 import org.marjoramswitch.kernel.model.InstanceId;
-import org.marjoramswitch.kernel.model.Member;
 
 /**
  * Names the arbiter of each cell: rendezvous hashing among the instances with the most processor, with a bound on load.
  *
  * <p>Every request of a cell passes through its arbiter, so an arbiter that runs out of processor stalls the cell for all
- * customers while its targets idle. Each cell therefore ranks the eligible instances in two tiers, those with at least
- * half of the largest processor in the view first, by rendezvous weight within a tier. It takes the first that has fewer
- * cells than its processor's share of all cells, rounded up. Plain rendezvous hashing would give one of 9 equal instances
- * three of 8 cells.
+ * customers while its targets idle. Each cell therefore ranks the eligible instances by rendezvous weight, those of the
+ * {@link ProcessorTier} before all others. It takes the first that has fewer cells than its processor's share of all cells,
+ * rounded up. Plain rendezvous hashing would give one of 9 equal instances three of 8 cells.
  *
  * <p>Example: 52 instances of 360 millicores, 8 of 1,500 and 2 cells. The share of a large instance is 0.1 of a cell,
  * rounded up to 1, so two of the large ones are arbiters.
@@ -35,10 +32,6 @@
  * <p>Cost: cells times instances hashes on a change of view; 160 cells and 350 instances are 56,000.
  */
 public final class ArbiterAssignment {
-    private static final int LEAST_MILLICORES = 1;
-    /** Instances with at least the largest processor divided by this are in the first tier. */
-    private static final int TIER_DIVISOR = 2;
-
     private final Map<CellId, List<InstanceId>> rankByCell = new TreeMap<>();
     private final Map<CellId, InstanceId> arbiterByCell = new TreeMap<>();
 
@@ -46,9 +39,9 @@
 
     public static ArbiterAssignment of(Collection<CellId> cells, FleetView view) {
         ArbiterAssignment assignment = new ArbiterAssignment();
-        Map<InstanceId, Integer> processors = processors(view);
-        if (!processors.isEmpty()) {
-            assignment.assign(cells, processors);
+        ProcessorTier tier = ProcessorTier.of(view);
+        if (!tier.eligible().isEmpty()) {
+            assignment.assign(cells, tier);
         }
         return assignment;
     }
@@ -70,17 +63,13 @@
                 .orElse(null);
     }
 
-    private void assign(Collection<CellId> cells, Map<InstanceId, Integer> processors) {
-        long totalMillicores =
-                processors.values().stream().mapToLong(Integer::longValue).sum();
+    private void assign(Collection<CellId> cells, ProcessorTier tier) {
         Map<InstanceId, Integer> load = new HashMap<>();
         for (CellId cell : cells) {
-            List<InstanceId> rank = rank(cell, processors);
+            List<InstanceId> rank = rank(cell, tier);
             rankByCell.put(cell, rank);
             InstanceId arbiter = rank.stream()
-                    .filter(instance -> load.getOrDefault(instance, 0)
-                            < mostCells(
-                                    cells.size(), processors.getOrDefault(instance, LEAST_MILLICORES), totalMillicores))
+                    .filter(instance -> load.getOrDefault(instance, 0) < tier.quota(instance, cells.size()))
                     .findFirst()
                     .orElse(rank.get(0));
             load.merge(arbiter, 1, Integer::sum);
@@ -88,26 +77,9 @@
         }
     }
 
-    private static List<InstanceId> rank(CellId cell, Map<InstanceId, Integer> processors) {
-        int largest = Collections.max(processors.values());
-        List<InstanceId> rank = new ArrayList<>(Rendezvous.rank(cell.toString(), processors.keySet()));
-        rank.sort(Comparator.comparing(
-                instance -> TIER_DIVISOR * processors.getOrDefault(instance, LEAST_MILLICORES) < largest));
+    private static List<InstanceId> rank(CellId cell, ProcessorTier tier) {
+        List<InstanceId> rank = new ArrayList<>(Rendezvous.rank(cell.toString(), tier.eligible()));
+        rank.sort(Comparator.comparing(instance -> !tier.contains(instance)));
         return rank;
     }
-
-    private static long mostCells(int cells, int millicores, long totalMillicores) {
-        return ((long) cells * millicores + totalMillicores - 1) / totalMillicores;
-    }
-
-    /** Instances that have not announced their processor count as the smallest, and as equal to one another. */
-    private static Map<InstanceId, Integer> processors(FleetView view) {
-        Map<InstanceId, Integer> processors = new TreeMap<>();
-        for (Member member : view.members().values()) {
-            if (!member.leaving()) {
-                processors.put(member.id(), Math.max(LEAST_MILLICORES, member.processorMillicores()));
-            }
-        }
-        return processors;
-    }
 }
--- a/tool/src/main/java/org/marjoramswitch/tool/fleet/FleetStatus.java
+++ b/tool/src/main/java/org/marjoramswitch/tool/fleet/FleetStatus.java
@@ -55,9 +55,9 @@
         for (InstanceStatus instance : instances) {
             if (instance.reachable()) {
                 boolean leaving = instance.listed().equals("leaving");
-                members.add(
-                        Member.of(InstanceId.of(instance.instance()), 0, DataCentreId.of(instance.dataCentre()), leaving)
-                                .withProcessor(instance.processorMillicores()));
+                members.add(Member.of(
+                                InstanceId.of(instance.instance()), 0, DataCentreId.of(instance.dataCentre()), leaving)
+                        .withProcessor(instance.processorMillicores()));
             }
         }
         ArbiterAssignment arbiters = ArbiterAssignment.of(cells.cells(), FleetView.of(members));
