Add failing test: slots stay taken at an arbiter that was silent for 400 ms

An entry leaves an arbiter that is silent for 400 ms and reports the ends of its running requests to the one that stands in. When the first one is asked again it still counts their slots, for good: 4 of 8 requests start.

--- a/kernel/src/test/java/org/marjoramswitch/kernel/PlacementFleetTest.java
+++ b/kernel/src/test/java/org/marjoramswitch/kernel/PlacementFleetTest.java
@@ -59,6 +59,27 @@
         assertEquals(2 * SLOTS + 1, dispatched.size());
     }
 
+    /** Guards against slots that stay taken at an arbiter whose requests ended while another one stood in for it. */
+    @Test
+    void slotsAreFreeAgainAtAnArbiterThatWasSilentForAMoment() {
+        for (int i = 0; i < 2 * SLOTS; i++) {
+            arrive(true, 2, false);
+        }
+        frozen.add(arbiter);
+        arrive(true, 2, false);
+        pass(1_000);
+        for (long request = 1; request <= 2 * SLOTS; request++) {
+            end(request, TargetOutcome.COMPLETED);
+        }
+        frozen.clear();
+        pass(2_000);
+        for (int i = 0; i < 2 * SLOTS; i++) {
+            arrive(true, 2, false);
+        }
+        pass(50);
+        assertEquals(4 * SLOTS, dispatched.size());
+    }
+
     @Test
     void aRepeatableRequestGoesToAnotherTarget() {
         long request = arrive(true, 2, false);
