Report the end of a request to every arbiter that counts its slot

Callers of a whole pool fail while its targets idle, and go on failing after whatever began it. Cause: an arbiter that lags for 400 ms, which one at 85 to 95 in 100 of its processor does at each burst, is left by its entries one by one for the next in rank. Ends of what ran by then were reported to that one alone; when the entries came back, the first one counted slots of requests that had ended, for good, so that the pool shrank with every such moment.

Each request now keeps the arbiters that count its slot, and all of them are notified of its first byte and its end. slotsAreFreeAgainAtAnArbiterThatWasSilentForAMoment failed before: 4 of 8 requests started.

--- a/kernel/src/main/java/org/marjoramswitch/kernel/entry/Placements.java
+++ b/kernel/src/main/java/org/marjoramswitch/kernel/entry/Placements.java
@@ -102,6 +102,7 @@
             return null;
         }
         question.placed = true;
+        question.counting.add(from);
         return question.request;
     }
 
@@ -129,7 +130,7 @@
             return;
         }
         question.answering = true;
-        send(question, new PeerMessage.PlacementAnswering(question.cell, question.number), sink);
+        sendToCounting(question, new PeerMessage.PlacementAnswering(question.cell, question.number), sink);
     }
 
     /**
@@ -141,7 +142,8 @@
         if (question != null && question.placed) {
             close(question);
             long outputTokens = end == PlacementEnd.SERVED ? question.spec().outputTokens() : 0;
-            send(question, new PeerMessage.PlacementEnded(question.cell, question.number, outputTokens, end), sink);
+            sendToCounting(
+                    question, new PeerMessage.PlacementEnded(question.cell, question.number, outputTokens, end), sink);
         }
     }
 
@@ -201,6 +203,7 @@
                 continue;
             }
             question.arbiter = arbiter;
+            question.counting.add(arbiter);
             PlacementSpec spec = question.spec();
             held.add(new PeerMessage.HeldPlacement(
                     question.number,
@@ -259,6 +262,11 @@
         byRequest.remove(question.request.spec().requestId());
     }
 
+    /** All arbiters that count the request's slot are notified, or it would stay taken in their books. */
+    private static void sendToCounting(Question question, PeerMessage message, ActionSink sink) {
+        question.counting.forEach(arbiter -> sink.accept(new Action.SendPeer(arbiter, message)));
+    }
+
     private static void send(Question question, PeerMessage message, ActionSink sink) {
         sink.accept(new Action.SendPeer(question.arbiter, message));
     }
@@ -286,6 +294,8 @@
         private InstanceId arbiter;
         private boolean placed;
         private boolean answering;
+        /** The arbiters in whose books the request has a slot: the one that placed it and those told of it since. */
+        private final Set<InstanceId> counting = new TreeSet<>();
         /** Whether targets are left out because they rest. */
         private boolean spared;
 
