Pass over arbiters that answer late, and refuse requests that they leave unanswered

Callers of a whole pool fail by their own deadline while its targets idle, and nothing ends it. An arbiter that lags is not silent: its stale answers keep coming, so that entries either stayed with it or left it after 400 ms of silence and came back at its next message. Each way put all waiting requests to it anew; a question that had lain for seconds was taken for new, since the times in it are what was left when it was sent; and an entry's request waited for its answer until its caller's deadline.

- Answers state how long the arbiter kept the request.
What is left of the time between question and answer is the arbiter's lag; from 400 ms on, or after silence, the next arbiter in rank is asked for 2 s, up to 16 s where it is late again. arbiter_late in the log.
- A question's times are shortened by what it waited for its decision.

--- a/daemon/src/main/java/org/marjoramswitch/daemon/core/DecisionDuty.java
+++ b/daemon/src/main/java/org/marjoramswitch/daemon/core/DecisionDuty.java
@@ -222,12 +222,16 @@
             long waitedNs = System.nanoTime() - next.enteredNs();
             metrics.ringTime().update(waitedNs, TimeUnit.NANOSECONDS);
             lagMs = TimeUnit.NANOSECONDS.toMillis(waitedNs);
-            decide(next.event());
+            decide(arrivedBefore(next.event(), lagMs));
             lag.waited(lagMs, ring.size(), nowMs);
         }
         return true;
     }
 
+    private static Event arrivedBefore(Event event, long waitedMs) {
+        return event instanceof Event.PeerReceived received ? received.delayed(waitedMs) : event;
+    }
+
     private void tickWhenDue() {
         if (System.nanoTime() - tickedAtNs >= tickNs()) {
             decide(TICK);
--- a/kernel/src/main/java/org/marjoramswitch/kernel/InstanceKernel.java
+++ b/kernel/src/main/java/org/marjoramswitch/kernel/InstanceKernel.java
@@ -272,7 +272,7 @@
             return true;
         }
         if (message instanceof PeerMessage.NotPlaced refused) {
-            entry.notPlaced(from, refused, sink);
+            entry.notPlaced(from, refused, nowMs, sink);
             return true;
         }
         CellId cell = placements.received(from, message, nowMs);
--- a/kernel/src/main/java/org/marjoramswitch/kernel/entry/Entry.java
+++ b/kernel/src/main/java/org/marjoramswitch/kernel/entry/Entry.java
@@ -28,6 +28,7 @@
 import org.marjoramswitch.kernel.model.TargetId;
 import org.marjoramswitch.kernel.model.TargetOutcome;
 import org.marjoramswitch.kernel.model.Usage;
+import org.marjoramswitch.kernel.placement.RetryTimes;
 import org.marjoramswitch.kernel.settings.CustomerSettings;
 import org.marjoramswitch.kernel.settings.PoolSettings;
 
@@ -147,7 +148,7 @@
 
     /** An arbiter found a target for a request. */
     public void placed(InstanceId from, PeerMessage.Placed placed, long nowMs, ActionSink sink) {
-        EntryRequest request = placements.placed(from, placed, sink);
+        EntryRequest request = placements.placed(from, placed, nowMs, sink);
         if (request == null) {
             return;
         }
@@ -181,8 +182,8 @@
     }
 
     /** An arbiter found no target that could serve a request in a useful time. */
-    public void notPlaced(InstanceId from, PeerMessage.NotPlaced refused, ActionSink sink) {
-        EntryRequest request = placements.notPlaced(from, refused);
+    public void notPlaced(InstanceId from, PeerMessage.NotPlaced refused, long nowMs, ActionSink sink) {
+        EntryRequest request = placements.notPlaced(from, refused, nowMs, sink);
         if (request == null) {
             return;
         }
@@ -295,6 +296,7 @@
         expire(nowMs, sink);
         registrations.tick(nowMs, sink);
         watchPlacementArbiters(nowMs, sink);
+        refuseOverdue(nowMs, sink);
         tellCrashes(sink);
         placements.follow(nowMs, sink);
         if (rests.expire(nowMs)) {
@@ -309,6 +311,17 @@
         awaited.removeAll(plan.unreachable());
         for (InstanceId silent : placementWatch.silent(awaited, nowMs, peer -> registrations.probe(peer, sink))) {
             plan.reachable(silent, false);
+            placements.silent(silent, nowMs, sink);
+        }
+    }
+
+    /** The arbiter has not answered in time; the caller learns now what it would learn at its deadline. */
+    private void refuseOverdue(long nowMs, ActionSink sink) {
+        for (EntryRequest request : placements.takeOverdue(nowMs, sink)) {
+            waitingInAll--;
+            RequestSpec spec = request.spec();
+            long retryAfterMs = RetryTimes.spreadAfterMs(spec.deadlineMs(), spec.requestId(), nowMs);
+            fail(request, ErrorType.NO_TARGET_IN_TIME, retryAfterMs, "no answer of the arbiter", sink);
         }
     }
 
--- a/kernel/src/main/java/org/marjoramswitch/kernel/entry/FleetPlan.java
+++ b/kernel/src/main/java/org/marjoramswitch/kernel/entry/FleetPlan.java
@@ -124,6 +124,17 @@
         return assignment.reachable(cell, unreachable);
     }
 
+    /** As {@link #arbiter}, passing over some; null where none is left. */
+    @Nullable
+    InstanceId arbiter(CellId cell, Set<InstanceId> passedOver) {
+        if (passedOver.isEmpty()) {
+            return arbiter(cell);
+        }
+        Set<InstanceId> excluded = new TreeSet<>(unreachable);
+        excluded.addAll(passedOver);
+        return assignment.reachable(cell, excluded);
+    }
+
     /** The arbiter that the view names for the cell, whether it can be reached from here or not. */
     public @Nullable InstanceId assignedArbiter(CellId cell) {
         return assignment.arbiter(cell);
--- /dev/null
+++ b/kernel/src/main/java/org/marjoramswitch/kernel/entry/LateArbiters.java
@@ -0,0 +1,60 @@
+package org.marjoramswitch.kernel.entry;
+
+import java.util.Map;
+import java.util.Set;
+import java.util.TreeMap;
+import java.util.stream.Collectors;
+import org.marjoramswitch.kernel.model.InstanceId;
+
+/**
+ * Arbiters that answer late because they lack processor time or their connections are slow; they are not asked until a
+ * backoff has elapsed, which doubles where their answers are late again soon after it.
+ *
+ * <p>An arbiter that lags still sends messages, so it never counts as silent. If entries keep asking it, its backlog holds
+ * more and more requests that nobody waits for.
+ */
+final class LateArbiters {
+    /** A stall of this length delays first bytes by about their objective. */
+    private static final long LATE_MS = 400;
+
+    private static final long FIRST_BACKOFF_MS = 2_000;
+    private static final long MAX_BACKOFF_MS = 16_000;
+
+    private final Map<InstanceId, Backoff> backoffs = new TreeMap<>();
+
+    /** @param delayMs between question and answer, without the time for which the arbiter kept the request waiting */
+    static boolean isLate(long delayMs) {
+        return delayMs >= LATE_MS;
+    }
+
+    /**
+     * An answer is late or overdue.
+     *
+     * @return the backoff that begins now; 0 where the arbiter is in one
+     */
+    long late(InstanceId arbiter, long nowMs) {
+        Backoff last = backoffs.getOrDefault(arbiter, Backoff.NONE);
+        if (last.untilMs > nowMs) {
+            return 0;
+        }
+        boolean isAgain = nowMs < last.untilMs + MAX_BACKOFF_MS;
+        long lengthMs = isAgain ? Math.min(MAX_BACKOFF_MS, 2 * last.lengthMs) : FIRST_BACKOFF_MS;
+        backoffs.put(arbiter, new Backoff(nowMs + lengthMs, lengthMs));
+        return lengthMs;
+    }
+
+    /** The arbiters not to be asked now. */
+    Set<InstanceId> inBackoff(long nowMs) {
+        if (backoffs.isEmpty()) {
+            return Set.of();
+        }
+        return backoffs.entrySet().stream()
+                .filter(entry -> entry.getValue().untilMs() > nowMs)
+                .map(Map.Entry::getKey)
+                .collect(Collectors.toSet());
+    }
+
+    private record Backoff(long untilMs, long lengthMs) {
+        private static final Backoff NONE = new Backoff(Long.MIN_VALUE, 0);
+    }
+}
--- a/kernel/src/main/java/org/marjoramswitch/kernel/entry/Placements.java
+++ b/kernel/src/main/java/org/marjoramswitch/kernel/entry/Placements.java
@@ -1,16 +1,19 @@
 package org.marjoramswitch.kernel.entry;
 
 import java.util.ArrayList;
+import java.util.Comparator;
 import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
 import java.util.Objects;
+import java.util.PriorityQueue;
 import java.util.Set;
 import java.util.TreeMap;
 import java.util.TreeSet;
 import org.jspecify.annotations.Nullable;
 import org.marjoramswitch.kernel.action.Action;
 import org.marjoramswitch.kernel.action.ActionSink;
+import org.marjoramswitch.kernel.action.Decision;
 import org.marjoramswitch.kernel.message.PeerMessage;
 import org.marjoramswitch.kernel.message.PeerMessage.PlacementEnd;
 import org.marjoramswitch.kernel.misc.Rendezvous;
@@ -20,6 +23,7 @@
 import org.marjoramswitch.kernel.model.PoolId;
 import org.marjoramswitch.kernel.model.PromptPart;
 import org.marjoramswitch.kernel.model.TargetId;
+import org.marjoramswitch.kernel.placement.LateHold;
 import org.marjoramswitch.kernel.settings.TargetSettings;
 
 /**
@@ -34,11 +38,15 @@
     private final InstanceId self;
     private final FleetPlan plan;
     private final TargetRests rests;
+    private final LateArbiters lateArbiters = new LateArbiters();
     private final Map<Long, Question> byNumber = new TreeMap<>();
     private final Map<Long, Question> byRequest = new HashMap<>();
     /** The arbiters that know what this entry has at the targets of a cell. */
     private final Map<CellId, InstanceId> told = new TreeMap<>();
 
+    private final PriorityQueue<Question> answerDue =
+            new PriorityQueue<>(Comparator.comparingLong((Question question) -> question.answerDueAtMs)
+                    .thenComparingLong(question -> question.number));
     private long lastNumber;
 
     Placements(InstanceId self, FleetPlan plan, TargetRests rests) {
@@ -50,11 +58,12 @@
     /** Asks for a target; false where the pool has none, so that nothing is worth waiting for. */
     boolean ask(EntryRequest request, long nowMs, ActionSink sink) {
         CellId cell = cell(request);
-        InstanceId arbiter = cell == null ? null : plan.arbiter(cell);
+        InstanceId arbiter = cell == null ? null : arbiter(cell, nowMs);
         if (cell == null || arbiter == null) {
             return false;
         }
-        Question question = new Question(++lastNumber, request, cell, arbiter);
+        Question question = new Question(++lastNumber, request, cell, arbiter, nowMs);
+        answerDue.add(question);
         byNumber.put(question.number, question);
         byRequest.put(request.spec().requestId(), question);
         tellHeld(cell, arbiter, sink);
@@ -94,13 +103,14 @@
 
     /** Takes a placement; null where it answers no open question, and then it is given back. */
     @Nullable
-    EntryRequest placed(InstanceId from, PeerMessage.Placed placed, ActionSink sink) {
+    EntryRequest placed(InstanceId from, PeerMessage.Placed placed, long nowMs, ActionSink sink) {
         Question question = byNumber.get(placed.ask());
         boolean open = question != null && !question.placed && from.equals(question.arbiter);
         if (question == null || !open) {
             giveBack(from, placed, sink);
             return null;
         }
+        noteDelay(question, placed.heldMs(), nowMs, sink);
         question.placed = true;
         question.counting.add(from);
         return question.request;
@@ -114,15 +124,54 @@
 
     /** Takes a refusal; null where it answers no open question. */
     @Nullable
-    EntryRequest notPlaced(InstanceId from, PeerMessage.NotPlaced refused) {
+    EntryRequest notPlaced(InstanceId from, PeerMessage.NotPlaced refused, long nowMs, ActionSink sink) {
         Question question = byNumber.get(refused.ask());
         if (question == null || question.placed || !from.equals(question.arbiter)) {
             return null;
         }
+        noteDelay(question, refused.heldMs(), nowMs, sink);
         close(question);
         return question.request;
     }
 
+    /** Nothing came from an arbiter that an answer is awaited from. */
+    void silent(InstanceId arbiter, long nowMs, ActionSink sink) {
+        late(arbiter, "silent", nowMs, sink);
+    }
+
+    private void noteDelay(Question question, long heldMs, long nowMs, ActionSink sink) {
+        long delayMs = nowMs - question.putAtMs - heldMs;
+        if (LateArbiters.isLate(delayMs)) {
+            late(question.arbiter, "delayed", nowMs, sink);
+        }
+    }
+
+    private void late(InstanceId arbiter, String reason, long nowMs, ActionSink sink) {
+        if (arbiter.equals(self)) {
+            return;
+        }
+        long backoffMs = lateArbiters.late(arbiter, nowMs);
+        if (backoffMs > 0) {
+            sink.accept(new Action.Decided(
+                    Decision.of("arbiter_late", "arbiter", arbiter, "reason", reason, "backoffMs", backoffMs)));
+        }
+    }
+
+    /** Ends the questions that an arbiter without backlog would have answered by now; returns their requests. */
+    List<EntryRequest> takeOverdue(long nowMs, ActionSink sink) {
+        List<EntryRequest> overdue = new ArrayList<>();
+        while (!answerDue.isEmpty() && answerDue.peek().answerDueAtMs <= nowMs) {
+            Question question = answerDue.poll();
+            if (question.placed || byNumber.get(question.number) != question) {
+                continue;
+            }
+            late(question.arbiter, "overdue", nowMs, sink);
+            withdraw(question.request, sink);
+            overdue.add(question.request);
+        }
+        return overdue;
+    }
+
     /** The first byte of the running attempt's answer is there. */
     void answering(EntryRequest request, ActionSink sink) {
         Question question = byRequest.get(request.spec().requestId());
@@ -149,10 +198,10 @@
 
     /** Follows arbiters and cells that have changed. */
     void follow(long nowMs, ActionSink sink) {
-        told.entrySet().removeIf(known -> !known.getValue().equals(plan.arbiter(known.getKey())));
+        told.entrySet().removeIf(known -> !known.getValue().equals(arbiter(known.getKey(), nowMs)));
         for (Question question : List.copyOf(byNumber.values())) {
             CellId cell = plan.cells().targets(question.cell).isEmpty() ? cell(question.request) : question.cell;
-            InstanceId arbiter = cell == null ? null : plan.arbiter(cell);
+            InstanceId arbiter = cell == null ? null : arbiter(cell, nowMs);
             if (cell != null && arbiter != null && question.isElsewhere(cell, arbiter)) {
                 move(question, cell, arbiter, nowMs, sink);
             }
@@ -181,6 +230,12 @@
         return awaited;
     }
 
+    /** The arbiter to ask: one that answers late is passed over while there is another. */
+    private @Nullable InstanceId arbiter(CellId cell, long nowMs) {
+        InstanceId onTime = plan.arbiter(cell, lateArbiters.inBackoff(nowMs));
+        return onTime == null ? plan.arbiter(cell) : onTime;
+    }
+
     private void move(Question question, CellId cell, InstanceId arbiter, long nowMs, ActionSink sink) {
         if (!question.placed) {
             send(question, new PeerMessage.PlaceWithdrawn(question.cell, question.number), sink);
@@ -222,6 +277,7 @@
         if (question.placed) {
             return;
         }
+        question.putAtMs = nowMs;
         EntryRequest request = question.request;
         PlacementSpec spec = question.spec();
         Set<TargetId> resting = rests.resting(nowMs);
@@ -290,8 +346,10 @@
     private static final class Question {
         private final long number;
         private final EntryRequest request;
+        private final long answerDueAtMs;
         private CellId cell;
         private InstanceId arbiter;
+        private long putAtMs;
         private boolean placed;
         private boolean answering;
         /** The arbiters in whose books the request has a slot: the one that placed it and those told of it since. */
@@ -301,9 +359,12 @@
 
         private List<TargetId> excluded = List.of();
 
-        private Question(long number, EntryRequest request, CellId cell, InstanceId arbiter) {
+        private Question(long number, EntryRequest request, CellId cell, InstanceId arbiter, long nowMs) {
             this.number = number;
             this.request = request;
+            PlacementSpec placement = Objects.requireNonNull(request.spec().placement());
+            this.answerDueAtMs = LateHold.answerDueAtMs(
+                    placement.objectiveAtMs(), request.spec().deadlineMs(), nowMs);
             this.cell = cell;
             this.arbiter = arbiter;
         }
--- a/kernel/src/main/java/org/marjoramswitch/kernel/event/Event.java
+++ b/kernel/src/main/java/org/marjoramswitch/kernel/event/Event.java
@@ -31,7 +31,14 @@
     record TargetEnded(long requestId, TargetOutcome outcome, Usage usage) implements Event {}
 
     /** A peer said something; {@code fromIncarnation} is the one that the link's handshake proved. */
-    record PeerReceived(InstanceId from, long fromIncarnation, PeerMessage message) implements Event {}
+    record PeerReceived(InstanceId from, long fromIncarnation, PeerMessage message) implements Event {
+        /** The same, decided on {@code delayMs} after its arrival: the times left that it states are shorter by that. */
+        public PeerReceived delayed(long delayMs) {
+            return message instanceof PeerMessage.Place place && delayMs > 0
+                    ? new PeerReceived(from, fromIncarnation, place.delayed(delayMs))
+                    : this;
+        }
+    }
 
     /** A link to a peer came up (a new one each time) or was lost or fell silent. */
     record PeerLinkChanged(InstanceId peer, boolean up) implements Event {}
--- a/kernel/src/main/java/org/marjoramswitch/kernel/message/PeerMessage.java
+++ b/kernel/src/main/java/org/marjoramswitch/kernel/message/PeerMessage.java
@@ -138,6 +138,20 @@
             long waitLeftMs,
             List<TargetId> excluded)
             implements PeerMessage {
+        /** As read {@code delayMs} after its arrival. */
+        public Place delayed(long delayMs) {
+            return new Place(
+                    cell,
+                    ask,
+                    customer,
+                    urgency,
+                    parts,
+                    outputTokens,
+                    objectiveLeftMs - delayMs,
+                    waitLeftMs - delayMs,
+                    excluded);
+        }
+
         @Override
         public boolean prompt() {
             return true;
@@ -148,20 +162,26 @@
      * Arbiter to entry: start the request of this question at the target.
      *
      * @param fetchFrom the target that keeps more of the prompt, null where there is nothing to be fetched
+     * @param heldMs how long the arbiter kept the request waiting
      */
     record Placed(
             CellId cell,
             long ask,
             TargetId target,
-            @Nullable TargetId fetchFrom) implements PeerMessage {
+            @Nullable TargetId fetchFrom,
+            long heldMs) implements PeerMessage {
         @Override
         public boolean prompt() {
             return true;
         }
     }
 
-    /** Arbiter to entry: no target can serve the request in a useful time. */
-    record NotPlaced(CellId cell, long ask, long retryAfterMs) implements PeerMessage {
+    /**
+     * Arbiter to entry: no target can serve the request in a useful time.
+     *
+     * @param heldMs how long the arbiter kept the request waiting
+     */
+    record NotPlaced(CellId cell, long ask, long retryAfterMs, long heldMs) implements PeerMessage {
         @Override
         public boolean prompt() {
             return true;
--- a/kernel/src/main/java/org/marjoramswitch/kernel/placement/PlacementArbiter.java
+++ b/kernel/src/main/java/org/marjoramswitch/kernel/placement/PlacementArbiter.java
@@ -53,10 +53,6 @@
     private static final int LOOKAHEAD = 8;
     /** Late requests held, for each slot of the cell: what the cell serves in about a second or less. */
     private static final double LATE_PER_SLOT = 0.25;
-    /** The part of the time a caller has left that a late request is held for, so that it can try once more. */
-    private static final int LATE_HOLD_DIVISOR = 4;
-
-    private static final long MOST_LATE_HOLD_MS = 1_500;
     /** One first byte in four takes this much longer than predicted, or more. */
     private static final double PREDICTION_MARGIN = 1.3;
     /**
@@ -242,7 +238,7 @@
     }
 
     private void addLate(WaitingRequest request, long nowMs) {
-        long holdMs = Math.min(MOST_LATE_HOLD_MS, (request.endAtMs() - nowMs) / LATE_HOLD_DIVISOR);
+        long holdMs = LateHold.holdMs(request.endAtMs(), nowMs);
         boolean worthHolding = policy.has(Mechanism.LATE_HOLDING)
                 && waiting.inTimeCount() == 0
                 && waiting.lateCount() < mostLate()
@@ -278,7 +274,11 @@
         sizes.ended(request.size(), false);
         sink.accept(new Action.SendPeer(
                 request.entry(),
-                new PeerMessage.NotPlaced(cell, request.ask(), RetryTimes.afterMs(request, policy, nowMs))));
+                new PeerMessage.NotPlaced(
+                        cell,
+                        request.ask(),
+                        RetryTimes.afterMs(request, policy, nowMs),
+                        nowMs - request.arrivedAtMs())));
         sink.accept(PlacementLog.notPlaced(cell, request, waiting, targets.size(), nowMs));
     }
 
@@ -371,7 +371,12 @@
         ofEntry(request.entry()).put(request.ask(), RunningRequest.placed(request, chosen, tokensAhead, nowMs));
         sink.accept(new Action.SendPeer(
                 request.entry(),
-                new PeerMessage.Placed(cell, request.ask(), target.settings().id(), chosen.fetchFrom())));
+                new PeerMessage.Placed(
+                        cell,
+                        request.ask(),
+                        target.settings().id(),
+                        chosen.fetchFrom(),
+                        nowMs - request.arrivedAtMs())));
         sink.accept(PlacementLog.placed(cell, request, chosen, reason, tokensAhead, model, waiting, nowMs));
     }
 
--- a/kernel/src/main/java/org/marjoramswitch/kernel/placement/RetryTimes.java
+++ b/kernel/src/main/java/org/marjoramswitch/kernel/placement/RetryTimes.java
@@ -1,7 +1,7 @@
 package org.marjoramswitch.kernel.placement;
 
 /** When callers that are refused are told to come back. */
-final class RetryTimes {
+public final class RetryTimes {
     /** Of the time that a caller has left, when it is told to come back: overload lasts for seconds. */
     private static final int RETRY_DIVISOR = 4;
 
@@ -15,12 +15,23 @@
     private RetryTimes() {}
 
     static long afterMs(WaitingRequest request, PlacementPolicy policy, long nowMs) {
-        long partMs = (request.endAtMs() - nowMs) / RETRY_DIVISOR;
-        long meanMs = Math.max(LEAST_RETRY_AFTER_MS, Math.min(MOST_RETRY_AFTER_MS, partMs));
-        if (!policy.has(Mechanism.RETRY_SPREAD)) {
-            return meanMs;
-        }
-        double place = (double) (request.arrival() % SPREAD_PLACES) / SPREAD_PLACES;
+        return policy.has(Mechanism.RETRY_SPREAD)
+                ? spreadAfterMs(request.endAtMs(), request.arrival(), nowMs)
+                : meanAfterMs(request.endAtMs(), nowMs);
+    }
+
+    /**
+     * @param endAtMs when the caller gives up
+     * @param number of the request; successive ones are spread
+     */
+    public static long spreadAfterMs(long endAtMs, long number, long nowMs) {
+        long meanMs = meanAfterMs(endAtMs, nowMs);
+        double place = (double) (number % SPREAD_PLACES) / SPREAD_PLACES;
         return Math.round(meanMs * (1 - RETRY_SPREAD / 2 + RETRY_SPREAD * place));
     }
+
+    private static long meanAfterMs(long endAtMs, long nowMs) {
+        long partMs = (endAtMs - nowMs) / RETRY_DIVISOR;
+        return Math.max(LEAST_RETRY_AFTER_MS, Math.min(MOST_RETRY_AFTER_MS, partMs));
+    }
 }
--- a/kernel/src/main/java/org/marjoramswitch/kernel/wire/MessageCodec.java
+++ b/kernel/src/main/java/org/marjoramswitch/kernel/wire/MessageCodec.java
@@ -182,8 +182,11 @@
         put(
                 MessageType.NOT_PLACED,
                 NotPlaced.class,
-                (out, message) -> out.cell(message.cell()).number(message.ask()).number(message.retryAfterMs()),
-                in -> new NotPlaced(in.cell(), in.number(), in.number()));
+                (out, message) -> out.cell(message.cell())
+                        .number(message.ask())
+                        .number(message.retryAfterMs())
+                        .number(message.heldMs(), 0),
+                in -> new NotPlaced(in.cell(), in.number(), in.number(), in.number(0)));
         put(
                 MessageType.PLACE_WITHDRAWN,
                 PlaceWithdrawn.class,
@@ -401,7 +404,8 @@
                 .target(message.target())
                 .list(
                         source == null ? List.of() : List.of(source),
-                        target -> out.item(1).put(target));
+                        target -> out.item(1).put(target))
+                .number(message.heldMs(), 0);
     }
 
     private static Placed readPlaced(MessageReader in) throws IOException {
@@ -409,7 +413,7 @@
         long ask = in.number();
         var target = in.target();
         List<TargetId> source = in.list(in::target);
-        return new Placed(cell, ask, target, source.isEmpty() ? null : source.get(0));
+        return new Placed(cell, ask, target, source.isEmpty() ? null : source.get(0), in.number(0));
     }
 
     private static void writePlacementsHeld(MessageWriter out, PlacementsHeld message) {
--- a/kernel/src/test/java/org/marjoramswitch/kernel/PlacementFleetTest.java
+++ b/kernel/src/test/java/org/marjoramswitch/kernel/PlacementFleetTest.java
@@ -303,7 +303,7 @@
         meanwhile.run();
         frozen.clear();
         wire.clear();
-        wire.add(new Sent(arbiter, entry, new PeerMessage.Placed(CELL, 1, TargetId.of("t1"), fetchFrom)));
+        wire.add(new Sent(arbiter, entry, new PeerMessage.Placed(CELL, 1, TargetId.of("t1"), fetchFrom, 0)));
         deliver();
     }
 }
--- a/kernel/src/test/java/org/marjoramswitch/kernel/ProcessorBoundFleet.java
+++ b/kernel/src/test/java/org/marjoramswitch/kernel/ProcessorBoundFleet.java
@@ -145,7 +145,8 @@
     }
 
     private void receive(InstanceId id, Event.PeerReceived received) {
-        workOff(id, () -> apply(id, received));
+        double arrivedMs = nowMs;
+        workOff(id, () -> apply(id, received.delayed(Math.round(nowMs - arrivedMs))));
     }
 
     private void arrive(InstanceId id, Event event) {
--- a/kernel/src/test/java/org/marjoramswitch/kernel/wire/RandomMessages.java
+++ b/kernel/src/test/java/org/marjoramswitch/kernel/wire/RandomMessages.java
@@ -49,8 +49,9 @@
             case 19 ->
                 new PeerMessage.Place(
                         cell(), number(), customer(), 3, parts(), number(), number(), number(), List.of(target()));
-            case 20 -> new PeerMessage.Placed(cell(), number(), target(), random.nextBoolean() ? target() : null);
-            case 21 -> new PeerMessage.NotPlaced(cell(), number(), number());
+            case 20 ->
+                new PeerMessage.Placed(cell(), number(), target(), random.nextBoolean() ? target() : null, number());
+            case 21 -> new PeerMessage.NotPlaced(cell(), number(), number(), number());
             case 22 -> new PeerMessage.PlaceWithdrawn(cell(), number());
             case 23 -> new PeerMessage.PlacementAnswering(cell(), number());
             case 24 ->
