--- a/daemon/src/main/java/org/marjoramswitch/daemon/fleet/FleetDirectory.java
+++ b/daemon/src/main/java/org/marjoramswitch/daemon/fleet/FleetDirectory.java
@@ -9,7 +9,6 @@
 import org.marjoramswitch.daemon.caller.AddressBook;
 import org.marjoramswitch.daemon.platform.FleetList.ListedInstance;
 import org.marjoramswitch.daemon.settings.HostPort;
-import org.marjoramswitch.kernel.cell.ProcessorTier;
 import org.marjoramswitch.kernel.model.CustomerId;
 import org.marjoramswitch.kernel.model.FleetView;
 import org.marjoramswitch.kernel.model.InstanceId;
@@ -21,16 +20,8 @@
  *
  * <p>The list lags and may be missing, so it adds and removes no member. An instance without a listed address serves
  * its peers and is only left out of address answers.
- *
- * <p>Callers are sent to the {@link ProcessorTier} alone where it can carry them. Some customers' callers all keep to one
- * instance, whose processor then limits that customer.
  */
 public final class FleetDirectory implements AddressBook {
-    /** With fewer, the loss of one would cut too many callers at once. */
-    private static final int LEAST_NAMED = 3;
-    /** Of the fleet's processor, the part that can carry all callers. */
-    private static final double LEAST_PROCESSOR_SHARE = 0.2;
-
     private final InstanceId self;
     private final Consumer<FleetView> onView;
     private final LoadFactor loadFactor;
@@ -39,7 +30,6 @@
     private Map<InstanceId, ListedInstance> listed = Map.of();
     private FleetView members;
     private FleetView view;
-    private ProcessorTier tier;
     private boolean told;
 
     private FleetDirectory(Member self, HostPort selfCallers, LoadFactor loadFactor, Consumer<FleetView> onView) {
@@ -49,7 +39,6 @@
         this.onView = onView;
         this.members = FleetView.of(List.of(self));
         this.view = members;
-        this.tier = ProcessorTier.of(view);
     }
 
     /** @param onView told of each change, in order */
@@ -92,14 +81,6 @@
 
     @Override
     public synchronized List<Entry> eligible() {
-        List<Entry> all = withAddress();
-        List<Entry> large =
-                all.stream().filter(entry -> tier.contains(entry.instance())).toList();
-        boolean carriesCallers = large.size() >= LEAST_NAMED && tier.share() >= LEAST_PROCESSOR_SHARE;
-        return carriesCallers ? large : all;
-    }
-
-    private List<Entry> withAddress() {
         List<Entry> entries = new ArrayList<>();
         for (Member member : view.members().values()) {
             HostPort address = address(member.id());
@@ -138,7 +119,6 @@
         if (!told || !next.equals(view)) {
             told = true;
             view = next;
-            tier = ProcessorTier.of(next);
             onView.accept(next);
         }
     }
