Keep the arbiter where it is this instance that lags

A wait in the own ring now counts as held; after a pause of 300 ms nothing is held against arbiters; and no more than the next in rank is asked in place of the first. anEntryThatWasPausedKeepsItsArbiter fails without the second of these (4 of 5 requests start).

--- a/kernel/src/main/java/org/marjoramswitch/kernel/entry/Entry.java
+++ b/kernel/src/main/java/org/marjoramswitch/kernel/entry/Entry.java
@@ -55,6 +55,9 @@
     /** Another instance can take the request at once. */
     private static final long LEAVING_RETRY_AFTER_MS = 100;
 
+    /** Ticks that are so far apart mean that the process was paused or had no processor time. */
+    private static final long PAUSE_MS = 300;
+
     private final KernelOptions options;
     private final FleetPlan plan;
     private final InstanceId self;
@@ -71,6 +74,7 @@
     private final TargetRests rests = new TargetRests();
     private int waitingInAll;
     private boolean draining;
+    private long lastTickMs;
 
     private Entry(InstanceId self, KernelOptions options, FleetPlan plan) {
         this.self = self;
@@ -293,6 +297,10 @@
     }
 
     public void tick(long nowMs, ActionSink sink) {
+        if (nowMs - lastTickMs >= PAUSE_MS) {
+            placements.resumed(nowMs);
+        }
+        lastTickMs = nowMs;
         expire(nowMs, sink);
         registrations.tick(nowMs, sink);
         watchPlacementArbiters(nowMs, sink);
--- a/kernel/src/main/java/org/marjoramswitch/kernel/entry/FleetPlan.java
+++ b/kernel/src/main/java/org/marjoramswitch/kernel/entry/FleetPlan.java
@@ -124,14 +124,11 @@
         return assignment.reachable(cell, unreachable);
     }
 
-    /** As {@link #arbiter}, passing over some; null where none is left. */
+    /** The arbiter to turn to in place of one that can be reached but lags; null where there is none. */
     @Nullable
-    InstanceId arbiter(CellId cell, Set<InstanceId> passedOver) {
-        if (passedOver.isEmpty()) {
-            return arbiter(cell);
-        }
+    InstanceId arbiterAfter(CellId cell, InstanceId lagging) {
         Set<InstanceId> excluded = new TreeSet<>(unreachable);
-        excluded.addAll(passedOver);
+        excluded.add(lagging);
         return assignment.reachable(cell, excluded);
     }
 
--- a/kernel/src/main/java/org/marjoramswitch/kernel/entry/Placements.java
+++ b/kernel/src/main/java/org/marjoramswitch/kernel/entry/Placements.java
@@ -48,6 +48,7 @@
             new PriorityQueue<>(Comparator.comparingLong((Question question) -> question.answerDueAtMs)
                     .thenComparingLong(question -> question.number));
     private long lastNumber;
+    private long resumedAtMs = Long.MIN_VALUE;
 
     Placements(InstanceId self, FleetPlan plan, TargetRests rests) {
         this.self = self;
@@ -141,13 +142,18 @@
 
     private void noteDelay(Question question, long heldMs, long nowMs, ActionSink sink) {
         long delayMs = nowMs - question.putAtMs - heldMs;
-        if (LateArbiters.isLate(delayMs)) {
+        if (LateArbiters.isLate(delayMs) && question.putAtMs >= resumedAtMs) {
             late(question.arbiter, "delayed", nowMs, sink);
         }
     }
 
+    /** This instance was paused, so that answers which are late or missing now say nothing of the arbiters. */
+    void resumed(long nowMs) {
+        resumedAtMs = nowMs;
+    }
+
     private void late(InstanceId arbiter, String reason, long nowMs, ActionSink sink) {
-        if (arbiter.equals(self)) {
+        if (arbiter.equals(self) || nowMs == resumedAtMs) {
             return;
         }
         long backoffMs = lateArbiters.late(arbiter, nowMs);
@@ -230,10 +236,18 @@
         return awaited;
     }
 
-    /** The arbiter to ask: one that answers late is passed over while there is another. */
+    /**
+     * The arbiter to ask: the next in rank where the first answers late. Where both are late this instance is the one that
+     * lags, and asking ever further arbiters would only spread what is known of the targets over all of them.
+     */
     private @Nullable InstanceId arbiter(CellId cell, long nowMs) {
-        InstanceId onTime = plan.arbiter(cell, lateArbiters.inBackoff(nowMs));
-        return onTime == null ? plan.arbiter(cell) : onTime;
+        InstanceId first = plan.arbiter(cell);
+        Set<InstanceId> inBackoff = lateArbiters.inBackoff(nowMs);
+        if (first == null || !inBackoff.contains(first)) {
+            return first;
+        }
+        InstanceId second = plan.arbiterAfter(cell, first);
+        return second == null || inBackoff.contains(second) ? first : second;
     }
 
     private void move(Question question, CellId cell, InstanceId arbiter, long nowMs, ActionSink sink) {
--- a/kernel/src/main/java/org/marjoramswitch/kernel/event/Event.java
+++ b/kernel/src/main/java/org/marjoramswitch/kernel/event/Event.java
@@ -32,11 +32,9 @@
 
     /** A peer said something; {@code fromIncarnation} is the one that the link's handshake proved. */
     record PeerReceived(InstanceId from, long fromIncarnation, PeerMessage message) implements Event {
-        /** The same, decided on {@code delayMs} after its arrival: the times left that it states are shorter by that. */
+        /** The same, decided on {@code delayMs} after its arrival: times in it are adjusted by that. */
         public PeerReceived delayed(long delayMs) {
-            return message instanceof PeerMessage.Place place && delayMs > 0
-                    ? new PeerReceived(from, fromIncarnation, place.delayed(delayMs))
-                    : this;
+            return new PeerReceived(from, fromIncarnation, message.delayed(delayMs));
         }
     }
 
--- a/kernel/src/main/java/org/marjoramswitch/kernel/message/PeerMessage.java
+++ b/kernel/src/main/java/org/marjoramswitch/kernel/message/PeerMessage.java
@@ -23,6 +23,11 @@
         return false;
     }
 
+    /** The message as it is when the receiver decides on it {@code delayMs} after its arrival. */
+    default PeerMessage delayed(long delayMs) {
+        return this;
+    }
+
     /**
      * Entry to arbiter: the entry's whole state for a cell; it replaces what the arbiter held of this entry, but for
      * grants later than {@code lastSequence}, which were still on their way.
@@ -138,7 +143,7 @@
             long waitLeftMs,
             List<TargetId> excluded)
             implements PeerMessage {
-        /** As read {@code delayMs} after its arrival. */
+        @Override
         public Place delayed(long delayMs) {
             return new Place(
                     cell,
@@ -162,7 +167,7 @@
      * Arbiter to entry: start the request of this question at the target.
      *
      * @param fetchFrom the target that keeps more of the prompt, null where there is nothing to be fetched
-     * @param heldMs how long the arbiter kept the request waiting
+     * @param heldMs how long the arbiter kept the request waiting; at the entry its own backlog is included
      */
     record Placed(
             CellId cell,
@@ -170,6 +175,11 @@
             TargetId target,
             @Nullable TargetId fetchFrom,
             long heldMs) implements PeerMessage {
+        @Override
+        public Placed delayed(long delayMs) {
+            return new Placed(cell, ask, target, fetchFrom, heldMs + delayMs);
+        }
+
         @Override
         public boolean prompt() {
             return true;
@@ -182,6 +192,11 @@
      * @param heldMs how long the arbiter kept the request waiting
      */
     record NotPlaced(CellId cell, long ask, long retryAfterMs, long heldMs) implements PeerMessage {
+        @Override
+        public NotPlaced delayed(long delayMs) {
+            return new NotPlaced(cell, ask, retryAfterMs, heldMs + delayMs);
+        }
+
         @Override
         public boolean prompt() {
             return true;
--- a/kernel/src/test/java/org/marjoramswitch/kernel/PlacementFleetTest.java
+++ b/kernel/src/test/java/org/marjoramswitch/kernel/PlacementFleetTest.java
@@ -12,6 +12,7 @@
 import org.marjoramswitch.kernel.error.ErrorType;
 import org.marjoramswitch.kernel.event.Event;
 import org.marjoramswitch.kernel.message.PeerMessage;
+import org.marjoramswitch.kernel.model.InstanceId;
 import org.marjoramswitch.kernel.model.RunState;
 import org.marjoramswitch.kernel.model.TargetId;
 import org.marjoramswitch.kernel.model.TargetOutcome;
@@ -80,6 +81,26 @@
         assertEquals(4 * SLOTS, dispatched.size());
     }
 
+    /** Guards against an arbiter that is passed over because this instance was paused itself. */
+    @Test
+    void anEntryThatWasPausedKeepsItsArbiter() {
+        InstanceId third = INSTANCES.stream()
+                .filter(id -> !id.equals(arbiter) && !id.equals(entry))
+                .findFirst()
+                .orElseThrow();
+        for (int i = 0; i < 2 * SLOTS + 1; i++) {
+            arrive(true, 2, false);
+        }
+        frozen.add(entry);
+        pass(1_000);
+        frozen.clear();
+        pass(20);
+        frozen.add(third);
+        end(1, TargetOutcome.COMPLETED);
+        arrive(true, 2, false);
+        assertEquals(2 * SLOTS + 1, dispatched.size());
+    }
+
     @Test
     void aRepeatableRequestGoesToAnotherTarget() {
         long request = arrive(true, 2, false);
