--- a/kernel/src/main/java/org/marjoramswitch/kernel/cell/ProcessorTier.java
+++ b/kernel/src/main/java/org/marjoramswitch/kernel/cell/ProcessorTier.java
@@ -14,8 +14,9 @@
  *
  * <p>Instances that have not announced their processor count as the smallest, and as equal to one another.
  */
-public final class ProcessorTier {
+final class ProcessorTier {
     private static final int LEAST_MILLICORES = 1;
+    /** Members of the tier have at least the largest processor divided by this. */
     private static final int DIVISOR = 2;
 
     private final Map<InstanceId, Integer> millicoresById;
@@ -35,7 +36,7 @@
     }
 
     /** Instances that leave the fleet are not eligible. */
-    public static ProcessorTier of(FleetView view) {
+    static ProcessorTier of(FleetView view) {
         Map<InstanceId, Integer> millicoresById = new TreeMap<>();
         for (Member member : view.members().values()) {
             if (!member.leaving()) {
@@ -50,20 +51,10 @@
         return millicoresById.keySet();
     }
 
-    public boolean contains(InstanceId instance) {
+    boolean contains(InstanceId instance) {
         return instances.contains(instance);
     }
 
-    public int size() {
-        return instances.size();
-    }
-
-    /** The part of the eligible instances' processor that the tier has. */
-    public double share() {
-        long tierMillicores = instances.stream().mapToLong(this::millicores).sum();
-        return totalMillicores == 0 ? 0 : (double) tierMillicores / totalMillicores;
-    }
-
     /** Of so many duties, those that are an instance's by its processor, rounded up. */
     long quota(InstanceId instance, int duties) {
         return (duties * millicores(instance) + totalMillicores - 1) / totalMillicores;
--- a/kernel/src/main/java/org/marjoramswitch/kernel/entry/Entry.java
+++ b/kernel/src/main/java/org/marjoramswitch/kernel/entry/Entry.java
@@ -55,7 +55,7 @@
     /** Another instance can take the request at once. */
     private static final long LEAVING_RETRY_AFTER_MS = 100;
 
-    /** Ticks that are so far apart mean that the process was paused or had no processor time. */
+    /** A longer interval between ticks means that the process was paused or had no processor time. */
     private static final long PAUSE_MS = 300;
 
     private final KernelOptions options;
@@ -323,7 +323,7 @@
         }
     }
 
-    /** The arbiter has not answered in time; the caller learns now what it would learn at its deadline. */
+    /** Refuses requests that their arbiter has left unanswered, instead of holding them until their deadlines. */
     private void refuseOverdue(long nowMs, ActionSink sink) {
         for (EntryRequest request : placements.takeOverdue(nowMs, sink)) {
             waitingInAll--;
--- a/kernel/src/main/java/org/marjoramswitch/kernel/entry/LateArbiters.java
+++ b/kernel/src/main/java/org/marjoramswitch/kernel/entry/LateArbiters.java
@@ -7,11 +7,11 @@
 import org.marjoramswitch.kernel.model.InstanceId;
 
 /**
- * Arbiters that answer late because they lack processor time or their connections are slow; they are not asked until a
- * backoff has elapsed, which doubles where their answers are late again soon after it.
+ * Tracks arbiters whose answers are late, and passes them over until a backoff has elapsed. The backoff doubles when the
+ * answers are late again soon after it.
  *
- * <p>An arbiter that lags still sends messages, so it never counts as silent. If entries keep asking it, its backlog holds
- * more and more requests that nobody waits for.
+ * <p>An arbiter without enough processor time still sends messages, so it does not count as silent. If entries kept asking
+ * it, its backlog would fill with requests whose callers have given up.
  */
 final class LateArbiters {
     /** A stall of this length delays first bytes by about their objective. */
--- a/kernel/src/main/java/org/marjoramswitch/kernel/placement/LateHold.java
+++ b/kernel/src/main/java/org/marjoramswitch/kernel/placement/LateHold.java
@@ -1,6 +1,6 @@
 package org.marjoramswitch.kernel.placement;
 
-/** How long requests are held that can no longer be in time. */
+/** Computes how long an arbiter keeps requests that can no longer be in time, and so when its answer is due. */
 public final class LateHold {
     /** The part of the time a caller has left that a late request is held for, so that it can try once more. */
     private static final int DIVISOR = 4;
