--- a/daemon/src/main/java/org/marjoramswitch/daemon/caller/ConnectionUse.java
+++ b/daemon/src/main/java/org/marjoramswitch/daemon/caller/ConnectionUse.java
@@ -5,22 +5,18 @@
 import java.util.concurrent.atomic.AtomicInteger;
 
 /**
- * Decides after which answer a caller's connection is closed, so that the caller chooses an instance anew.
+ * Decides after which response a caller's connection is closed, so that the caller chooses an instance again.
  *
- * <p>A caller chooses among the instances for each new connection only. One that sends much keeps its few connections
- * busy and with them one instance, which carries several times its part and takes all of it along when it dies. So a
- * connection serves a bounded number of requests.
+ * <p>Callers choose an instance only when they open a connection. A busy caller with few connections would keep sending to
+ * one instance, so each connection serves a bounded number of requests.
  *
- * <p>A flood opens a connection for each of its requests, and callers keep those that were answered, to use them again.
- * At the instance's limit no further connection is accepted, and with thousands of idle ones held, new callers waited
- * unread until they gave up: of the requests that came in the last four seconds of a flood, half had no answer at all.
- * So from a share of the limit on, each answer closes its connection, and what is left of the limit is for requests that
- * wait for their answers.
+ * <p>Callers keep connections open for reuse. If idle connections filled the instance's limit, new ones would not be accepted
+ * and their requests would time out unread. Above a share of the limit each response therefore closes its connection.
  */
 final class ConnectionUse {
-    /** A new connection costs a caller one round trip; spread over so many requests it is a small part of their time. */
+    /** Spreads the round trip of a new connection over enough requests to be negligible. */
     private static final int REQUESTS_PER_CONNECTION = 16;
-    /** Of the most connections, those up to which idle ones are kept; the other half is for requests under way. */
+    /** Share of the connection limit up to which idle connections are kept. */
     private static final double KEPT_SHARE = 0.5;
 
     private static final AttachmentKey<Integer> REQUESTS = AttachmentKey.create(Integer.class);
@@ -32,12 +28,12 @@
         this.mostKept = mostKept;
     }
 
-    /** @param maxConnections the most connections that are accepted */
+    /** @param maxConnections the limit on accepted connections */
     static ConnectionUse within(int maxConnections) {
         return new ConnectionUse(KEPT_SHARE * maxConnections);
     }
 
-    /** Counts a request on a connection; true where its answer is to be the connection's last. */
+    /** Counts a request on a connection; true if the connection is to be closed after the response. */
     boolean isLast(ServerConnection connection) {
         Integer before = connection.getAttachment(REQUESTS);
         if (before == null) {
--- a/daemon/src/main/java/org/marjoramswitch/daemon/caller/LagProbe.java
+++ b/daemon/src/main/java/org/marjoramswitch/daemon/caller/LagProbe.java
@@ -7,8 +7,8 @@
 import org.xnio.XnioExecutor;
 
 /**
- * Samples by how much an instance is behind: how late a timer of one of the threads that serve callers fires, and how long
- * the last event waited for the decisions, whichever is more.
+ * Samples the instance's lag: the delay of a timer on an I/O thread that serves callers, or the time that the last event
+ * waited for its decision, whichever is longer.
  */
 final class LagProbe implements AutoCloseable {
     private static final KeyValueLog LOG = KeyValueLog.of(LagProbe.class);
--- a/kernel/src/main/java/org/marjoramswitch/kernel/entry/Placements.java
+++ b/kernel/src/main/java/org/marjoramswitch/kernel/entry/Placements.java
@@ -27,12 +27,13 @@
 import org.marjoramswitch.kernel.settings.TargetSettings;
 
 /**
- * This entry's questions to the arbiters of cells: where a request may run, and what became of it there.
+ * Tracks this entry's placement questions: which arbiter was asked for a target for which request, and which arbiters count
+ * the slot of a request that runs.
  *
- * <p>Each question has a number of its own, and an answer is taken only for a question that is open, from the arbiter
- * that it was last put to. When the cell's arbiter changes, or a new link to it came up, the open questions are put
- * again, and the new arbiter is told what this entry has at the cell's targets. An answer of the former arbiter that
- * was on its way is given back to it, so that its book comes out even.
+ * <p>Each question has a number of its own, and an answer is accepted only for an open question and from the arbiter that was
+ * asked last. When the cell's arbiter changes, or a link to it is re-established, open questions are sent again and the new
+ * arbiter is notified of this entry's running requests in the cell. A late answer of the former arbiter is given back, so
+ * that it frees the slot.
  */
 final class Placements {
     private final InstanceId self;
@@ -41,7 +42,7 @@
     private final LateArbiters lateArbiters = new LateArbiters();
     private final Map<Long, Question> byNumber = new TreeMap<>();
     private final Map<Long, Question> byRequest = new HashMap<>();
-    /** The arbiters that know what this entry has at the targets of a cell. */
+    /** For each cell, the arbiter that was notified of this entry's running requests. */
     private final Map<CellId, InstanceId> told = new TreeMap<>();
 
     private final PriorityQueue<Question> answerDue =
@@ -56,7 +57,7 @@
         this.rests = rests;
     }
 
-    /** Asks for a target; false where the pool has none, so that nothing is worth waiting for. */
+    /** Asks for a target; false if the pool has none. */
     boolean ask(EntryRequest request, long nowMs, ActionSink sink) {
         CellId cell = cell(request);
         InstanceId arbiter = cell == null ? null : arbiter(cell, nowMs);
@@ -72,19 +73,19 @@
         return true;
     }
 
-    /** How long no target wants the request; 0 where one may be asked for now. */
+    /** Time until any target accepts requests again; 0 if one does now. */
     long restLeftMs(EntryRequest request, long nowMs) {
         CellId cell = cell(request);
         return cell == null ? 0 : rests.leftMs(targets(cell), nowMs);
     }
 
-    /** Whether the request's running question left the target out, so that its arbiter has no other to offer. */
+    /** Whether the request's question excluded the target, so that the arbiter offered it for lack of another. */
     boolean leftOut(EntryRequest request, TargetId target) {
         Question question = byRequest.get(request.spec().requestId());
         return question != null && question.excluded.contains(target);
     }
 
-    /** Targets have had their rest: requests for which they were left out may be placed there, and not wait beside them. */
+    /** Asks again for requests that had excluded targets in backoff, now that a backoff has elapsed. */
     void restEnded(long nowMs, ActionSink sink) {
         for (Question question : List.copyOf(byNumber.values())) {
             if (question.spared) {
@@ -93,7 +94,7 @@
         }
     }
 
-    /** A request that waited ended otherwise. */
+    /** Withdraws the question of a request that ended while waiting. */
     void withdraw(EntryRequest request, ActionSink sink) {
         Question question = byRequest.get(request.spec().requestId());
         if (question != null) {
@@ -102,7 +103,7 @@
         }
     }
 
-    /** Takes a placement; null where it answers no open question, and then it is given back. */
+    /** Accepts a placement; null if it answers no open question, in which case it is given back. */
     @Nullable
     EntryRequest placed(InstanceId from, PeerMessage.Placed placed, long nowMs, ActionSink sink) {
         Question question = byNumber.get(placed.ask());
@@ -117,13 +118,13 @@
         return question.request;
     }
 
-    /** The target of a placement cannot be used after all. */
+    /** Gives a placement back whose target cannot be used. */
     void giveBack(InstanceId from, PeerMessage.Placed placed, ActionSink sink) {
         sink.accept(new Action.SendPeer(
                 from, new PeerMessage.PlacementEnded(placed.cell(), placed.ask(), 0, PlacementEnd.NOT_RUN)));
     }
 
-    /** Takes a refusal; null where it answers no open question. */
+    /** Accepts a rejection; null if it answers no open question. */
     @Nullable
     EntryRequest notPlaced(InstanceId from, PeerMessage.NotPlaced refused, long nowMs, ActionSink sink) {
         Question question = byNumber.get(refused.ask());
@@ -178,7 +179,7 @@
         return overdue;
     }
 
-    /** The first byte of the running attempt's answer is there. */
+    /** The first byte of the running attempt's answer has arrived. */
     void answering(EntryRequest request, ActionSink sink) {
         Question question = byRequest.get(request.spec().requestId());
         if (question == null || !question.placed || question.answering) {
@@ -202,7 +203,7 @@
         }
     }
 
-    /** Follows arbiters and cells that have changed. */
+    /** Re-sends open questions whose cell or arbiter has changed. */
     void follow(long nowMs, ActionSink sink) {
         told.entrySet().removeIf(known -> !known.getValue().equals(arbiter(known.getKey(), nowMs)));
         for (Question question : List.copyOf(byNumber.values())) {
@@ -214,7 +215,7 @@
         }
     }
 
-    /** A new link to a peer came up: what was on the old one is lost, and the peer has forgotten what it was told. */
+    /** A new link to a peer is up: messages on the old one are lost, and the peer has dropped this entry's state. */
     void connected(InstanceId peer, long nowMs, ActionSink sink) {
         told.values().removeIf(peer::equals);
         for (Question question : List.copyOf(byNumber.values())) {
@@ -260,7 +261,7 @@
         put(question, nowMs, sink);
     }
 
-    /** Tells an arbiter that is new to this entry what the entry has at the cell's targets. */
+    /** Notifies an arbiter that is new to this entry of the running requests in the cell. */
     private void tellHeld(CellId cell, InstanceId arbiter, ActionSink sink) {
         if (arbiter.equals(told.put(cell, arbiter))) {
             return;
@@ -313,8 +314,8 @@
     }
 
     /**
-     * The targets that rest or have failed the request. With all of them left out the arbiter would take any, so those that
-     * have failed it are taken in again then; one that rests would turn it away.
+     * The targets in backoff and those that have failed the request. An arbiter ignores a list of all targets, so the failed
+     * ones are allowed again in that case; a target in backoff would reject the request.
      */
     private List<TargetId> excluded(Question question, Set<TargetId> resting) {
         Set<TargetId> excluded = new TreeSet<>(resting);
@@ -341,7 +342,7 @@
         sink.accept(new Action.SendPeer(question.arbiter, message));
     }
 
-    /** The cell that a request is asked for at: a session's requests always at the same, so that they find its prompt. */
+    /** The cell for a request; all requests of a session use the same one, so that they find their prompt cached. */
     private @Nullable CellId cell(EntryRequest request) {
         PoolId pool = request.spec().pool();
         List<CellId> cells = plan.cells().cells(pool);
@@ -356,7 +357,7 @@
         return Rendezvous.rank(key, cells).get(0);
     }
 
-    /** One question, from its putting until the request's end at the target. */
+    /** One question, until the request's end at the target. */
     private static final class Question {
         private final long number;
         private final EntryRequest request;
@@ -368,7 +369,7 @@
         private boolean answering;
         /** The arbiters in whose books the request has a slot: the one that placed it and those told of it since. */
         private final Set<InstanceId> counting = new TreeSet<>();
-        /** Whether targets are left out because they rest. */
+        /** Whether targets are excluded because they are in backoff. */
         private boolean spared;
 
         private List<TargetId> excluded = List.of();
--- a/kernel/src/main/java/org/marjoramswitch/kernel/placement/EvenShare.java
+++ b/kernel/src/main/java/org/marjoramswitch/kernel/placement/EvenShare.java
@@ -6,18 +6,17 @@
 import org.marjoramswitch.kernel.model.CustomerId;
 
 /**
- * What an even share of the cell's work was lately: the tokens that were charged in the last seconds, divided by the
- * customers that they were charged to.
+ * Estimates an even share of the cell's recent work: the tokens charged in the last seconds, divided by the number of
+ * customers they were charged to.
  *
- * <p>A customer that has used less may catch up by that much, see {@link org.marjoramswitch.kernel.fair.FairShares}. Requests
- * come in clumps; a customer whose next one has to wait until all others had as much as its last one gets late by its own
- * clumps, though over seconds it asks for less than its share. At 1.8 times what a pool can do, customers that ask for 6
- * and 4 in 100 of it had 0.86 and 0.94 of their requests in time, and 0.94 and 0.99 with this; the largest pays for it.
+ * <p>A customer that has used less may catch up by this much, see {@link org.marjoramswitch.kernel.fair.FairShares}. Without
+ * this credit, a customer below its share would be delayed by its own bursts: each request would wait until all others had
+ * been charged as much as the one before it.
  *
  * <p>Cost: constant, a customer's first charge after a pause aside. Not thread-safe.
  */
 final class EvenShare {
-    /** Customers are owed their shares over a few seconds; half of that may be caught up at once. */
+    /** Customers receive their shares over a few seconds; half of that may be caught up at once. */
     private static final double WINDOW_MS = 2_000;
 
     private static final float LOAD_FACTOR = 0.75f;
@@ -39,7 +38,7 @@
     }
 
     private void age(long nowMs) {
-        // An exponential average in place of a window with a sharp end, which would have to keep every charge.
+        // An exponential average, because a sliding window would have to keep every charge.
         windowTokens *= Math.exp(-Math.max(0, nowMs - updatedAtMs) / WINDOW_MS);
         updatedAtMs = Math.max(updatedAtMs, nowMs);
         Iterator<Long> eldestFirst = chargedAtMs.values().iterator();
--- a/kernel/src/main/java/org/marjoramswitch/kernel/placement/PlacementArbiter.java
+++ b/kernel/src/main/java/org/marjoramswitch/kernel/placement/PlacementArbiter.java
@@ -24,43 +24,37 @@
 import org.marjoramswitch.kernel.settings.TargetSettings;
 
 /**
- * Places the requests of one cell: which request goes to which target, and when.
+ * Decides which request of a cell goes to which target, and when.
  *
- * <p>Engines admit what they get in the order of its coming, so requests wait here, where they can be ordered, and an
- * engine gets no more than it needs to be busy. In a pass the customers that have requests waiting are gone through, the
- * one with the least virtual counter ({@link FairShares}) first, and its most pressing request that {@link TargetChoice}
- * finds a target for is started. So a customer that asks for much waits behind those that ask for little, and no target is
- * left idle for the sake of an order.
+ * <p>Engines admit requests in order of arrival, so requests are queued here, where they can be ordered, and an engine gets
+ * only as many as keep it busy. A pass visits the customers with waiting requests in order of their virtual counters
+ * ({@link FairShares}), the lowest first, and starts each one's most urgent request for which {@link TargetChoice} finds a
+ * target. Customers with high demand therefore wait behind those with low demand, and no target is kept idle.
  *
- * <p>A request that found no target in a pass would find none after the pass's other starts either, so it is not tried
- * again in it; and until the next pass only requests that have come since are tried, at targets that the pass left free. So
- * what waits is gone through a bounded number of times a second, whatever the number of requests and events: with a pass
- * for each event an arbiter before 37 engines needed more than all of its processor, and entries gave their callers up.
+ * <p>A request that finds no target is not tried again in the same pass. Between passes only new requests are tried, at
+ * targets that the last pass left free. The queue is thus scanned a bounded number of times per second, whatever the number
+ * of requests and events.
  *
- * <p>A request whose first byte cannot come in time any more is late. Late requests go only where those in time need
- * nothing, are held for a bounded time, and are then refused with the time to come back.
+ * <p>A request is late once its first byte can no longer meet its objective. Late requests use only capacity that the others
+ * leave, are held for a bounded time ({@link LateHold}), and are then rejected with a retry delay.
  *
- * <p>All state is soft. Every question bears a name of its entry's; an entry that turns to another arbiter asks there
- * anew and tells what it has at the targets. Two arbiters of one cell, in two halves of a partition, each place what
- * they are asked: the targets get more than they should for a while, and no request is started twice, since its entry
- * takes one answer to one question.
+ * <p>All state is soft. Requests carry an id chosen by the entry, which re-registers its running requests after switching
+ * arbiters. Two arbiters of one cell, on the two sides of a partition, may overload targets for a while, but no request is
+ * started twice because its entry accepts only one answer.
  *
- * <p>Cost: a pass is linear in the customers waiting, a bounded number of requests each, and in the targets; between two
+ * <p>Cost: a pass is linear in the targets and in the customers waiting, with a bounded number of requests each; between
  * passes an event costs one choice. Not thread-safe.
  */
 public final class PlacementArbiter {
-    /** Of one customer's requests, how many are tried before the next customer's turn. */
+    /** Maximum requests examined per customer in one pass. */
     private static final int LOOKAHEAD = 8;
-    /** Late requests held, for each slot of the cell: what the cell serves in about a second or less. */
+    /** Late requests held per slot: at most about one second of the cell's throughput. */
     private static final double LATE_PER_SLOT = 0.25;
-    /** One first byte in four takes this much longer than predicted, or more. */
+    /** Three in four first bytes arrive within this multiple of the prediction. */
     private static final double PREDICTION_MARGIN = 1.3;
-    /**
-     * Between two passes while much waits. An engine always has {@link TargetChoice#DEPTH_MS} to read, so none runs dry
-     * meanwhile.
-     */
+    /** Shorter than {@link TargetChoice#DEPTH_MS}, so that no engine runs dry between passes. */
     private static final long PASS_MS = 4;
-    /** With so few requests waiting each event has its pass: it costs little, and a freed target is used at once. */
+    /** Up to this many waiting requests every event triggers a pass, so that a freed target is used at once. */
     private static final int FEW_WAITING = 16;
 
     private static final double INITIAL_SERVICE_MS = 50;
@@ -75,7 +69,7 @@
     private final EvenShare evenShare = new EvenShare();
     private final TargetPool targets = TargetPool.create();
     private final Map<InstanceId, Map<Long, RunningRequest>> running = new HashMap<>();
-    /** Came since the last pass. */
+    /** Requests received since the last pass. */
     private final List<WaitingRequest> arrived = new ArrayList<>();
 
     private @Nullable TargetChoice lastPass;
@@ -155,7 +149,7 @@
         settle(request, ended, nowMs);
     }
 
-    /** Takes over what an entry has at the targets. */
+    /** Takes over an entry's running requests. */
     public void held(InstanceId entry, PeerMessage.PlacementsHeld message, long nowMs) {
         for (PeerMessage.HeldPlacement held : message.held()) {
             TargetLoad target = targets.get(held.target());
@@ -169,7 +163,7 @@
         }
     }
 
-    /** The entry is gone or cannot be reached; one that lives asks anew. */
+    /** The entry is gone or unreachable; if it is alive it asks again. */
     public void forget(InstanceId entry, long nowMs) {
         waiting.removeAll(entry).forEach(request -> showWaiting(request.customer()));
         Map<Long, RunningRequest> held = running.remove(entry);
@@ -178,12 +172,12 @@
         }
     }
 
-    /** How often a target was looked for so far: what the arbiter's work grows with. */
+    /** Target choices made so far, which the arbiter's cost is proportional to. */
     long choices() {
         return choices;
     }
 
-    /** Starts what can be started and refuses what has no use any more. */
+    /** Starts the requests that can be started and rejects those that have become useless. */
     public void decide(long nowMs, ActionSink sink) {
         noteLate(nowMs);
         if (!waiting.isEmpty()) {
@@ -246,7 +240,7 @@
         waiting.addLate(request, worthHolding ? nowMs + holdMs : nowMs);
     }
 
-    /** Whether any target has time for late requests; where none has, holding one tells its caller later, no more. */
+    /** Whether any target has capacity for late requests; otherwise holding one only delays its rejection. */
     private boolean hasSpare() {
         return targets.all().stream().anyMatch(target -> target.load() <= TargetChoice.SPARE_LOAD);
     }
@@ -255,7 +249,7 @@
         return LATE_PER_SLOT * targets.slots();
     }
 
-    /** Those that cannot be in time any more wait as late ones, or are over. */
+    /** Moves requests that can no longer be in time to the late ones. */
     private void noteLate(long nowMs) {
         for (WaitingRequest next = waiting.nextLate(nowMs); next != null; next = waiting.nextLate(nowMs)) {
             forgetWaiting(next.entry(), next.ask());
@@ -325,7 +319,7 @@
         return false;
     }
 
-    /** Those that were there before found nothing at the targets as the last pass left them. */
+    /** Tries only new requests; the others found no target in the last pass. */
     private void placeArrived(TargetChoice choice, long nowMs, ActionSink sink) {
         for (WaitingRequest request : arrived) {
             TargetChoice.Chosen chosen = waiting.isInTime(request) ? inTime(request, choice) : null;
