Look an arbiter's backoff up in place of collecting all; copy a peer's message only where its wait changes it

Each question asked on each tick for the set of all arbiters in backoff, and each peer message was copied before its decision, also where it had not waited. Behaviour is the same.

--- a/daemon/src/main/java/org/marjoramswitch/daemon/core/DecisionDuty.java
+++ b/daemon/src/main/java/org/marjoramswitch/daemon/core/DecisionDuty.java
@@ -229,7 +229,7 @@
     }
 
     private static Event arrivedBefore(Event event, long waitedMs) {
-        return event instanceof Event.PeerReceived received ? received.delayed(waitedMs) : event;
+        return waitedMs > 0 && event instanceof Event.PeerReceived received ? received.delayed(waitedMs) : event;
     }
 
     private void tickWhenDue() {
--- a/kernel/src/main/java/org/marjoramswitch/kernel/entry/LateArbiters.java
+++ b/kernel/src/main/java/org/marjoramswitch/kernel/entry/LateArbiters.java
@@ -1,9 +1,7 @@
 package org.marjoramswitch.kernel.entry;
 
 import java.util.Map;
-import java.util.Set;
 import java.util.TreeMap;
-import java.util.stream.Collectors;
 import org.marjoramswitch.kernel.model.InstanceId;
 
 /**
@@ -33,25 +31,19 @@
      * @return the backoff that begins now; 0 where the arbiter is in one
      */
     long late(InstanceId arbiter, long nowMs) {
-        Backoff last = backoffs.getOrDefault(arbiter, Backoff.NONE);
-        if (last.untilMs > nowMs) {
+        if (isInBackoff(arbiter, nowMs)) {
             return 0;
         }
+        Backoff last = backoffs.getOrDefault(arbiter, Backoff.NONE);
         boolean isAgain = nowMs < last.untilMs + MAX_BACKOFF_MS;
         long lengthMs = isAgain ? Math.min(MAX_BACKOFF_MS, 2 * last.lengthMs) : FIRST_BACKOFF_MS;
         backoffs.put(arbiter, new Backoff(nowMs + lengthMs, lengthMs));
         return lengthMs;
     }
 
-    /** The arbiters not to be asked now. */
-    Set<InstanceId> inBackoff(long nowMs) {
-        if (backoffs.isEmpty()) {
-            return Set.of();
-        }
-        return backoffs.entrySet().stream()
-                .filter(entry -> entry.getValue().untilMs() > nowMs)
-                .map(Map.Entry::getKey)
-                .collect(Collectors.toSet());
+    /** Whether the arbiter is not to be asked now. */
+    boolean isInBackoff(InstanceId arbiter, long nowMs) {
+        return backoffs.getOrDefault(arbiter, Backoff.NONE).untilMs > nowMs;
     }
 
     private record Backoff(long untilMs, long lengthMs) {
--- a/kernel/src/main/java/org/marjoramswitch/kernel/entry/Placements.java
+++ b/kernel/src/main/java/org/marjoramswitch/kernel/entry/Placements.java
@@ -243,12 +243,11 @@
      */
     private @Nullable InstanceId arbiter(CellId cell, long nowMs) {
         InstanceId first = plan.arbiter(cell);
-        Set<InstanceId> inBackoff = lateArbiters.inBackoff(nowMs);
-        if (first == null || !inBackoff.contains(first)) {
+        if (first == null || !lateArbiters.isInBackoff(first, nowMs)) {
             return first;
         }
         InstanceId second = plan.arbiterAfter(cell, first);
-        return second == null || inBackoff.contains(second) ? first : second;
+        return second == null || lateArbiters.isInBackoff(second, nowMs) ? first : second;
     }
 
     private void move(Question question, CellId cell, InstanceId arbiter, long nowMs, ActionSink sink) {
--- a/kernel/src/main/java/org/marjoramswitch/kernel/event/Event.java
+++ b/kernel/src/main/java/org/marjoramswitch/kernel/event/Event.java
@@ -34,7 +34,8 @@
     record PeerReceived(InstanceId from, long fromIncarnation, PeerMessage message) implements Event {
         /** The same, decided on {@code delayMs} after its arrival: times in it are adjusted by that. */
         public PeerReceived delayed(long delayMs) {
-            return new PeerReceived(from, fromIncarnation, message.delayed(delayMs));
+            PeerMessage adjusted = message.delayed(delayMs);
+            return adjusted == message ? this : new PeerReceived(from, fromIncarnation, adjusted);
         }
     }
 
