Check for a disconnected caller right before a request is sent

Cause: an attempt looked at the deadline before its first byte, but not at the caller. A close reached the attempt through two queues (the decision ring, then the attempt's I/O thread), each of which is long on an instance that lags.

Change: the attempt asks its listener, on its own I/O thread, right before it sends. The caller's connection answers; on its own I/O thread it reads the socket first, because the close may wait there. A disconnect cancels the running attempt directly, beside the event for the kernel.

Ruled out: reading the caller's socket from the other I/O thread (a read is confined to the connection's thread); a hop to it before each send costs a turn of a busy thread for every request.

Tests: ServiceAttemptTest#callIsNotSentAfterTheCallerHasDisconnected and DecisionLoopTest#disconnectCancelsTheAttemptWithoutADecision, both failing with the two lines taken out (CANCELLED expected; true expected but was false).

--- a/daemon/src/main/java/org/marjoramswitch/daemon/caller/CallIntake.java
+++ b/daemon/src/main/java/org/marjoramswitch/daemon/caller/CallIntake.java
@@ -250,7 +250,8 @@
                 new ResponseRelay(
                         buffer,
                         keyed ? recordingProgress(requestId) : ResponseRelay.Progress.NONE,
-                        UnaryOperator.identity()));
+                        UnaryOperator.identity(),
+                        () -> false));
     }
 
     private void refuse(CallerExchange caller, Call call, Failure failure) {
--- a/daemon/src/main/java/org/marjoramswitch/daemon/caller/CallerWatch.java
+++ b/daemon/src/main/java/org/marjoramswitch/daemon/caller/CallerWatch.java
@@ -108,7 +108,8 @@
         }
     }
 
-    private void readInput() {
+    /** Reads the input that has arrived, and notifies the listener if the caller has disconnected. */
+    void readInput() {
         if (stopped) {
             return;
         }
--- a/daemon/src/main/java/org/marjoramswitch/daemon/caller/ForwardHandler.java
+++ b/daemon/src/main/java/org/marjoramswitch/daemon/caller/ForwardHandler.java
@@ -189,8 +189,9 @@
                 (end, bytes) -> budget.release(body.length));
         ResponseWriter.Times times = new ResponseWriter.Times(
                 options.times().keepAliveMs(), options.times().idleTimeoutMs());
-        ResponseWriter.unchanged(caller.http(), requestId, times, new CallListener(caller, requestId))
-                .start(buffer);
+        ResponseWriter writer =
+                ResponseWriter.unchanged(caller.http(), requestId, times, new CallListener(caller, requestId));
+        writer.start(buffer);
         RoutedCall call =
                 new RoutedCall(requestId, Objects.requireNonNull(caller.customer()), current, route, pool, metadata);
         long digest = RequestDigest.of(call.customer(), caller.http(), body);
@@ -198,7 +199,7 @@
         submitter.submit(
                 call.spec(clockMs.getAsLong(), elapsedMs(route, metadata)).withDigest(digest),
                 call.toTarget(caller.http(), decoder, headers, body, System.nanoTime()),
-                new ResponseRelay(buffer, new ChunkRecorder(caller), FailureStatus::of));
+                new ResponseRelay(buffer, new ChunkRecorder(caller), FailureStatus::of, writer::isCallerGone));
     }
 
     /** Estimated time since the caller's first attempt, so that a retry's latency objective counts from then. */
--- a/daemon/src/main/java/org/marjoramswitch/daemon/caller/ResponseRelay.java
+++ b/daemon/src/main/java/org/marjoramswitch/daemon/caller/ResponseRelay.java
@@ -1,6 +1,7 @@
 package org.marjoramswitch.daemon.caller;
 
 import java.util.Map;
+import java.util.function.BooleanSupplier;
 import java.util.function.UnaryOperator;
 import org.marjoramswitch.daemon.exchange.ResponseListener;
 import org.marjoramswitch.kernel.error.Failure;
@@ -9,8 +10,10 @@
  * Forwards a response to its buffer without the headers that are not for the caller.
  *
  * @param failureMapper maps a failure to the one reported to the caller
+ * @param callerGone whether the caller has disconnected and its request is not needed any more
  */
-record ResponseRelay(ResponseBuffer buffer, Progress progress, UnaryOperator<Failure> failureMapper)
+record ResponseRelay(
+        ResponseBuffer buffer, Progress progress, UnaryOperator<Failure> failureMapper, BooleanSupplier callerGone)
         implements ResponseListener {
     /** Receives the progress of a request. */
     interface Progress {
@@ -23,6 +26,11 @@
         default void onChunk() {}
     }
 
+    @Override
+    public boolean isCallerGone() {
+        return callerGone.getAsBoolean();
+    }
+
     @Override
     public void onSent() {
         progress.onSent();
--- a/daemon/src/main/java/org/marjoramswitch/daemon/caller/ResponseWriter.java
+++ b/daemon/src/main/java/org/marjoramswitch/daemon/caller/ResponseWriter.java
@@ -135,6 +135,19 @@
         return true;
     }
 
+    /**
+     * Whether the caller has disconnected. On the connection's I/O thread its input is read first, because on a busy
+     * thread the close may be waiting in the socket; other threads see only a connection that is closed already.
+     */
+    boolean isCallerGone() {
+        CallerWatch watching = watch;
+        if (watching != null && Thread.currentThread() == exchange.getIoThread()) {
+            watching.readInput();
+            return done;
+        }
+        return !exchange.getConnection().isOpen();
+    }
+
     @Override
     public void onMore() {
         if (scheduled.compareAndSet(false, true)) {
--- a/daemon/src/main/java/org/marjoramswitch/daemon/core/AttemptRelay.java
+++ b/daemon/src/main/java/org/marjoramswitch/daemon/core/AttemptRelay.java
@@ -40,6 +40,11 @@
         request.onHead(attempt, status, headers);
     }
 
+    @Override
+    public boolean isCallerGone() {
+        return request.isCallerGone();
+    }
+
     @Override
     public void onNotice(TargetStatusNotice notice) {
         if (notice.leaving()) {
--- a/daemon/src/main/java/org/marjoramswitch/daemon/core/DecisionLoop.java
+++ b/daemon/src/main/java/org/marjoramswitch/daemon/core/DecisionLoop.java
@@ -140,6 +140,9 @@
     public void callerGone(long requestId) {
         OpenRequest request = requests.find(requestId);
         if (request != null && request.markCallerGone()) {
+            // Cancelled here as well as by the kernel: while events queue up, the target would continue to work for a
+            // caller that has disconnected.
+            request.cancelRunning();
             offer(new Event.CallerGone(requestId));
         }
     }
--- a/daemon/src/main/java/org/marjoramswitch/daemon/core/OpenRequest.java
+++ b/daemon/src/main/java/org/marjoramswitch/daemon/core/OpenRequest.java
@@ -38,8 +38,10 @@
     private final ResponseListener caller;
     private final AtomicBoolean callerGone = new AtomicBoolean();
 
+    /** Written by the decision thread, read by the I/O threads. */
+    private volatile @Nullable Attempt runningAttempt;
+
     // Confined to the decision thread.
-    private @Nullable Attempt runningAttempt;
     private boolean decided;
     private boolean endOutstanding;
 
@@ -117,12 +119,19 @@
         return decided && !endOutstanding;
     }
 
+    /** Cancels the running attempt, if any. May be called on any thread. */
     void cancelRunning() {
-        if (runningAttempt != null) {
-            runningAttempt.cancel();
+        Attempt running = runningAttempt;
+        if (running != null) {
+            running.cancel();
         }
     }
 
+    /** Whether the caller has disconnected, according to its connection or to an earlier report. */
+    boolean isCallerGone() {
+        return callerGone.get() || caller.isCallerGone();
+    }
+
     synchronized boolean wasSent() {
         return attempt > 0;
     }
--- a/daemon/src/main/java/org/marjoramswitch/daemon/exchange/ResponseListener.java
+++ b/daemon/src/main/java/org/marjoramswitch/daemon/exchange/ResponseListener.java
@@ -14,6 +14,11 @@
 
     void onHead(int status, Map<String, String> headers);
 
+    /** Whether the caller has disconnected, according to its connection. May be called on any thread. */
+    default boolean isCallerGone() {
+        return false;
+    }
+
     void onBytes(byte[] bytes);
 
     void onComplete();
--- a/daemon/src/main/java/org/marjoramswitch/daemon/exchange/TargetClient.java
+++ b/daemon/src/main/java/org/marjoramswitch/daemon/exchange/TargetClient.java
@@ -21,6 +21,11 @@
     interface AttemptListener {
         void onHead(int status, Map<String, String> headers);
 
+        /** Whether the caller has disconnected; checked on the attempt's I/O thread right before the request is sent. */
+        default boolean isCallerGone() {
+            return false;
+        }
+
         /** The target reported its own status with the response; independent of the response's outcome. */
         default void onNotice(TargetStatusNotice notice) {}
 
--- a/daemon/src/main/java/org/marjoramswitch/daemon/target/HttpAttempt.java
+++ b/daemon/src/main/java/org/marjoramswitch/daemon/target/HttpAttempt.java
@@ -114,6 +114,10 @@
 
     @Override
     public void cancel() {
+        if (Thread.currentThread() == thread) {
+            end(TargetOutcome.CANCELLED);
+            return;
+        }
         thread.execute(() -> end(TargetOutcome.CANCELLED));
     }
 
@@ -145,9 +149,7 @@
     }
 
     private void send(ClientConnection usable) {
-        if (sending.isExpired(System.nanoTime())) {
-            // On a busy instance the kernel's cancellation may arrive only after the connection is ready. The target
-            // would process a request whose caller has timed out.
+        if (isUnwanted()) {
             connector.returnConnection(address, usable);
             end(TargetOutcome.CANCELLED);
             return;
@@ -164,6 +166,14 @@
                 HeadConverter.request(spec, sending, System.nanoTime()), callback(usable, this::requestOpened));
     }
 
+    /**
+     * Whether the caller has timed out or disconnected. On a busy instance the kernel's cancellation may arrive only
+     * after the connection is ready, and the target would process the request in vain.
+     */
+    private boolean isUnwanted() {
+        return sending.isExpired(System.nanoTime()) || listener.isCallerGone();
+    }
+
     private void requestOpened(ClientConnection carrier, ClientExchange exchange) {
         exchange.setResponseListener(callback(carrier, this::responseOpened));
         BodyWriter.start(exchange.getRequestChannel(), sending.body(), new BodyWriter.Listener() {
--- a/daemon/src/test/java/org/marjoramswitch/daemon/core/DecisionLoopTest.java
+++ b/daemon/src/test/java/org/marjoramswitch/daemon/core/DecisionLoopTest.java
@@ -10,6 +10,7 @@
 import java.util.concurrent.CountDownLatch;
 import java.util.concurrent.LinkedBlockingQueue;
 import java.util.concurrent.TimeUnit;
+import java.util.concurrent.atomic.AtomicBoolean;
 import java.util.concurrent.atomic.AtomicInteger;
 import org.junit.jupiter.api.AfterEach;
 import org.junit.jupiter.api.Test;
@@ -210,6 +211,31 @@
         assertTrue(reports.get() >= 1 && reports.get() < 160, "reports: " + reports);
     }
 
+    /** Guards against a target that works for a caller that has disconnected while the decision thread is busy. */
+    @Test
+    void disconnectCancelsTheAttemptWithoutADecision() throws Exception {
+        CountDownLatch blocked = new CountDownLatch(1);
+        CountDownLatch resumed = new CountDownLatch(1);
+        start(
+                (event, nowMs) -> {
+                    if (isArrival(event, 2)) {
+                        blocked.countDown();
+                        awaitUninterrupted(resumed);
+                    }
+                    return dispatchAndRetry(event, nowMs);
+                },
+                10);
+        submit(1);
+        Attempts.Started attempt = attempts.next();
+        submit(2);
+        assertTrue(blocked.await(10, TimeUnit.SECONDS));
+        loop.callerGone(1);
+        boolean cancelled = attempt.cancelled().get();
+        boolean gone = attempt.listener().isCallerGone();
+        resumed.countDown();
+        assertTrue(cancelled && gone);
+    }
+
     private void start(Decider decider, int maxWaiting) {
         loop = builder(decider, maxWaiting).start();
         loop.offer(new Event.SettingsAccepted(settings()));
@@ -277,8 +303,9 @@
 
         @Override
         public Attempt start(TargetSettings target, PoolSettings pool, TargetCall call, AttemptListener listener) {
-            started.add(new Started(listener));
-            return () -> {};
+            Started attempt = new Started(listener, new AtomicBoolean());
+            started.add(attempt);
+            return () -> attempt.cancelled().set(true);
         }
 
         Started next() throws InterruptedException {
@@ -287,7 +314,7 @@
             return next;
         }
 
-        record Started(TargetClient.AttemptListener listener) {}
+        record Started(TargetClient.AttemptListener listener, AtomicBoolean cancelled) {}
     }
 
     /** Records the calls that a caller's listener receives. */
--- a/testsuite/src/test/java/org/marjoramswitch/testsuite/target/ServiceAttemptTest.java
+++ b/testsuite/src/test/java/org/marjoramswitch/testsuite/target/ServiceAttemptTest.java
@@ -98,6 +98,23 @@
         assertEquals(TargetOutcome.COMPLETED, run(LONG_TIMEOUT_MS).outcome());
     }
 
+    /** Guards against running a request for a caller that disconnected before the connection to the target was ready. */
+    @Test
+    void callIsNotSentAfterTheCallerHasDisconnected() throws Exception {
+        for (int i = 0; i < 2; i++) {
+            RecordedAttempt abandoned = new RecordedAttempt() {
+                @Override
+                public boolean isCallerGone() {
+                    return true;
+                }
+            };
+            fixture.start(service.port(), LONG_TIMEOUT_MS, fixture.serviceCall(), abandoned);
+            assertEquals(TargetOutcome.CANCELLED, abandoned.outcome());
+        }
+        assertTrue(service.executions().isEmpty());
+        assertEquals(TargetOutcome.COMPLETED, run(LONG_TIMEOUT_MS).outcome());
+    }
+
     @Test
     void callDoesNotUseASilentIdleConnection() throws Exception {
         // A pooled connection goes silent. A non-repeatable call on it would end with an unknown outcome though it
