Send nothing new to targets of evacuated data centres

EvacuationList turns the keys into Evacuations, a set with the store's revision; of two the greater revision holds, whatever way it came: the own watch, the data centre's watchers, the entry that tells the arbiters, or a peer on a new link (an instance that starts while the store is away). Arbiters keep the state of such targets, since what runs there goes on, but neither place there nor fetch from there. SendAdmission is the one check in the moment before a send, for grants, placements, reused slots and fetch sources: unknown, draining, evacuated, in backoff, caller gone, deadline passed, blocked. All data centres evacuated: 503 DATA_CENTRES_EVACUATED with Retry-After at once.

Ruled out: a second watch (a call more per instance); taking evacuated targets out of the pool like draining ones (their running requests would be forgotten and their slots given twice after the evacuation).

--- a/daemon/src/main/java/org/marjoramswitch/daemon/ForwardingDaemon.java
+++ b/daemon/src/main/java/org/marjoramswitch/daemon/ForwardingDaemon.java
@@ -14,6 +14,7 @@
 import org.marjoramswitch.daemon.caller.InstanceDirectory;
 import org.marjoramswitch.daemon.configuration.RoutedSettingsFollower;
 import org.marjoramswitch.daemon.exchange.CallDecoder;
+import org.marjoramswitch.daemon.fleet.EvacuationList;
 import org.marjoramswitch.daemon.fleet.InstanceRegistration;
 import org.marjoramswitch.daemon.fleet.TargetList;
 import org.marjoramswitch.daemon.platform.FleetListReader;
@@ -83,7 +84,7 @@
                 core.metrics()));
         this.configuration = components.add(RoutedSettingsFollower.start(
                 store,
-                platform.settingsKey(),
+                operatorEntries(platform.operatorKeys()),
                 platform.settingsDecoder(),
                 core.peers(),
                 this::onSettings,
@@ -104,11 +105,25 @@
                 }));
     }
 
+    private RoutedSettingsFollower.Source operatorEntries(OperatorKeys keys) {
+        EvacuationList evacuations = EvacuationList.of(
+                keys.evacuationPrefix(), read -> core.decisions().offer(new Event.DataCentresEvacuated(read)));
+        return new RoutedSettingsFollower.Source(keys.prefix(), keys.settingsKey(), evacuations::onEntries);
+    }
+
+    /**
+     * The keys that the operators write.
+     *
+     * @param prefix contains all of them
+     * @param settingsKey the key of the settings
+     * @param evacuationPrefix followed by the name of a data centre that is evacuated
+     */
+    public record OperatorKeys(String prefix, String settingsKey, String evacuationPrefix) {}
+
     /**
      * The platform-specific components and options of an instance.
      *
      * @param store starts the client of the key-value store
-     * @param settingsKey the key of the operators' settings
      * @param targetPrefix the key prefix under which targets register themselves
      * @param additionalListeners the addresses other than the callers', each with its handler
      * @param reload rereads the settings file
@@ -117,7 +132,7 @@
      */
     public record Platform(
             Function<StoreContext, KeyValueStore> store,
-            String settingsKey,
+            OperatorKeys operatorKeys,
             RoutedSettingsFollower.Decoder settingsDecoder,
             String targetPrefix,
             TargetList.Decoder targetDecoder,
--- a/daemon/src/main/java/org/marjoramswitch/daemon/configuration/RoutedSettingsFollower.java
+++ b/daemon/src/main/java/org/marjoramswitch/daemon/configuration/RoutedSettingsFollower.java
@@ -65,21 +65,34 @@
         RoutedSettings decode(String document);
     }
 
+    /**
+     * Where the document is stored.
+     *
+     * @param prefix the followed prefix, which contains the key and the operators' other entries
+     * @param key the document's key
+     * @param otherEntries receives all entries of the prefix, so that they need no watch of their own
+     */
+    public record Source(String prefix, String key, PrefixFollower.Listener otherEntries) {}
+
     /** @param listener receives each version that becomes active, in order */
     public static RoutedSettingsFollower start(
             KeyValueStore store,
-            String key,
+            Source source,
             Decoder decoder,
             PeerSender peers,
             Consumer<RoutedSettings> listener,
             LongSupplier clockMs,
             MetricRegistry metrics) {
-        RoutedSettingsFollower settingsFollower = new RoutedSettingsFollower(key, decoder, peers, listener, clockMs);
+        RoutedSettingsFollower settingsFollower =
+                new RoutedSettingsFollower(source.key(), decoder, peers, listener, clockMs);
         metrics.gauge("configuration.version", () -> settingsFollower::version);
         settingsFollower.prefixFollower = PrefixFollower.start(
-                store, key, READ_PAUSE_MS, clockMs.getAsLong(), new PrefixFollower.Listener() {
+                store, source.prefix(), READ_PAUSE_MS, clockMs.getAsLong(), new PrefixFollower.Listener() {
                     @Override
-                    public void onEntries(Collection<Entry> entries) {
+                    public void onEntries(Collection<Entry> entries, long revision) {
+                        // First, so that an instance that starts during an evacuation knows it before its first
+                        // request.
+                        source.otherEntries().onEntries(entries, revision);
                         settingsFollower.onEntries(entries);
                     }
 
--- a/daemon/src/main/java/org/marjoramswitch/daemon/fleet/TargetList.java
+++ b/daemon/src/main/java/org/marjoramswitch/daemon/fleet/TargetList.java
@@ -77,7 +77,7 @@
         list.follower = PrefixFollower.start(
                 store, prefix, READ_PAUSE_MS, clockMs.getAsLong() + 1, new PrefixFollower.Listener() {
                     @Override
-                    public void onEntries(Collection<Entry> entries) {
+                    public void onEntries(Collection<Entry> entries, long revision) {
                         list.onEntries(entries);
                     }
 
--- a/daemon/src/main/java/org/marjoramswitch/daemon/platform/FleetListReader.java
+++ b/daemon/src/main/java/org/marjoramswitch/daemon/platform/FleetListReader.java
@@ -59,7 +59,7 @@
     private PrefixFollower.Listener followerListener() {
         return new PrefixFollower.Listener() {
             @Override
-            public void onEntries(Collection<Entry> entries) {
+            public void onEntries(Collection<Entry> entries, long revision) {
                 failing = false;
                 accept(entries);
             }
--- a/daemon/src/main/java/org/marjoramswitch/daemon/platform/PrefixFollower.java
+++ b/daemon/src/main/java/org/marjoramswitch/daemon/platform/PrefixFollower.java
@@ -50,8 +50,12 @@
 
     /** Receives the entries of the prefix; called on the follower's thread. */
     public interface Listener {
-        /** The current entries, after a read, a change or a redelivery. */
-        void onEntries(Collection<Entry> entries);
+        /**
+         * The current entries, after a read, a change or a redelivery.
+         *
+         * @param revision the revision of the store up to which changes are contained
+         */
+        void onEntries(Collection<Entry> entries, long revision);
 
         /** Whether the entries are to be delivered again after 250 ms even if unchanged. */
         default boolean wantsRedelivery() {
@@ -139,7 +143,7 @@
 
     private void deliver(WatchedEntries watched) {
         try {
-            listener.onEntries(watched.entries.values());
+            listener.onEntries(watched.entries.values(), watched.revision);
         } catch (RuntimeException fault) {
             // The next change is still delivered; exiting here would leave the listener with outdated entries.
             LOG.error(fault, "followed_prefix_not_taken", "error", ErrorType.INTERNAL.number(), "prefix", prefix);
@@ -160,9 +164,11 @@
     private final class WatchedEntries {
         private final Map<String, Entry> entries = new TreeMap<>();
         private final MpscArrayQueue<WatchEvent> events = new MpscArrayQueue<>(MAX_EVENTS);
+        private long revision;
         private volatile boolean broken;
 
         private WatchedEntries(Range range) {
+            revision = range.revision();
             range.entries().forEach(entry -> entries.put(entry.key(), entry));
         }
 
@@ -202,8 +208,10 @@
         private void apply(WatchEvent event) {
             if (event instanceof WatchEvent.Put put) {
                 entries.put(put.entry().key(), put.entry());
+                revision = Math.max(revision, put.entry().modRevision());
             } else if (event instanceof WatchEvent.Deleted deleted) {
                 entries.remove(deleted.key());
+                revision = Math.max(revision, deleted.revision());
             }
         }
     }
--- a/daemon/src/test/java/org/marjoramswitch/daemon/platform/PrefixFollowerTest.java
+++ b/daemon/src/test/java/org/marjoramswitch/daemon/platform/PrefixFollowerTest.java
@@ -62,7 +62,7 @@
     }
 
     private void follow(long pauseMs) {
-        follower = PrefixFollower.start(store, PREFIX, pauseMs, 1, entries -> {});
+        follower = PrefixFollower.start(store, PREFIX, pauseMs, 1, (entries, revision) -> {});
     }
 
     private static boolean isSleeping() {
--- a/kernel/src/main/java/org/marjoramswitch/kernel/InstanceKernel.java
+++ b/kernel/src/main/java/org/marjoramswitch/kernel/InstanceKernel.java
@@ -19,6 +19,7 @@
 import org.marjoramswitch.kernel.liveness.SilentPeerDetector;
 import org.marjoramswitch.kernel.message.PeerMessage;
 import org.marjoramswitch.kernel.model.CellId;
+import org.marjoramswitch.kernel.model.Evacuations;
 import org.marjoramswitch.kernel.model.FleetView;
 import org.marjoramswitch.kernel.model.InstanceId;
 import org.marjoramswitch.kernel.model.Member;
@@ -193,6 +194,8 @@
             settingsAccepted(accepted.settings(), nowMs, sink);
         } else if (event instanceof Event.TargetsLeaving leaving) {
             targetsLeaving(leaving.leaving(), sink);
+        } else if (event instanceof Event.DataCentresEvacuated evacuated) {
+            evacuationsReceived(evacuated.evacuations(), sink);
         } else if (event instanceof Event.TargetSaidLeaving said) {
             targetSaidLeaving(said, sink);
         } else if (event instanceof Event.TargetAskedForRest asked) {
@@ -231,6 +234,10 @@
             entry.granted(from, grant, nowMs, sink);
             return;
         }
+        if (message instanceof PeerMessage.DataCentresEvacuated evacuated) {
+            evacuationsReceived(evacuated.evacuations(), sink);
+            return;
+        }
         if (receivedPlacement(from, message, nowMs, sink)) {
             return;
         }
@@ -358,7 +365,7 @@
         long sinceMs = assignedSinceMs.getOrDefault(cell, nowMs);
         long openAtMs = sinceMs + options.registrationWindowMs();
         Arbiter arbiter = Arbiter.create(cell, pool, fleet::weight, options, openAtMs);
-        arbiter.targets(fleet.cells().targets(cell), fleet.leavingTargets());
+        arbiter.targets(fleet.cells().targets(cell), fleet.unusableTargets());
         arbiters.put(cell, arbiter);
         return arbiter;
     }
@@ -367,6 +374,7 @@
         fleet.reachable(changed.peer(), changed.up());
         if (changed.up()) {
             entry.connected(changed.peer(), nowMs, sink);
+            sendEvacuations(changed.peer(), sink);
         } else {
             arbiters.values().forEach(arbiter -> arbiter.disconnected(changed.peer()));
         }
@@ -375,6 +383,13 @@
         entry.fleetChanged(nowMs, sink);
     }
 
+    /** A peer that started during an outage of the key-value store learns of evacuations only from its peers. */
+    private void sendEvacuations(InstanceId peer, ActionSink sink) {
+        if (!fleet.evacuations().dataCentres().isEmpty()) {
+            sink.accept(new Action.SendPeer(peer, new PeerMessage.DataCentresEvacuated(fleet.evacuations())));
+        }
+    }
+
     private void viewChanged(FleetView view, long nowMs, ActionSink sink) {
         FleetView previous = fleet.view();
         fleet.view(view);
@@ -433,6 +448,28 @@
         }
     }
 
+    /**
+     * Applies the operators' list of evacuated data centres and forwards a change to all arbiters, since lists reach
+     * instances at different times, and some instances may be unable to read the key-value store.
+     */
+    private void evacuationsReceived(Evacuations newest, ActionSink sink) {
+        if (!fleet.evacuations(newest)) {
+            return;
+        }
+        sink.accept(new Action.Decided(Decision.of(
+                "data_centres_evacuated", "dataCentres", newest.dataCentres(), "revision", newest.revision())));
+        refreshTargets();
+        Set<InstanceId> arbitersOfCells = new TreeSet<>();
+        for (CellId cell : fleet.cells().cells()) {
+            InstanceId arbiter = fleet.arbiter(cell);
+            if (arbiter != null && !arbiter.equals(self.id())) {
+                arbitersOfCells.add(arbiter);
+            }
+        }
+        arbitersOfCells.forEach(
+                arbiter -> sink.accept(new Action.SendPeer(arbiter, new PeerMessage.DataCentresEvacuated(newest))));
+    }
+
     private boolean markDraining(TargetId target, long startedAtMs, ActionSink sink) {
         if (!fleet.markDraining(target, startedAtMs)) {
             return false;
@@ -453,7 +490,7 @@
 
     private void refreshTargets() {
         for (Arbiter arbiter : arbiters.values()) {
-            arbiter.targets(fleet.cells().targets(arbiter.cell()), fleet.leavingTargets());
+            arbiter.targets(fleet.cells().targets(arbiter.cell()), fleet.unusableTargets());
             changedCells.add(arbiter.cell());
         }
         placements.refreshTargets();
--- a/kernel/src/main/java/org/marjoramswitch/kernel/PlacementArbiters.java
+++ b/kernel/src/main/java/org/marjoramswitch/kernel/PlacementArbiters.java
@@ -78,8 +78,7 @@
     /** Updates all arbiters after targets were added, removed or moved to other cells. */
     void refreshTargets() {
         byCell.keySet().removeIf(cell -> fleet.cells().targets(cell).isEmpty());
-        byCell.values()
-                .forEach(arbiter -> arbiter.targets(fleet.cells().targets(arbiter.cell()), fleet.leavingTargets()));
+        byCell.values().forEach(this::setTargets);
     }
 
     private PlacementArbiter arbiter(CellId cell) {
@@ -89,8 +88,15 @@
         }
         PoolSettings pool = fleet.settings().pools().getOrDefault(cell.pool(), PoolSettings.modelEngines(cell.pool()));
         PlacementArbiter created = PlacementArbiter.create(cell, pool, fleet::weight, policy);
-        created.targets(fleet.cells().targets(cell), fleet.leavingTargets());
+        setTargets(created);
         byCell.put(cell, created);
         return created;
     }
+
+    private void setTargets(PlacementArbiter arbiter) {
+        arbiter.targets(
+                fleet.cells().targets(arbiter.cell()),
+                fleet.leavingTargets(),
+                fleet.evacuations().dataCentres());
+    }
 }
--- a/kernel/src/main/java/org/marjoramswitch/kernel/entry/Entry.java
+++ b/kernel/src/main/java/org/marjoramswitch/kernel/entry/Entry.java
@@ -73,6 +73,7 @@
     private final SilentPeerDetector silentArbiterDetector = SilentPeerDetector.create();
     private final PoisonRequestGossip poisonGossip = PoisonRequestGossip.create();
     private final TargetBackoffs targetBackoffs = new TargetBackoffs();
+    private final SendAdmission admission;
     private int totalWaiting;
     private boolean draining;
     private long lastTickMs;
@@ -84,6 +85,7 @@
         this.demand = new DemandPublisher(options, fleet);
         this.registrations = new Registrations(self, options, fleet, demand, this::pool, requests.values());
         this.placements = new Placements(self, fleet, targetBackoffs);
+        this.admission = SendAdmission.of(fleet, targetBackoffs, poisonGossip.poisonRequests());
     }
 
     public static Entry create(InstanceId self, KernelOptions options, FleetState fleet) {
@@ -160,35 +162,71 @@
         if (request == null) {
             return;
         }
-        boolean usable = mayStartAt(placed.target());
-        if (usable && !targetBackoffs.isBackedOff(placed.target(), nowMs)) {
+        SendAdmission.Verdict verdict = admission.check(request, placed.target(), nowMs);
+        if (verdict == SendAdmission.Verdict.ADMITTED) {
             totalWaiting--;
-            request.fetchFrom(usableSource(placed.fetchFrom()));
+            request.fetchFrom(usableSource(placed.fetchFrom(), nowMs));
             start(request, placed.target(), placed.cell(), placed.ask(), "placed", nowMs, sink);
             return;
         }
-        // The arbiter does not know yet that the target is gone, draining or in backoff. The next placement request
-        // excludes the target.
-        boolean onlyTarget = usable && placements.wasExcluded(request, placed.target());
+        logRejected(request, placed.target(), verdict, sink);
+        boolean onlyTarget =
+                verdict == SendAdmission.Verdict.TARGET_IN_BACKOFF && placements.wasExcluded(request, placed.target());
         placements.attemptEnded(request, PlacementEnd.NOT_RUN, sink);
+        if (verdict.endsRequest()) {
+            endUnsent(request, verdict, nowMs, sink);
+            return;
+        }
         if (onlyTarget) {
             // The arbiter selected an excluded target for lack of another one. It would do so again until the backoff
             // has elapsed.
             refuseForBackoff(request, targetBackoffs.remainingMs(List.of(placed.target()), nowMs), sink);
             return;
         }
-        if (!usable) {
+        if (verdict.excludesTarget()) {
             request.excludeUnusable(placed.target());
         }
         requestPlacement(request, nowMs, sink);
     }
 
+    /** Ends a request that may not be sent to any target. */
+    private void endUnsent(EntryRequest request, SendAdmission.Verdict verdict, long nowMs, ActionSink sink) {
+        totalWaiting--;
+        RequestSpec spec = request.spec();
+        switch (verdict) {
+            case CALLER_GONE -> fail(request, ErrorType.CALLER_GONE, 0, "", sink);
+            case REQUEST_BLOCKED ->
+                fail(
+                        request,
+                        ErrorType.REQUEST_BLOCKED,
+                        poisonGossip.poisonRequests().blockedForMs(spec.digest(), nowMs),
+                        Long.toHexString(spec.digest()),
+                        sink);
+            default -> fail(request, ErrorType.WAIT_TIMEOUT, RETRY_AFTER_MS, "", sink);
+        }
+    }
+
+    private static void logRejected(
+            EntryRequest request, TargetId target, SendAdmission.Verdict verdict, ActionSink sink) {
+        sink.accept(new Action.Decided(Decision.of(
+                "send_rejected",
+                "request",
+                request.spec().requestId(),
+                "customer",
+                request.spec().customer(),
+                "target",
+                target,
+                "reason",
+                verdict)));
+    }
+
     /**
      * The source if it can be used, otherwise null: one that is gone would not respond, or its address may belong to
      * another service now. Without a source the target computes the whole prompt itself.
      */
-    private @Nullable TargetId usableSource(@Nullable TargetId source) {
-        return source != null && mayStartAt(source) ? source : null;
+    private @Nullable TargetId usableSource(@Nullable TargetId source, long nowMs) {
+        boolean usable = source != null && !admission.checkTarget(source, nowMs).excludesTarget();
+        return usable ? source : null;
     }
 
     /** Fails a request for which the arbiter found no target that could serve it in time. */
@@ -277,7 +315,7 @@
     /** Binds a grant to a waiting request, or declines it. */
     public void granted(InstanceId from, PeerMessage.Grant grant, long nowMs, ActionSink sink) {
         CellLink link = demand.linkOrNull(grant.cell());
-        DeclineReason reason = reasonToDecline(from, grant, link);
+        DeclineReason reason = reasonToDecline(from, grant, link, nowMs);
         if (link == null || reason != null) {
             decline(from, grant, reason == null ? DeclineReason.NOT_THE_ARBITER : reason, nowMs, sink);
             return;
@@ -406,12 +444,17 @@
         }
     }
 
-    private boolean mayStartAt(TargetId target) {
-        return fleet.settings().targets().containsKey(target)
-                && !fleet.leavingTargets().contains(target);
-    }
-
     private void requestPlacement(EntryRequest request, long nowMs, ActionSink sink) {
+        if (placements.isEvacuated(request)) {
+            totalWaiting--;
+            fail(
+                    request,
+                    ErrorType.DATA_CENTRES_EVACUATED,
+                    RETRY_AFTER_MS,
+                    request.spec().pool().name(),
+                    sink);
+            return;
+        }
         long backoffRemainingMs = placements.backoffRemainingMs(request, nowMs);
         if (backoffRemainingMs > 0) {
             refuseForBackoff(request, backoffRemainingMs, sink);
@@ -665,15 +708,17 @@
         fail(request, ErrorType.REQUEST_TIMEOUT, 0, target.name(), sink);
     }
 
-    private @Nullable DeclineReason reasonToDecline(InstanceId from, PeerMessage.Grant grant, @Nullable CellLink link) {
+    private @Nullable DeclineReason reasonToDecline(
+            InstanceId from, PeerMessage.Grant grant, @Nullable CellLink link, long nowMs) {
         if (link == null || !from.equals(link.arbiter()) || link.awaitsBarrier()) {
             return DeclineReason.NOT_THE_ARBITER;
         }
-        if (!fleet.settings().targets().containsKey(grant.target())) {
-            return DeclineReason.TARGET_UNKNOWN;
-        }
-        // This entry may know that the target is draining before the arbiter does.
-        return fleet.leavingTargets().contains(grant.target()) ? DeclineReason.TARGET_LEAVING : null;
+        // This entry may know that the target cannot be used before the arbiter does.
+        return switch (admission.checkTarget(grant.target(), nowMs)) {
+            case TARGET_UNKNOWN -> DeclineReason.TARGET_UNKNOWN;
+            case TARGET_DRAINING, DATA_CENTRE_EVACUATED -> DeclineReason.TARGET_LEAVING;
+            default -> null;
+        };
     }
 
     private void decline(InstanceId from, PeerMessage.Grant grant, DeclineReason reason, long nowMs, ActionSink sink) {
@@ -704,7 +749,8 @@
     }
 
     private void reuseSlot(CellLink link, PoolQueues pool, TargetId target, long nowMs, ActionSink sink) {
-        if (!registrations.arbiterSilent(link, nowMs) || fleet.leavingTargets().contains(target)) {
+        boolean usable = !admission.checkTarget(target, nowMs).excludesTarget();
+        if (!usable || !registrations.arbiterSilent(link, nowMs)) {
             return;
         }
         CustomerQueue next = pool.backlogged().stream()
--- a/kernel/src/main/java/org/marjoramswitch/kernel/entry/FleetState.java
+++ b/kernel/src/main/java/org/marjoramswitch/kernel/entry/FleetState.java
@@ -2,6 +2,7 @@
 
 import java.util.Collection;
 import java.util.LinkedHashMap;
+import java.util.List;
 import java.util.Map;
 import java.util.Set;
 import java.util.TreeSet;
@@ -10,6 +11,7 @@
 import org.marjoramswitch.kernel.cell.CellMap;
 import org.marjoramswitch.kernel.model.CellId;
 import org.marjoramswitch.kernel.model.CustomerId;
+import org.marjoramswitch.kernel.model.Evacuations;
 import org.marjoramswitch.kernel.model.FleetView;
 import org.marjoramswitch.kernel.model.InstanceId;
 import org.marjoramswitch.kernel.model.TargetId;
@@ -17,7 +19,10 @@
 import org.marjoramswitch.kernel.settings.FleetSettings;
 import org.marjoramswitch.kernel.settings.TargetSettings;
 
-/** One instance's current state of the fleet: settings, view, cells, arbiters, draining targets, unreachable peers. */
+/**
+ * One instance's current state of the fleet: settings, view, cells, arbiters, draining targets, evacuated data centres,
+ * unreachable peers.
+ */
 public final class FleetState {
     private static final double DEFAULT_WEIGHT = 1.0;
     /** Exceeds the number of targets in a fleet, so that only entries of targets that have long exited are dropped. */
@@ -36,6 +41,7 @@
     private final Map<TargetId, Long> selfReportedLeaving = new LinkedHashMap<>();
 
     private Set<TargetId> leavingTargets = Set.of();
+    private Evacuations evacuations = Evacuations.NONE;
 
     private FleetState(FleetView view) {
         this.view = view;
@@ -108,6 +114,40 @@
         return isNew;
     }
 
+    public Evacuations evacuations() {
+        return evacuations;
+    }
+
+    /** Replaces the evacuated data centres if this list is newer; returns whether they have changed. */
+    public boolean evacuations(Evacuations newest) {
+        if (newest.revision() <= evacuations.revision()) {
+            return false;
+        }
+        boolean changed = !newest.dataCentres().equals(evacuations.dataCentres());
+        evacuations = newest;
+        return changed;
+    }
+
+    /** Whether the target's data centre is evacuated. */
+    public boolean isEvacuated(TargetSettings target) {
+        return evacuations.dataCentres().contains(target.dataCentre());
+    }
+
+    /** Draining targets and those of evacuated data centres. */
+    public Set<TargetId> unusableTargets() {
+        Set<TargetId> unusable = new TreeSet<>(leavingTargets);
+        settings.targets().values().stream().filter(this::isEvacuated).forEach(target -> unusable.add(target.id()));
+        return unusable;
+    }
+
+    /** The targets of the cell that are neither draining nor in an evacuated data centre. */
+    List<TargetId> usableTargets(CellId cell) {
+        return cells.targets(cell).stream()
+                .filter(target -> !isEvacuated(target) && !leavingTargets.contains(target.id()))
+                .map(TargetSettings::id)
+                .toList();
+    }
+
     private void updateLeavingTargets() {
         Set<TargetId> all = new TreeSet<>(listedLeaving);
         selfReportedLeaving.forEach((target, startedAtMs) -> {
--- a/kernel/src/main/java/org/marjoramswitch/kernel/entry/Placements.java
+++ b/kernel/src/main/java/org/marjoramswitch/kernel/entry/Placements.java
@@ -73,6 +73,13 @@
         return true;
     }
 
+    /** Whether all targets that could serve the request are in evacuated data centres. */
+    boolean isEvacuated(EntryRequest request) {
+        CellId cell = cell(request);
+        List<TargetSettings> all = cell == null ? List.of() : fleet.cells().targets(cell);
+        return !all.isEmpty() && all.stream().allMatch(fleet::isEvacuated);
+    }
+
     /** Time until any target accepts requests again; 0 if one does now. */
     long backoffRemainingMs(EntryRequest request, long nowMs) {
         CellId cell = cell(request);
@@ -328,7 +335,7 @@
     }
 
     private List<TargetId> targets(CellId cell) {
-        return fleet.cells().targets(cell).stream().map(TargetSettings::id).toList();
+        return fleet.usableTargets(cell);
     }
 
     private void close(PlacementRequest placement) {
--- /dev/null
+++ b/kernel/src/main/java/org/marjoramswitch/kernel/entry/SendAdmission.java
@@ -0,0 +1,90 @@
+package org.marjoramswitch.kernel.entry;
+
+import org.marjoramswitch.kernel.crash.PoisonRequests;
+import org.marjoramswitch.kernel.model.TargetId;
+import org.marjoramswitch.kernel.settings.TargetSettings;
+
+/**
+ * Decides right before a request is sent whether it may be sent to the target. A grant or a placement may be older than
+ * what this entry knows about the target and the request, so every reason that forbids a send is checked here again.
+ */
+final class SendAdmission {
+    private final FleetState fleet;
+    private final TargetBackoffs backoffs;
+    private final PoisonRequests poisonRequests;
+
+    private SendAdmission(FleetState fleet, TargetBackoffs backoffs, PoisonRequests poisonRequests) {
+        this.fleet = fleet;
+        this.backoffs = backoffs;
+        this.poisonRequests = poisonRequests;
+    }
+
+    static SendAdmission of(FleetState fleet, TargetBackoffs backoffs, PoisonRequests poisonRequests) {
+        return new SendAdmission(fleet, backoffs, poisonRequests);
+    }
+
+    /** The result of a check. Logs and reports name rejections by these constants. */
+    enum Verdict {
+        ADMITTED(Scope.NONE),
+        TARGET_UNKNOWN(Scope.TARGET),
+        TARGET_DRAINING(Scope.TARGET),
+        DATA_CENTRE_EVACUATED(Scope.TARGET),
+        /** The target is usable, but not until its backoff has elapsed. */
+        TARGET_IN_BACKOFF(Scope.MOMENT),
+        CALLER_GONE(Scope.REQUEST),
+        DEADLINE_PASSED(Scope.REQUEST),
+        REQUEST_BLOCKED(Scope.REQUEST);
+
+        private final Scope scope;
+
+        Verdict(Scope scope) {
+            this.scope = scope;
+        }
+
+        /** Whether the target can serve no request, so that the request needs another one. */
+        boolean excludesTarget() {
+            return scope == Scope.TARGET;
+        }
+
+        /** Whether the request may not be sent to any target. */
+        boolean endsRequest() {
+            return scope == Scope.REQUEST;
+        }
+    }
+
+    private enum Scope {
+        NONE,
+        TARGET,
+        MOMENT,
+        REQUEST
+    }
+
+    /** Whether the request may be sent to the target now. */
+    Verdict check(EntryRequest request, TargetId target, long nowMs) {
+        if (request.callerGone()) {
+            return Verdict.CALLER_GONE;
+        }
+        if (nowMs >= request.spec().deadlineMs()) {
+            return Verdict.DEADLINE_PASSED;
+        }
+        if (poisonRequests.blockedForMs(request.spec().digest(), nowMs) > 0) {
+            return Verdict.REQUEST_BLOCKED;
+        }
+        return checkTarget(target, nowMs);
+    }
+
+    /** Whether any request may be sent to the target now. */
+    Verdict checkTarget(TargetId target, long nowMs) {
+        TargetSettings settings = fleet.settings().targets().get(target);
+        if (settings == null) {
+            return Verdict.TARGET_UNKNOWN;
+        }
+        if (fleet.leavingTargets().contains(target)) {
+            return Verdict.TARGET_DRAINING;
+        }
+        if (fleet.isEvacuated(settings)) {
+            return Verdict.DATA_CENTRE_EVACUATED;
+        }
+        return backoffs.isBackedOff(target, nowMs) ? Verdict.TARGET_IN_BACKOFF : Verdict.ADMITTED;
+    }
+}
--- a/kernel/src/main/java/org/marjoramswitch/kernel/event/Event.java
+++ b/kernel/src/main/java/org/marjoramswitch/kernel/event/Event.java
@@ -3,6 +3,7 @@
 import java.util.List;
 import java.util.Set;
 import org.marjoramswitch.kernel.message.PeerMessage;
+import org.marjoramswitch.kernel.model.Evacuations;
 import org.marjoramswitch.kernel.model.FleetView;
 import org.marjoramswitch.kernel.model.InstanceId;
 import org.marjoramswitch.kernel.model.LoadReport;
@@ -53,6 +54,9 @@
     /** The platform's target list marks these targets as draining; all others are live. */
     record TargetsLeaving(Set<TargetId> leaving) implements Event {}
 
+    /** The operators' list of evacuated data centres was read. */
+    record DataCentresEvacuated(Evacuations evacuations) implements Event {}
+
     /**
      * A target announced its shutdown in a response.
      *
--- a/kernel/src/main/java/org/marjoramswitch/kernel/message/PeerMessage.java
+++ b/kernel/src/main/java/org/marjoramswitch/kernel/message/PeerMessage.java
@@ -5,6 +5,7 @@
 import org.jspecify.annotations.Nullable;
 import org.marjoramswitch.kernel.model.CellId;
 import org.marjoramswitch.kernel.model.CustomerId;
+import org.marjoramswitch.kernel.model.Evacuations;
 import org.marjoramswitch.kernel.model.PoolId;
 import org.marjoramswitch.kernel.model.PromptPart;
 import org.marjoramswitch.kernel.model.TargetId;
@@ -103,6 +104,14 @@
         }
     }
 
+    /** Any to any: the data centres that the operators have evacuated, see {@link Evacuations}. */
+    record DataCentresEvacuated(Evacuations evacuations) implements PeerMessage {
+        @Override
+        public boolean prompt() {
+            return true;
+        }
+    }
+
     /** Queries the state of a request at the home instance of its key. */
     record KeyQuery(long queryId, String key, CustomerId customer) implements PeerMessage {}
 
--- a/kernel/src/main/java/org/marjoramswitch/kernel/placement/PlacementArbiter.java
+++ b/kernel/src/main/java/org/marjoramswitch/kernel/placement/PlacementArbiter.java
@@ -18,6 +18,7 @@
 import org.marjoramswitch.kernel.message.PeerMessage.PlacementEnd;
 import org.marjoramswitch.kernel.model.CellId;
 import org.marjoramswitch.kernel.model.CustomerId;
+import org.marjoramswitch.kernel.model.DataCentreId;
 import org.marjoramswitch.kernel.model.InstanceId;
 import org.marjoramswitch.kernel.model.TargetId;
 import org.marjoramswitch.kernel.settings.PoolSettings;
@@ -101,7 +102,17 @@
 
     /** Sets the targets that may receive requests; those in {@code leaving} are excluded. */
     public void targets(Collection<TargetSettings> settings, Set<TargetId> leaving) {
-        targets.targets(settings, leaving);
+        targets(settings, leaving, Set.of());
+    }
+
+    /**
+     * Sets the targets that may receive requests.
+     *
+     * @param leaving excluded targets, whose state is discarded
+     * @param evacuated data centres whose targets are excluded until further notice and keep their state
+     */
+    public void targets(Collection<TargetSettings> settings, Set<TargetId> leaving, Set<DataCentreId> evacuated) {
+        targets.targets(settings, leaving, evacuated);
         lastPass = null;
     }
 
@@ -252,7 +263,7 @@
 
     /** Whether any target has capacity for late requests; otherwise holding one only delays its rejection. */
     private boolean hasSpareCapacity() {
-        return targets.all().stream().anyMatch(target -> target.load() <= TargetChoice.SPARE_LOAD);
+        return targets.usable().stream().anyMatch(target -> target.load() <= TargetChoice.SPARE_LOAD);
     }
 
     private double maxLate() {
--- a/kernel/src/main/java/org/marjoramswitch/kernel/placement/PromptSources.java
+++ b/kernel/src/main/java/org/marjoramswitch/kernel/placement/PromptSources.java
@@ -13,7 +13,8 @@
  * its prompt cached, or another engine prefills the same tokens again, which amounts to a tenth of all prefill work on
  * a day of overload.
  *
- * <p>An ejected engine is not a source: after a failed fetch, the target has to prefill the prompt itself.
+ * <p>An ejected engine is not a source: after a failed fetch, the target has to prefill the prompt itself. An engine in an
+ * evacuated data centre is not one either.
  *
  * <p>Cost: linear in the holders of the prompt's last cached part, until one is found that has prefilled all parts
  * before it. For a part that all engines have cached this is the first holder; the holders of a session's part are few.
@@ -81,7 +82,7 @@
     }
 
     private static @Nullable Source source(List<PromptPart> prompt, TargetLoad holder, long nowMs) {
-        if (!holder.settings().memory().fetches() || holder.isEjected(nowMs)) {
+        if (!holder.isUsable() || !holder.settings().memory().fetches() || holder.isEjected(nowMs)) {
             return null;
         }
         long tokens = holder.prefilledTokens(prompt);
--- a/kernel/src/main/java/org/marjoramswitch/kernel/placement/TargetChoice.java
+++ b/kernel/src/main/java/org/marjoramswitch/kernel/placement/TargetChoice.java
@@ -99,7 +99,7 @@
         this.pool = pool;
         this.nowMs = nowMs;
         int ejected = (int)
-                pool.all().stream().filter(target -> target.isEjected(nowMs)).count();
+                pool.usable().stream().filter(target -> target.isEjected(nowMs)).count();
         this.healthyTargets = pool.size() - ejected;
         this.ignoreHealth = 2 * ejected > pool.size();
     }
@@ -239,11 +239,11 @@
     /** Excludes the targets that have already failed the request, unless no other target remains. */
     private Predicate<TargetLoad> allowed(WaitingRequest request) {
         Set<TargetId> excluded = request.excluded();
-        Predicate<TargetLoad> notExcluded =
-                target -> !excluded.contains(target.settings().id());
+        Predicate<TargetLoad> notExcluded = target ->
+                target.isUsable() && !excluded.contains(target.settings().id());
         boolean anyRemaining =
-                excluded.size() < pool.size() || pool.all().stream().anyMatch(notExcluded);
-        return anyRemaining ? notExcluded : target -> true;
+                excluded.size() < pool.size() || pool.usable().stream().anyMatch(notExcluded);
+        return anyRemaining ? notExcluded : TargetLoad::isUsable;
     }
 
     /**
@@ -281,7 +281,7 @@
     }
 
     private List<TargetLoad> candidates(WaitingRequest request) {
-        return pool.all().stream().filter(allowed(request)).toList();
+        return pool.usable().stream().filter(allowed(request)).toList();
     }
 
     private Candidate candidate(WaitingRequest request, TargetLoad target, RequestContext context) {
@@ -355,7 +355,7 @@
         String key = Long.toString(session.get(session.size() - 1).id());
         TargetLoad home = null;
         long maxWeight = Long.MIN_VALUE;
-        for (TargetLoad target : pool.all()) {
+        for (TargetLoad target : pool.usable()) {
             long weight = Rendezvous.weight(key, target.settings().id().name());
             if (home == null || weight > maxWeight) {
                 home = target;
--- a/kernel/src/main/java/org/marjoramswitch/kernel/placement/TargetLoad.java
+++ b/kernel/src/main/java/org/marjoramswitch/kernel/placement/TargetLoad.java
@@ -29,6 +29,7 @@
     private final OutlierEjection health = OutlierEjection.create();
     private final PromptCache cache;
     private TargetSettings settings;
+    private boolean usable = true;
     private int inFlight;
     private long pendingPrefillTokens;
     private long prefillingSinceMs;
@@ -56,6 +57,15 @@
         settings = newSettings;
     }
 
+    /** Whether the target may receive requests and be a source of cached prompt parts. */
+    boolean isUsable() {
+        return usable;
+    }
+
+    void setUsable(boolean isUsable) {
+        usable = isUsable;
+    }
+
     OutlierEjection health() {
         return health;
     }
--- a/kernel/src/main/java/org/marjoramswitch/kernel/placement/TargetPool.java
+++ b/kernel/src/main/java/org/marjoramswitch/kernel/placement/TargetPool.java
@@ -1,23 +1,27 @@
 package org.marjoramswitch.kernel.placement;
 
 import java.util.Collection;
-import java.util.Collections;
+import java.util.List;
 import java.util.Map;
 import java.util.Set;
 import java.util.TreeMap;
 import java.util.TreeSet;
 import org.jspecify.annotations.Nullable;
+import org.marjoramswitch.kernel.model.DataCentreId;
 import org.marjoramswitch.kernel.model.TargetId;
 import org.marjoramswitch.kernel.settings.TargetSettings;
 
 /**
- * The targets of one cell that may receive requests, with an index of their cached prompt parts and their order by
- * cost.
+ * The targets of one cell that are not draining, with an index of their cached prompt parts and the order by cost of
+ * those that may receive requests.
  */
 final class TargetPool {
     private final Map<TargetId, TargetLoad> byId = new TreeMap<>();
     private final PromptPartIndex partIndex = new PromptPartIndex();
     private final TargetOrder order = TargetOrder.create();
+    /** The targets that may receive requests: all but those of evacuated data centres. */
+    private List<TargetLoad> usable = List.of();
+
     private int slots;
 
     private TargetPool() {}
@@ -29,9 +33,10 @@
     /**
      * Sets the targets and keeps the state of those that remain. The state of a restarted target is discarded: its
      * cache, running requests, service times and failures. Otherwise its slots would seem occupied by requests that no
-     * longer exist, and prompts would be sent there for parts that it has lost.
+     * longer exist, and prompts would be sent there for parts that it has lost. A target of an evacuated data centre
+     * keeps its state, since its requests continue and it may be used again soon.
      */
-    void targets(Collection<TargetSettings> settings, Set<TargetId> leaving) {
+    void targets(Collection<TargetSettings> settings, Set<TargetId> leaving, Set<DataCentreId> evacuated) {
         Set<TargetId> ids = new TreeSet<>();
         for (TargetSettings target : settings) {
             if (!leaving.contains(target.id())) {
@@ -48,10 +53,12 @@
             }
             return removed;
         });
-        slots = byId.values().stream()
-                .mapToInt(target -> target.settings().slots())
-                .sum();
-        order.targets(byId.values());
+        byId.values()
+                .forEach(target ->
+                        target.setUsable(!evacuated.contains(target.settings().dataCentre())));
+        usable = byId.values().stream().filter(TargetLoad::isUsable).toList();
+        slots = usable.stream().mapToInt(target -> target.settings().slots()).sum();
+        order.targets(usable);
     }
 
     private void dropIfRestarted(TargetSettings target) {
@@ -75,15 +82,17 @@
         return byId.get(id);
     }
 
-    Collection<TargetLoad> all() {
-        return Collections.unmodifiableCollection(byId.values());
+    /** The targets that may receive requests. */
+    List<TargetLoad> usable() {
+        return usable;
     }
 
+    /** The number of targets that may receive requests. */
     int size() {
-        return byId.size();
+        return usable.size();
     }
 
-    /** The total slots of all targets. */
+    /** The total slots of the targets that may receive requests. */
     int slots() {
         return slots;
     }
--- a/kernel/src/main/java/org/marjoramswitch/kernel/wire/MessageCodec.java
+++ b/kernel/src/main/java/org/marjoramswitch/kernel/wire/MessageCodec.java
@@ -6,10 +6,12 @@
 import java.util.EnumMap;
 import java.util.List;
 import java.util.Map;
+import java.util.Set;
 import org.jspecify.annotations.Nullable;
 import org.marjoramswitch.kernel.message.PeerMessage;
 import org.marjoramswitch.kernel.message.PeerMessage.Charges;
 import org.marjoramswitch.kernel.message.PeerMessage.CrashNews;
+import org.marjoramswitch.kernel.message.PeerMessage.DataCentresEvacuated;
 import org.marjoramswitch.kernel.message.PeerMessage.Decline;
 import org.marjoramswitch.kernel.message.PeerMessage.DeclineReason;
 import org.marjoramswitch.kernel.message.PeerMessage.Demand;
@@ -51,6 +53,8 @@
 import org.marjoramswitch.kernel.message.PeerMessage.WitnessQuery;
 import org.marjoramswitch.kernel.message.PeerMessage.WitnessReply;
 import org.marjoramswitch.kernel.message.PeerMessage.WitnessState;
+import org.marjoramswitch.kernel.model.DataCentreId;
+import org.marjoramswitch.kernel.model.Evacuations;
 import org.marjoramswitch.kernel.model.PromptPart;
 import org.marjoramswitch.kernel.model.RequestSpec;
 import org.marjoramswitch.kernel.model.TargetId;
@@ -173,6 +177,14 @@
                 in -> new ProbeReply(in.number()));
         putPlacements();
         putWatches();
+        put(
+                MessageType.DATA_CENTRES_EVACUATED,
+                DataCentresEvacuated.class,
+                (out, message) -> out.number(message.evacuations().revision())
+                        .list(
+                                List.copyOf(message.evacuations().dataCentres()),
+                                dataCentre -> out.item(1).put(dataCentre.name())),
+                MessageCodec::readEvacuations);
         put(MessageType.CRASH_NEWS, CrashNews.class, MessageCodec::writeCrashNews, MessageCodec::readCrashNews);
     }
 
@@ -400,6 +412,12 @@
         return new Place(cell, ask, customer, urgency, prompt, outputTokens, objectiveLeftMs, waitLeftMs, excluded);
     }
 
+    private static DataCentresEvacuated readEvacuations(MessageReader in) throws IOException {
+        long revision = in.number();
+        List<DataCentreId> dataCentres = in.list(() -> DataCentreId.of(in.text()));
+        return new DataCentresEvacuated(Evacuations.of(revision, Set.copyOf(dataCentres)));
+    }
+
     private static void writePlaced(MessageWriter out, Placed message) {
         TargetId source = message.fetchFrom();
         out.cell(message.cell())
--- a/kernel/src/main/java/org/marjoramswitch/kernel/wire/MessageType.java
+++ b/kernel/src/main/java/org/marjoramswitch/kernel/wire/MessageType.java
@@ -41,7 +41,8 @@
     WATCH_NEWS(29, PeerMessage.WatchNews.class),
     WATCH_QUERY(30, PeerMessage.WatchQuery.class),
     WATCH_COPY(31, PeerMessage.WatchCopy.class),
-    CRASH_NEWS(32, PeerMessage.CrashNews.class);
+    CRASH_NEWS(32, PeerMessage.CrashNews.class),
+    DATA_CENTRES_EVACUATED(33, PeerMessage.DataCentresEvacuated.class);
 
     private static final Map<Class<?>, MessageType> BY_CLASS =
             Arrays.stream(values()).collect(Collectors.toMap(type -> type.messageClass, Function.identity()));
--- a/kernel/src/test/java/org/marjoramswitch/kernel/PlacementFleet.java
+++ b/kernel/src/test/java/org/marjoramswitch/kernel/PlacementFleet.java
@@ -145,6 +145,17 @@
                 1, Map.of(), Map.of(POOL, PoolSettings.modelEngines(POOL).withCellTargets(100)), targets);
     }
 
+    /** Settings with one target in each data centre, named after it. */
+    static FleetSettings settingsOf(DataCentreId... dataCentres) {
+        Map<TargetId, TargetSettings> targets = new TreeMap<>();
+        for (DataCentreId dataCentre : dataCentres) {
+            TargetId id = TargetId.of("t-" + dataCentre);
+            targets.put(id, new TargetSettings(id, POOL, "10.0.0.1", 80, dataCentre, SLOTS, false));
+        }
+        return FleetSettings.of(
+                1, Map.of(), Map.of(POOL, PoolSettings.modelEngines(POOL).withCellTargets(100)), targets);
+    }
+
     void loseLink(InstanceId peer) {
         INSTANCES.stream().filter(id -> !id.equals(peer)).forEach(id -> {
             apply(id, new Event.PeerLinkChanged(peer, false));
--- a/kernel/src/test/java/org/marjoramswitch/kernel/placement/TargetChoiceTest.java
+++ b/kernel/src/test/java/org/marjoramswitch/kernel/placement/TargetChoiceTest.java
@@ -66,15 +66,15 @@
         engines(new Random(1), EngineMemory.of(MEMORY_TOKENS));
         TargetChoice choice = TargetChoice.at(PlacementPolicy.full(), model, 50, pool, NOW_MS);
         Set<TargetId> all = new HashSet<>();
-        pool.all().forEach(target -> all.add(target.settings().id()));
+        pool.usable().forEach(target -> all.add(target.settings().id()));
         assertNotNull(choice.chooseInTime(request(1, List.of(PromptPart.of(1, 500), PromptPart.of(99, 500)), all)));
     }
 
     /** If no target has room, no search takes place, until the first target has room again. */
     @Test
     void aFullPoolTakesNoRequestUntilATargetHasRoom() {
-        pool.targets(List.of(settings(1, 1, EngineMemory.of(MEMORY_TOKENS))), Set.of());
-        TargetLoad only = pool.all().iterator().next();
+        pool.targets(List.of(settings(1, 1, EngineMemory.of(MEMORY_TOKENS))), Set.of(), Set.of());
+        TargetLoad only = pool.usable().iterator().next();
         only.takeOver(0, 100, true, NOW_MS);
         WaitingRequest request = request(1, List.of(PromptPart.of(1, 500)), Set.of());
         TargetChoice full = TargetChoice.at(PlacementPolicy.full(), model, 50, pool, NOW_MS);
@@ -93,8 +93,8 @@
         for (int i = 0; i < ENGINES; i++) {
             settings.add(settings(i, 23 + 7 * i, memory));
         }
-        pool.targets(settings, Set.of());
-        for (TargetLoad engine : pool.all()) {
+        pool.targets(settings, Set.of(), Set.of());
+        for (TargetLoad engine : pool.usable()) {
             int running = 1 + random.nextInt(engine.settings().slots());
             for (int i = 0; i < running; i++) {
                 boolean answering = random.nextInt(20) > 0;
--- a/kernel/src/test/java/org/marjoramswitch/kernel/wire/RandomMessages.java
+++ b/kernel/src/test/java/org/marjoramswitch/kernel/wire/RandomMessages.java
@@ -5,10 +5,13 @@
 import java.util.List;
 import java.util.Map;
 import java.util.Random;
+import java.util.Set;
 import java.util.function.Supplier;
 import org.marjoramswitch.kernel.message.PeerMessage;
 import org.marjoramswitch.kernel.model.CellId;
 import org.marjoramswitch.kernel.model.CustomerId;
+import org.marjoramswitch.kernel.model.DataCentreId;
+import org.marjoramswitch.kernel.model.Evacuations;
 import org.marjoramswitch.kernel.model.PoolId;
 import org.marjoramswitch.kernel.model.PromptPart;
 import org.marjoramswitch.kernel.model.TargetId;
@@ -26,7 +29,7 @@
     }
 
     PeerMessage next() {
-        return switch (random.nextInt(32)) {
+        return switch (random.nextInt(33)) {
             case 0 -> new PeerMessage.Register(cell(), offers(), holdings(), standings(), number());
             case 1 -> new PeerMessage.Unregister(cell());
             case 2 -> new PeerMessage.Demand(cell(), customer(), random.nextInt(4) - 1, random.nextInt(8));
@@ -62,6 +65,9 @@
             case 28 -> new PeerMessage.WatchQuery("list/");
             case 29 -> new PeerMessage.WatchCopy("list/", number(), entries());
             case 30 -> new PeerMessage.CrashNews(crashes(), list(random.nextInt(3), this::number));
+            case 31 ->
+                new PeerMessage.DataCentresEvacuated(
+                        Evacuations.of(number(), Set.of(DataCentreId.of("dc-" + random.nextInt(3)))));
             default -> new PeerMessage.Heartbeat();
         };
     }
