Limit the rate of requests to targets in their cold start

Change: the arbiter spaces a cold target's requests evenly, at three quarters of the stated rate; an instance that stands in for a lagging arbiter uses a quarter. While a part of the fleet is out of reach, a share shrinks with the square of the part that is reached, against the largest size of the last 15 s. A new arbiter gives nothing to a cold target for a second, as it doesn't know what the former one gave. A placement at a cold target is valid for 300 ms, counted through the messages, the rings and the I/O thread; later it goes back as NOT_SENT, which counts as not run, takes no retry and isn't held against the target. Starts of the last second count when a target turns cold, and the targets of a data centre that is taken back count as cold for the stated time, as their entries show it only with the next heartbeat.

--- a/daemon/src/main/java/org/marjoramswitch/daemon/ForwardingDaemon.java
+++ b/daemon/src/main/java/org/marjoramswitch/daemon/ForwardingDaemon.java
@@ -30,6 +30,7 @@
 import org.marjoramswitch.kernel.KernelOptions;
 import org.marjoramswitch.kernel.event.Event;
 import org.marjoramswitch.kernel.model.TargetId;
+import org.marjoramswitch.kernel.settings.ColdStart;
 import org.marjoramswitch.kernel.settings.EngineMemory;
 import org.marjoramswitch.kernel.settings.FleetSettings;
 import org.marjoramswitch.kernel.settings.PoolSettings;
@@ -194,7 +195,9 @@
             PoolSettings pool = current.pools().get(target.pool());
             if (pool != null) {
                 EngineMemory memory = current.memories().getOrDefault(pool.id(), EngineMemory.UNKNOWN);
-                targetsOfPools.put(target.id(), target.withMemory(memory));
+                ColdStart coldStart = ColdStart.until(
+                        target.coldStart().untilMs(), pool.coldStart().requestsPerSecond());
+                targetsOfPools.put(target.id(), target.withMemory(memory).withColdStart(coldStart));
             }
         }
         core.decisions()
--- a/daemon/src/main/java/org/marjoramswitch/daemon/core/ActionRunner.java
+++ b/daemon/src/main/java/org/marjoramswitch/daemon/core/ActionRunner.java
@@ -2,6 +2,7 @@
 
 import java.util.List;
 import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.TimeUnit;
 import java.util.function.Consumer;
 import org.jspecify.annotations.Nullable;
 import org.marjoramswitch.daemon.exchange.TargetCall;
@@ -12,6 +13,7 @@
 import org.marjoramswitch.kernel.error.ErrorType;
 import org.marjoramswitch.kernel.error.Failure;
 import org.marjoramswitch.kernel.event.Event;
+import org.marjoramswitch.kernel.message.PeerMessage;
 import org.marjoramswitch.kernel.model.TargetId;
 import org.marjoramswitch.kernel.model.TargetOutcome;
 import org.marjoramswitch.kernel.model.Usage;
@@ -108,7 +110,8 @@
         request.setEndOutstanding(true);
         AttemptRelay relay = AttemptRelay.of(request, dispatch.attempt(), target, events);
         try {
-            TargetCall call = request.nextCall().fetchingFrom(fetchSource(dispatch));
+            TargetCall call =
+                    request.nextCall().fetchingFrom(fetchSource(dispatch)).startingBy(startByNs(dispatch));
             request.setRunning(targets.start(target, pool, call, relay));
         } catch (RuntimeException fault) {
             LOG.error(fault, "attempt_failed", "error", ErrorType.INTERNAL.number(), "request", request.id());
@@ -117,6 +120,11 @@
         }
     }
 
+    private static long startByNs(Action.Dispatch dispatch) {
+        boolean limited = dispatch.startWithinMs() != PeerMessage.Placed.ANY_TIME;
+        return limited ? System.nanoTime() + TimeUnit.MILLISECONDS.toNanos(dispatch.startWithinMs()) : 0;
+    }
+
     private @Nullable TargetSettings fetchSource(Action.Dispatch dispatch) {
         TargetId fetchSource = dispatch.fetchFrom();
         return fetchSource == null ? null : settings.targets().get(fetchSource);
--- a/daemon/src/main/java/org/marjoramswitch/daemon/fleet/TargetList.java
+++ b/daemon/src/main/java/org/marjoramswitch/daemon/fleet/TargetList.java
@@ -18,6 +18,7 @@
 import org.marjoramswitch.daemon.platform.PrefixFollower;
 import org.marjoramswitch.kernel.error.ErrorType;
 import org.marjoramswitch.kernel.model.TargetId;
+import org.marjoramswitch.kernel.settings.ColdStart;
 import org.marjoramswitch.kernel.settings.TargetSettings;
 
 /**
@@ -45,11 +46,15 @@
     /** Last entry with state ready of each target that has left. */
     private final Map<TargetId, Entry> departed = new LinkedHashMap<>();
 
+    private final Map<TargetId, ListedColdStart> coldStarts = new HashMap<>();
     private Map<TargetId, TargetSettings> published = Map.of();
     private @Nullable String lastFailure;
     private long keepMissingUntilMs;
     private boolean notified;
 
+    /** The end of a target's cold start, 0 if it was warm, as of a version of its entry. */
+    private record ListedColdStart(long entryRevision, long untilMs) {}
+
     private TargetList(Decoder decoder, Consumer<Map<TargetId, TargetSettings>> listener, LongSupplier clockMs) {
         this.decoder = decoder;
         this.listener = listener;
@@ -63,8 +68,13 @@
         Optional<ListedTarget> decode(Entry entry);
     }
 
-    /** A listed target and whether it accepts new requests. */
-    public record ListedTarget(TargetSettings settings, boolean ready) {}
+    /**
+     * A listed target.
+     *
+     * @param ready whether it accepts new requests
+     * @param coldRemainingMs how long it was still cold when it wrote its entry
+     */
+    public record ListedTarget(TargetSettings settings, boolean ready, long coldRemainingMs) {}
 
     /** @param listener receives the targets that accept requests, each time they change */
     public static TargetList start(
@@ -123,13 +133,14 @@
                 logMalformed(entry);
                 continue;
             }
-            TargetSettings settings = target.get().settings();
+            TargetSettings settings = withColdStart(target.get(), entry, nowMs);
             listed.add(settings.id());
             if (target.get().ready() && !isFromBeforeDeparture(settings.id(), entry)) {
                 ready.put(settings.id(), settings);
                 readyEntries.put(settings.id(), entry);
             }
         }
+        coldStarts.keySet().retainAll(listed);
         recordDeparted(ready.keySet());
         if (nowMs < keepMissingUntilMs) {
             ready.putAll(MissingTargetPolicy.targetsToKeep(published, listed));
@@ -137,6 +148,20 @@
         publish(ready);
     }
 
+    /**
+     * Adds the end of the cold start by this instance's clock. It is computed once for each version of the entry, since
+     * an unchanged entry is delivered again with each change of another one.
+     */
+    private TargetSettings withColdStart(ListedTarget target, Entry entry, long nowMs) {
+        ListedColdStart known = coldStarts.get(target.settings().id());
+        if (known == null || known.entryRevision() != entry.modRevision()) {
+            long untilMs = target.coldRemainingMs() == 0 ? 0 : nowMs + target.coldRemainingMs();
+            known = new ListedColdStart(entry.modRevision(), untilMs);
+            coldStarts.put(target.settings().id(), known);
+        }
+        return target.settings().withColdStart(ColdStart.until(known.untilMs(), 0));
+    }
+
     /**
      * Whether the entry is the one that a target had before it left: the store was restored from an older copy, and the
      * target, which has exited, will not write another. A live target writes a new entry, which differs at least in its
--- a/daemon/src/main/java/org/marjoramswitch/daemon/target/HttpAttempt.java
+++ b/daemon/src/main/java/org/marjoramswitch/daemon/target/HttpAttempt.java
@@ -154,6 +154,11 @@
             end(TargetOutcome.CANCELLED);
             return;
         }
+        if (sending.isStale(System.nanoTime())) {
+            connector.returnConnection(address, usable);
+            end(TargetOutcome.NOT_SENT);
+            return;
+        }
         connection = usable;
         requestSent = false;
         writtenBefore = usable.getStatistics().getWritten();
--- a/kernel/src/main/java/org/marjoramswitch/kernel/InstanceKernel.java
+++ b/kernel/src/main/java/org/marjoramswitch/kernel/InstanceKernel.java
@@ -66,7 +66,7 @@
         this.options = options;
         this.fleet = FleetState.of(FleetView.of(List.of(self)));
         this.entry = Entry.create(self.id(), options, fleet);
-        this.placements = PlacementArbiters.of(fleet, options.placement());
+        this.placements = PlacementArbiters.of(self.id(), fleet, options.placement());
     }
 
     public static InstanceKernel create(Member self) {
@@ -193,11 +193,11 @@
         } else if (event instanceof Event.SettingsAccepted accepted) {
             settingsAccepted(accepted.settings(), nowMs, sink);
         } else if (event instanceof Event.TargetsLeaving leaving) {
-            targetsLeaving(leaving.leaving(), sink);
+            targetsLeaving(leaving.leaving(), nowMs, sink);
         } else if (event instanceof Event.DataCentresEvacuated evacuated) {
-            evacuationsReceived(evacuated.evacuations(), sink);
+            evacuationsReceived(evacuated.evacuations(), nowMs, sink);
         } else if (event instanceof Event.TargetSaidLeaving said) {
-            targetSaidLeaving(said, sink);
+            targetSaidLeaving(said, nowMs, sink);
         } else if (event instanceof Event.TargetAskedForRest asked) {
             entry.backoffRequested(asked.target(), asked.restMs(), nowMs, sink);
         } else if (event instanceof Event.CrashesListed listed) {
@@ -235,7 +235,7 @@
             return;
         }
         if (message instanceof PeerMessage.DataCentresEvacuated evacuated) {
-            evacuationsReceived(evacuated.evacuations(), sink);
+            evacuationsReceived(evacuated.evacuations(), nowMs, sink);
             return;
         }
         if (receivedPlacement(from, message, nowMs, sink)) {
@@ -261,18 +261,18 @@
         } else if (message instanceof PeerMessage.Charges charges) {
             chargesReceived(charges);
         } else if (message instanceof PeerMessage.TargetLeaving leaving) {
-            peerReportedLeaving(leaving, sink);
+            peerReportedLeaving(leaving, nowMs, sink);
         }
     }
 
-    private void peerReportedLeaving(PeerMessage.TargetLeaving leaving, ActionSink sink) {
+    private void peerReportedLeaving(PeerMessage.TargetLeaving leaving, long nowMs, ActionSink sink) {
         if (leaving.startedAtMs() != PeerMessage.TargetLeaving.LISTED) {
-            markDraining(leaving.target(), leaving.startedAtMs(), sink);
+            markDraining(leaving.target(), leaving.startedAtMs(), nowMs, sink);
             return;
         }
         Set<TargetId> all = new TreeSet<>(fleet.listedLeaving());
         all.add(leaving.target());
-        targetsLeaving(all, sink);
+        targetsLeaving(all, nowMs, sink);
     }
 
     /** Handles a message about placements; returns false for any other message. */
@@ -392,7 +392,7 @@
 
     private void viewChanged(FleetView view, long nowMs, ActionSink sink) {
         FleetView previous = fleet.view();
-        fleet.view(view);
+        fleet.view(view, nowMs);
         for (Member member : previous.members().values()) {
             Member now = view.member(member.id());
             boolean gone = now == null || now.incarnation() != member.incarnation();
@@ -425,15 +425,15 @@
     private void settingsAccepted(FleetSettings settings, long nowMs, ActionSink sink) {
         fleet.settings(settings);
         updateAssignments(nowMs);
-        refreshTargets();
+        refreshTargets(nowMs);
         entry.fleetChanged(nowMs, sink);
     }
 
-    private void targetsLeaving(Set<TargetId> leaving, ActionSink sink) {
+    private void targetsLeaving(Set<TargetId> leaving, long nowMs, ActionSink sink) {
         Set<TargetId> newlyLeaving = new TreeSet<>(leaving);
         newlyLeaving.removeAll(fleet.leavingTargets());
         fleet.leavingTargets(leaving);
-        refreshTargets();
+        refreshTargets(nowMs);
         newlyLeaving.forEach(target -> forwardLeaving(target, PeerMessage.TargetLeaving.LISTED, sink));
     }
 
@@ -442,8 +442,8 @@
      * the target list does not show the shutdown, and the responses of requests sent to the target would be cut when it
      * exits.
      */
-    private void targetSaidLeaving(Event.TargetSaidLeaving said, ActionSink sink) {
-        if (markDraining(said.target(), said.startedAtMs(), sink)) {
+    private void targetSaidLeaving(Event.TargetSaidLeaving said, long nowMs, ActionSink sink) {
+        if (markDraining(said.target(), said.startedAtMs(), nowMs, sink)) {
             forwardLeaving(said.target(), said.startedAtMs(), sink);
         }
     }
@@ -452,13 +452,13 @@
      * Applies the operators' list of evacuated data centres and forwards a change to all arbiters, since lists reach
      * instances at different times, and some instances may be unable to read the key-value store.
      */
-    private void evacuationsReceived(Evacuations newest, ActionSink sink) {
-        if (!fleet.evacuations(newest)) {
+    private void evacuationsReceived(Evacuations newest, long nowMs, ActionSink sink) {
+        if (!fleet.evacuations(newest, nowMs)) {
             return;
         }
         sink.accept(new Action.Decided(Decision.of(
                 "data_centres_evacuated", "dataCentres", newest.dataCentres(), "revision", newest.revision())));
-        refreshTargets();
+        refreshTargets(nowMs);
         Set<InstanceId> arbitersOfCells = new TreeSet<>();
         for (CellId cell : fleet.cells().cells()) {
             InstanceId arbiter = fleet.arbiter(cell);
@@ -470,12 +470,12 @@
                 arbiter -> sink.accept(new Action.SendPeer(arbiter, new PeerMessage.DataCentresEvacuated(newest))));
     }
 
-    private boolean markDraining(TargetId target, long startedAtMs, ActionSink sink) {
+    private boolean markDraining(TargetId target, long startedAtMs, long nowMs, ActionSink sink) {
         if (!fleet.markDraining(target, startedAtMs)) {
             return false;
         }
         sink.accept(new Action.Decided(Decision.of("target_said_leaving", "target", target)));
-        refreshTargets();
+        refreshTargets(nowMs);
         return true;
     }
 
@@ -488,12 +488,12 @@
         }
     }
 
-    private void refreshTargets() {
+    private void refreshTargets(long nowMs) {
         for (Arbiter arbiter : arbiters.values()) {
             arbiter.targets(fleet.cells().targets(arbiter.cell()), fleet.unusableTargets());
             changedCells.add(arbiter.cell());
         }
-        placements.refreshTargets();
+        placements.refreshTargets(nowMs);
         changedCells.addAll(placements.cells());
     }
 
--- a/kernel/src/main/java/org/marjoramswitch/kernel/PlacementArbiters.java
+++ b/kernel/src/main/java/org/marjoramswitch/kernel/PlacementArbiters.java
@@ -15,17 +15,19 @@
 
 /** Holds the placement arbiters of the cells for which entries have sent placement requests to this instance. */
 final class PlacementArbiters {
+    private final InstanceId self;
     private final FleetState fleet;
     private final PlacementPolicy policy;
     private final Map<CellId, PlacementArbiter> byCell = new TreeMap<>();
 
-    private PlacementArbiters(FleetState fleet, PlacementPolicy policy) {
+    private PlacementArbiters(InstanceId self, FleetState fleet, PlacementPolicy policy) {
+        this.self = self;
         this.fleet = fleet;
         this.policy = policy;
     }
 
-    static PlacementArbiters of(FleetState fleet, PlacementPolicy policy) {
-        return new PlacementArbiters(fleet, policy);
+    static PlacementArbiters of(InstanceId self, FleetState fleet, PlacementPolicy policy) {
+        return new PlacementArbiters(self, fleet, policy);
     }
 
     Collection<CellId> cells() {
@@ -41,23 +43,23 @@
     @Nullable
     CellId received(InstanceId from, PeerMessage message, long nowMs) {
         if (message instanceof PeerMessage.Place place) {
-            arbiter(place.cell()).place(from, place, nowMs);
+            arbiter(place.cell(), nowMs).place(from, place, nowMs);
             return place.cell();
         }
         if (message instanceof PeerMessage.PlacementsHeld held) {
-            arbiter(held.cell()).takeOver(from, held, nowMs);
+            arbiter(held.cell(), nowMs).takeOver(from, held, nowMs);
             return held.cell();
         }
         if (message instanceof PeerMessage.PlaceWithdrawn withdrawn) {
-            arbiter(withdrawn.cell()).withdraw(from, withdrawn.ask());
+            arbiter(withdrawn.cell(), nowMs).withdraw(from, withdrawn.ask());
             return withdrawn.cell();
         }
         if (message instanceof PeerMessage.PlacementAnswering answering) {
-            arbiter(answering.cell()).responseStarted(from, answering.ask(), nowMs);
+            arbiter(answering.cell(), nowMs).responseStarted(from, answering.ask(), nowMs);
             return answering.cell();
         }
         if (message instanceof PeerMessage.PlacementEnded ended) {
-            arbiter(ended.cell()).attemptEnded(from, ended, nowMs);
+            arbiter(ended.cell(), nowMs).attemptEnded(from, ended, nowMs);
             return ended.cell();
         }
         return null;
@@ -66,6 +68,7 @@
     void decide(CellId cell, long nowMs, ActionSink sink) {
         PlacementArbiter arbiter = byCell.get(cell);
         if (arbiter != null) {
+            arbiter.coldStartShare(fleet.coldStartShare(self, cell, nowMs));
             arbiter.decide(nowMs, sink);
         }
     }
@@ -76,27 +79,28 @@
     }
 
     /** Updates all arbiters after targets were added, removed or moved to other cells. */
-    void refreshTargets() {
+    void refreshTargets(long nowMs) {
         byCell.keySet().removeIf(cell -> fleet.cells().targets(cell).isEmpty());
-        byCell.values().forEach(this::setTargets);
+        byCell.values().forEach(arbiter -> setTargets(arbiter, nowMs));
     }
 
-    private PlacementArbiter arbiter(CellId cell) {
+    private PlacementArbiter arbiter(CellId cell, long nowMs) {
         PlacementArbiter known = byCell.get(cell);
         if (known != null) {
             return known;
         }
         PoolSettings pool = fleet.settings().pools().getOrDefault(cell.pool(), PoolSettings.modelEngines(cell.pool()));
         PlacementArbiter created = PlacementArbiter.create(cell, pool, fleet::weight, policy);
-        setTargets(created);
+        setTargets(created, nowMs);
         byCell.put(cell, created);
         return created;
     }
 
-    private void setTargets(PlacementArbiter arbiter) {
+    private void setTargets(PlacementArbiter arbiter, long nowMs) {
         arbiter.targets(
                 fleet.cells().targets(arbiter.cell()),
                 fleet.leavingTargets(),
-                fleet.evacuations().dataCentres());
+                fleet.evacuations().dataCentres(),
+                nowMs);
     }
 }
--- a/kernel/src/main/java/org/marjoramswitch/kernel/action/Action.java
+++ b/kernel/src/main/java/org/marjoramswitch/kernel/action/Action.java
@@ -19,12 +19,20 @@
      *
      * @param attempt the attempt's number, starting at 1
      * @param fetchFrom the target that has more of the prompt cached, null if nothing is to be fetched
+     * @param startWithinMs how long from now the request may be sent; {@link PeerMessage.Placed#ANY_TIME} if there is no
+     *     limit
      */
     record Dispatch(
             long requestId,
             TargetId target,
             int attempt,
-            @Nullable TargetId fetchFrom) implements Action {}
+            @Nullable TargetId fetchFrom,
+            long startWithinMs) implements Action {
+        /** Creates a dispatch that has no limit of time. */
+        public Dispatch(long requestId, TargetId target, int attempt, @Nullable TargetId fetchFrom) {
+            this(requestId, target, attempt, fetchFrom, PeerMessage.Placed.ANY_TIME);
+        }
+    }
 
     /** Cancels the running attempt, whose end must still be reported to the kernel. */
     record CancelAttempt(long requestId, TargetId target) implements Action {}
--- a/kernel/src/main/java/org/marjoramswitch/kernel/configuration/TeamReader.java
+++ b/kernel/src/main/java/org/marjoramswitch/kernel/configuration/TeamReader.java
@@ -15,6 +15,7 @@
 import org.marjoramswitch.kernel.model.DataCentreId;
 import org.marjoramswitch.kernel.model.PoolId;
 import org.marjoramswitch.kernel.model.TargetId;
+import org.marjoramswitch.kernel.settings.ColdStartLimits;
 import org.marjoramswitch.kernel.settings.CustomerSettings;
 import org.marjoramswitch.kernel.settings.PoolSettings;
 import org.marjoramswitch.kernel.settings.TargetKind;
@@ -115,7 +116,8 @@
                 node.path("repeatableByDefault").asBoolean(defaults.repeatableByDefault()),
                 node.path("waitTimeoutMs").asLong(defaults.waitTimeoutMs()),
                 node.path("progressTimeoutMs").asLong(defaults.progressTimeoutMs()),
-                node.path("retryShare").asDouble(defaults.retryShare())));
+                node.path("retryShare").asDouble(defaults.retryShare()),
+                ColdStartLimits.NONE));
     }
 
     private void readTarget(String document, Map.Entry<String, JsonNode> member) {
--- a/kernel/src/main/java/org/marjoramswitch/kernel/entry/AttemptRules.java
+++ b/kernel/src/main/java/org/marjoramswitch/kernel/entry/AttemptRules.java
@@ -36,6 +36,7 @@
     static ErrorType errorOf(TargetOutcome outcome) {
         return switch (outcome) {
             case REFUSED -> ErrorType.TARGET_REFUSED;
+            case NOT_SENT -> ErrorType.NO_TARGET_IN_TIME;
             case SILENT_BEFORE_ANSWER, SILENT_IN_ANSWER -> ErrorType.TARGET_SILENT;
             case CANCELLED -> ErrorType.CALLER_GONE;
             case COMPLETED, SERVER_ERROR, BROKEN_BEFORE_ANSWER, BROKEN_IN_ANSWER -> ErrorType.TARGET_BROKE;
@@ -47,6 +48,9 @@
     }
 
     static PlacementEnd placementEnd(TargetOutcome outcome) {
+        if (outcome == TargetOutcome.NOT_SENT) {
+            return PlacementEnd.NOT_RUN;
+        }
         if (outcome.notRun()) {
             return PlacementEnd.REFUSED;
         }
--- a/kernel/src/main/java/org/marjoramswitch/kernel/entry/Entry.java
+++ b/kernel/src/main/java/org/marjoramswitch/kernel/entry/Entry.java
@@ -162,10 +162,12 @@
         if (request == null) {
             return;
         }
-        SendAdmission.Verdict verdict = admission.check(request, placed.target(), nowMs);
+        long startWithinMs = placements.startWithinMs(request, placed, nowMs);
+        SendAdmission.Verdict verdict = admission.check(request, placed.target(), startWithinMs, nowMs);
         if (verdict == SendAdmission.Verdict.ADMITTED) {
             totalWaiting--;
             request.fetchFrom(usableSource(placed.fetchFrom(), nowMs));
+            request.startWithinMs(startWithinMs);
             start(request, placed.target(), placed.cell(), placed.ask(), "placed", nowMs, sink);
             return;
         }
@@ -570,7 +572,8 @@
         request.attemptStarted(target, cell, sequence);
         pool.prefixes().record(target, spec.prefixHash());
         pool.drainRate(spec.customer()).requestStarted(nowMs);
-        sink.accept(new Action.Dispatch(spec.requestId(), target, request.attempts(), request.fetchFrom()));
+        sink.accept(new Action.Dispatch(
+                spec.requestId(), target, request.attempts(), request.fetchFrom(), request.startWithinMs()));
         sink.accept(new Action.Decided(Decision.of(
                 "dispatch",
                 "request",
@@ -629,6 +632,11 @@
         boolean blocked =
                 poisonGossip.poisonRequests().blockedForMs(request.spec().digest(), nowMs) > 0;
         boolean mayRetry = !blocked && AttemptRules.mayRetry(request, outcome, nowMs);
+        if (mayRetry && outcome == TargetOutcome.NOT_SENT) {
+            request.attemptNotSent();
+            enqueue(request, nowMs, sink);
+            return;
+        }
         if (mayRetry && takeRetry(request, pool, nowMs)) {
             request.attemptFailed();
             enqueue(request, nowMs, sink);
--- a/kernel/src/main/java/org/marjoramswitch/kernel/entry/EntryRequest.java
+++ b/kernel/src/main/java/org/marjoramswitch/kernel/entry/EntryRequest.java
@@ -3,6 +3,7 @@
 import java.util.HashSet;
 import java.util.Set;
 import org.jspecify.annotations.Nullable;
+import org.marjoramswitch.kernel.message.PeerMessage;
 import org.marjoramswitch.kernel.model.CellId;
 import org.marjoramswitch.kernel.model.RequestSpec;
 import org.marjoramswitch.kernel.model.TargetId;
@@ -17,6 +18,7 @@
     private @Nullable CellId cell;
     private @Nullable TargetId fetchFrom;
     private long sequence;
+    private long startWithinMs = PeerMessage.Placed.ANY_TIME;
     private long costTokens;
     private long reportedTokens;
     private boolean callerGone;
@@ -142,11 +144,26 @@
         useRegistrationSequence();
     }
 
+    /** How long after its dispatch the running attempt may be sent. */
+    long startWithinMs() {
+        return startWithinMs;
+    }
+
+    void startWithinMs(long limitMs) {
+        startWithinMs = limitMs;
+    }
+
     /** Returns the request to the waiting state after a failed attempt. */
     void attemptFailed() {
         if (target != null) {
             failedAt.add(target);
         }
+        attemptNotSent();
+    }
+
+    /** Returns the request to the waiting state after an attempt that was not sent. */
+    void attemptNotSent() {
+        startWithinMs = PeerMessage.Placed.ANY_TIME;
         target = null;
         cell = null;
         fetchFrom = null;
--- a/kernel/src/main/java/org/marjoramswitch/kernel/entry/FleetState.java
+++ b/kernel/src/main/java/org/marjoramswitch/kernel/entry/FleetState.java
@@ -1,22 +1,27 @@
 package org.marjoramswitch.kernel.entry;
 
 import java.util.Collection;
+import java.util.HashMap;
 import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
 import java.util.Set;
+import java.util.TreeMap;
 import java.util.TreeSet;
 import org.jspecify.annotations.Nullable;
 import org.marjoramswitch.kernel.cell.ArbiterAssignment;
 import org.marjoramswitch.kernel.cell.CellMap;
 import org.marjoramswitch.kernel.model.CellId;
 import org.marjoramswitch.kernel.model.CustomerId;
+import org.marjoramswitch.kernel.model.DataCentreId;
 import org.marjoramswitch.kernel.model.Evacuations;
 import org.marjoramswitch.kernel.model.FleetView;
 import org.marjoramswitch.kernel.model.InstanceId;
 import org.marjoramswitch.kernel.model.TargetId;
+import org.marjoramswitch.kernel.settings.ColdStart;
 import org.marjoramswitch.kernel.settings.CustomerSettings;
 import org.marjoramswitch.kernel.settings.FleetSettings;
+import org.marjoramswitch.kernel.settings.PoolSettings;
 import org.marjoramswitch.kernel.settings.TargetSettings;
 
 /**
@@ -28,7 +33,13 @@
     /** Exceeds the number of targets in a fleet, so that only entries of targets that have long exited are dropped. */
     private static final int MAX_SELF_REPORTED_LEAVING = 2_048;
 
+    private static final double ARBITER_COLD_SHARE = 0.75;
+    private static final double STAND_IN_COLD_SHARE = 0.25;
+
     private final Set<InstanceId> unreachable = new TreeSet<>();
+    /** The settings as accepted; {@link #settings} also contains cold starts that follow from evacuations. */
+    private FleetSettings accepted = FleetSettings.NONE;
+
     private FleetSettings settings = FleetSettings.NONE;
     private FleetView view;
     private CellMap cells = CellMap.of(FleetSettings.NONE);
@@ -42,6 +53,8 @@
 
     private Set<TargetId> leavingTargets = Set.of();
     private Evacuations evacuations = Evacuations.NONE;
+    private final Map<DataCentreId, Long> readmittedAtMs = new HashMap<>();
+    private final RecentMaximum recentSize = RecentMaximum.create();
 
     private FleetState(FleetView view) {
         this.view = view;
@@ -77,14 +90,38 @@
 
     /** Applies a new generation of settings; cells and arbiters are derived from it. */
     public void settings(FleetSettings newSettings) {
-        settings = newSettings;
+        accepted = newSettings;
+        settings = withColdStarts(newSettings);
         updateLeavingTargets();
-        cells = CellMap.of(newSettings);
+        cells = CellMap.of(settings);
         assignment = ArbiterAssignment.of(cells.cells(), view);
     }
 
+    /** Adds the cold starts of targets whose data centres have been taken back, until their entries may show them. */
+    private FleetSettings withColdStarts(FleetSettings newSettings) {
+        if (readmittedAtMs.isEmpty()) {
+            return newSettings;
+        }
+        Map<TargetId, TargetSettings> targets = new TreeMap<>();
+        newSettings.targets().forEach((id, target) -> targets.put(id, withColdStart(newSettings, target)));
+        return FleetSettings.of(newSettings.generation(), newSettings.customers(), newSettings.pools(), targets);
+    }
+
+    private TargetSettings withColdStart(FleetSettings newSettings, TargetSettings target) {
+        Long readmitted = readmittedAtMs.get(target.dataCentre());
+        PoolSettings pool = newSettings.pools().get(target.pool());
+        if (readmitted == null || pool == null || pool.coldStart().durationMs() == 0) {
+            return target;
+        }
+        long untilMs = Math.max(
+                target.coldStart().untilMs(), readmitted + pool.coldStart().durationMs());
+        return target.withColdStart(ColdStart.until(untilMs, pool.coldStart().requestsPerSecond()));
+    }
+
     /** Applies a new membership view; arbiters are derived from it. */
-    public void view(FleetView newView) {
+    public void view(FleetView newView, long nowMs) {
+        recentSize.record(view.members().size(), nowMs);
+        recentSize.record(newView.members().size(), nowMs);
         view = newView;
         unreachable.retainAll(newView.members().keySet());
         assignment = ArbiterAssignment.of(cells.cells(), newView);
@@ -118,16 +155,41 @@
         return evacuations;
     }
 
-    /** Replaces the evacuated data centres if this list is newer; returns whether they have changed. */
-    public boolean evacuations(Evacuations newest) {
+    /**
+     * Replaces the evacuated data centres if this list is newer; returns whether they have changed. Targets of a data
+     * centre that is taken back count as cold: they may have turned cold during the evacuation, and their entries show
+     * it only with their next heartbeat.
+     */
+    public boolean evacuations(Evacuations newest, long nowMs) {
         if (newest.revision() <= evacuations.revision()) {
             return false;
         }
+        Set<DataCentreId> readmitted = new TreeSet<>(evacuations.dataCentres());
+        readmitted.removeAll(newest.dataCentres());
         boolean changed = !newest.dataCentres().equals(evacuations.dataCentres());
         evacuations = newest;
+        if (!readmitted.isEmpty()) {
+            readmitted.forEach(dataCentre -> readmittedAtMs.put(dataCentre, nowMs));
+            settings(accepted);
+        }
         return changed;
     }
 
+    /**
+     * The share of a cold target's request rate that this instance may use as the cell's arbiter. The shares of all
+     * instances that may act as one at the same time add up to no more than 1: those in parts of a partitioned fleet by
+     * the instances that they reach, and the one that replaces a lagging arbiter by a fixed share.
+     */
+    public double coldStartShare(InstanceId self, CellId cell, long nowMs) {
+        long reachable = view.members().keySet().stream()
+                .filter(member -> !unreachable.contains(member))
+                .count();
+        double reachableShare = Math.min(1.0, Math.max(1, reachable) / (double) Math.max(1, recentSize.max(nowMs)));
+        double roleShare = self.equals(assignedArbiter(cell)) ? ARBITER_COLD_SHARE : STAND_IN_COLD_SHARE;
+        // Squared, since the other part of the fleet may not have detected the partition yet and use its full share.
+        return roleShare * reachableShare * reachableShare;
+    }
+
     /** Whether the target's data centre is evacuated. */
     public boolean isEvacuated(TargetSettings target) {
         return evacuations.dataCentres().contains(target.dataCentre());
--- a/kernel/src/main/java/org/marjoramswitch/kernel/entry/Placements.java
+++ b/kernel/src/main/java/org/marjoramswitch/kernel/entry/Placements.java
@@ -127,6 +127,18 @@
         return placement.request;
     }
 
+    /**
+     * The remaining time for which a placement is valid: the messages' time on the way counts, as far as this instance
+     * can tell it from the time that the arbiter held the request.
+     */
+    long startWithinMs(EntryRequest request, PeerMessage.Placed placed, long nowMs) {
+        PlacementRequest placement = byRequest.get(request.spec().requestId());
+        if (placement == null || placed.startWithinMs() == PeerMessage.Placed.ANY_TIME) {
+            return placed.startWithinMs();
+        }
+        return placed.startWithinMs() - Math.max(0, nowMs - placement.sentAtMs - placed.heldMs());
+    }
+
     /** Returns a placement that is not used, so that the arbiter frees the slot. */
     void returnPlacement(InstanceId from, PeerMessage.Placed placed, ActionSink sink) {
         sink.accept(new Action.SendPeer(
--- a/kernel/src/main/java/org/marjoramswitch/kernel/entry/SendAdmission.java
+++ b/kernel/src/main/java/org/marjoramswitch/kernel/entry/SendAdmission.java
@@ -31,6 +31,8 @@
         DATA_CENTRE_EVACUATED(Scope.TARGET),
         /** The target is usable, but not until its backoff has elapsed. */
         TARGET_IN_BACKOFF(Scope.MOMENT),
+        /** The placement is older than its target, which is in its cold start, allows. */
+        PLACEMENT_STALE(Scope.MOMENT),
         CALLER_GONE(Scope.REQUEST),
         DEADLINE_PASSED(Scope.REQUEST),
         REQUEST_BLOCKED(Scope.REQUEST);
@@ -59,8 +61,13 @@
         REQUEST
     }
 
-    /** Whether the request may be sent to the target now. */
-    Verdict check(EntryRequest request, TargetId target, long nowMs) {
+    /**
+     * Whether the request may be sent to the target now.
+     *
+     * @param startWithinMs remaining time for which the placement is valid, see {@link
+     *     org.marjoramswitch.kernel.message.PeerMessage.Placed}
+     */
+    Verdict check(EntryRequest request, TargetId target, long startWithinMs, long nowMs) {
         if (request.callerGone()) {
             return Verdict.CALLER_GONE;
         }
@@ -70,6 +77,9 @@
         if (poisonRequests.blockedForMs(request.spec().digest(), nowMs) > 0) {
             return Verdict.REQUEST_BLOCKED;
         }
+        if (startWithinMs <= 0) {
+            return Verdict.PLACEMENT_STALE;
+        }
         return checkTarget(target, nowMs);
     }
 
--- a/kernel/src/main/java/org/marjoramswitch/kernel/message/PeerMessage.java
+++ b/kernel/src/main/java/org/marjoramswitch/kernel/message/PeerMessage.java
@@ -178,16 +178,27 @@
      *
      * @param fetchFrom the target that has more of the prompt cached, null if nothing is to be fetched
      * @param heldMs how long the request waited at the arbiter; the receiving entry adds the delay of its own backlog
+     * @param startWithinMs how long after the placement the request may be sent; {@link #ANY_TIME} if there is no limit.
+     *     A target that has just started crashes if placements of a longer period arrive together.
      */
     record Placed(
             CellId cell,
             long ask,
             TargetId target,
             @Nullable TargetId fetchFrom,
-            long heldMs) implements PeerMessage {
+            long heldMs,
+            long startWithinMs) implements PeerMessage {
+        public static final long ANY_TIME = Long.MAX_VALUE;
+
+        /** Creates a placement that has no limit of time. */
+        public Placed(CellId cell, long ask, TargetId target, @Nullable TargetId fetchFrom, long heldMs) {
+            this(cell, ask, target, fetchFrom, heldMs, ANY_TIME);
+        }
+
         @Override
         public Placed delayed(long delayMs) {
-            return new Placed(cell, ask, target, fetchFrom, heldMs + delayMs);
+            long leftMs = startWithinMs == ANY_TIME ? ANY_TIME : startWithinMs - delayMs;
+            return new Placed(cell, ask, target, fetchFrom, heldMs + delayMs, leftMs);
         }
 
         @Override
--- a/kernel/src/main/java/org/marjoramswitch/kernel/placement/PlacementArbiter.java
+++ b/kernel/src/main/java/org/marjoramswitch/kernel/placement/PlacementArbiter.java
@@ -59,6 +59,12 @@
     /** Up to this many waiting requests, every event triggers a pass, so that a freed target is used immediately. */
     private static final int MAX_WAITING_FOR_FULL_PASS = 16;
 
+    /**
+     * How long a placement at a cold target is valid. An entry that lags would send the placements of a longer period
+     * together and crash the target.
+     */
+    private static final long COLD_START_WITHIN_MS = 300;
+
     private static final double INITIAL_SERVICE_MS = 50;
     private static final double SERVICE_GAIN = 0.05;
 
@@ -102,7 +108,7 @@
 
     /** Sets the targets that may receive requests; those in {@code leaving} are excluded. */
     public void targets(Collection<TargetSettings> settings, Set<TargetId> leaving) {
-        targets(settings, leaving, Set.of());
+        targets(settings, leaving, Set.of(), 0);
     }
 
     /**
@@ -111,11 +117,17 @@
      * @param leaving excluded targets, whose state is discarded
      * @param evacuated data centres whose targets are excluded until further notice and keep their state
      */
-    public void targets(Collection<TargetSettings> settings, Set<TargetId> leaving, Set<DataCentreId> evacuated) {
-        targets.targets(settings, leaving, evacuated);
+    public void targets(
+            Collection<TargetSettings> settings, Set<TargetId> leaving, Set<DataCentreId> evacuated, long nowMs) {
+        targets.targets(settings, leaving, evacuated, nowMs);
         lastPass = null;
     }
 
+    /** Sets the share of a cold target's request rate that this arbiter may use, the rest being for other arbiters. */
+    public void coldStartShare(double share) {
+        targets.setColdStartShare(share);
+    }
+
     /**
      * Queues a request of an entry instance. Ignored if the request is running; replaces a waiting one with the same
      * id.
@@ -381,6 +393,7 @@
         removeWaiting(request.entry(), request.placementId());
         sizes.recordOutcome(request.size(), true);
         target.started(request.prompt(), chosen.prefillTokens(), request.memoryTokens(), nowMs);
+        target.countStart(targets.coldStartShare(), nowMs);
         choice.started(target);
         shares.charge(request.customer(), request.costTokens());
         fairShare.recordCharge(request.customer(), request.costTokens(), nowMs);
@@ -394,7 +407,8 @@
                         request.placementId(),
                         target.settings().id(),
                         chosen.fetchFrom(),
-                        nowMs - request.arrivedAtMs())));
+                        nowMs - request.arrivedAtMs(),
+                        target.isCold(nowMs) ? COLD_START_WITHIN_MS : PeerMessage.Placed.ANY_TIME)));
         sink.accept(PlacementLog.placed(cell, request, chosen, reason, tokensAhead, model, waiting, nowMs));
     }
 
--- a/kernel/src/main/java/org/marjoramswitch/kernel/placement/TargetChoice.java
+++ b/kernel/src/main/java/org/marjoramswitch/kernel/placement/TargetChoice.java
@@ -315,6 +315,10 @@
     }
 
     private double slotWaitMs(TargetLoad target, long memoryTokens) {
+        long coldWaitMs = target.coldWaitMs(pool.coldStartShare(), nowMs);
+        if (coldWaitMs > 0) {
+            return coldWaitMs;
+        }
         return target.hasRoom(memoryTokens, ignoreHealth, nowMs) ? 0 : Math.max(1, target.slotWaitMs());
     }
 
--- a/kernel/src/main/java/org/marjoramswitch/kernel/placement/TargetLoad.java
+++ b/kernel/src/main/java/org/marjoramswitch/kernel/placement/TargetLoad.java
@@ -28,6 +28,7 @@
 
     private final OutlierEjection health = OutlierEjection.create();
     private final PromptCache cache;
+    private final ColdStartLimiter coldStarts;
     private TargetSettings settings;
     private boolean usable = true;
     private int inFlight;
@@ -39,14 +40,15 @@
     private double endIntervalMs = HALF_LIFE_MS;
     private long endedAtMs;
 
-    private TargetLoad(TargetSettings settings, PromptPartIndex partIndex) {
+    private TargetLoad(TargetSettings settings, PromptPartIndex partIndex, ColdStartLimiter coldStarts) {
         this.settings = settings;
+        this.coldStarts = coldStarts;
         this.cache = PromptCache.create(part -> partIndex.add(part, this), part -> partIndex.remove(part, this));
     }
 
     /** @param partIndex is updated with the parts that the target has cached */
-    static TargetLoad create(TargetSettings settings, PromptPartIndex partIndex) {
-        return new TargetLoad(settings, partIndex);
+    static TargetLoad create(TargetSettings settings, PromptPartIndex partIndex, ColdStartLimiter coldStarts) {
+        return new TargetLoad(settings, partIndex, coldStarts);
     }
 
     TargetSettings settings() {
@@ -90,6 +92,24 @@
         return memoryTokens == 0 || inFlight == 0 || runningTokens + tokens <= USABLE_MEMORY_SHARE * memoryTokens;
     }
 
+    /**
+     * Time until a target in its cold start may receive a request; 0 if it may receive one now. A request does not wait
+     * for the limiter, since many would choose the same target: the time is that until the target has warmed up.
+     */
+    long coldWaitMs(double coldStartShare, long nowMs) {
+        boolean blocked = coldStarts.waitMs(settings.coldStart(), coldStartShare, nowMs) > 0;
+        return blocked ? settings.coldStart().untilMs() - nowMs : 0;
+    }
+
+    boolean isCold(long nowMs) {
+        return settings.coldStart().isLimited(nowMs);
+    }
+
+    /** Records the start of a request for the limit of cold targets. */
+    void countStart(double coldStartShare, long nowMs) {
+        coldStarts.started(settings.coldStart(), coldStartShare, nowMs);
+    }
+
     boolean isEjected(long nowMs) {
         return health.isEjected(nowMs);
     }
--- a/kernel/src/main/java/org/marjoramswitch/kernel/placement/TargetPool.java
+++ b/kernel/src/main/java/org/marjoramswitch/kernel/placement/TargetPool.java
@@ -23,6 +23,8 @@
     private List<TargetLoad> usable = List.of();
 
     private int slots;
+    private double coldStartShare = 1;
+    private boolean isNew = true;
 
     private TargetPool() {}
 
@@ -36,16 +38,18 @@
      * longer exist, and prompts would be sent there for parts that it has lost. A target of an evacuated data centre
      * keeps its state, since its requests continue and it may be used again soon.
      */
-    void targets(Collection<TargetSettings> settings, Set<TargetId> leaving, Set<DataCentreId> evacuated) {
+    void targets(Collection<TargetSettings> settings, Set<TargetId> leaving, Set<DataCentreId> evacuated, long nowMs) {
         Set<TargetId> ids = new TreeSet<>();
         for (TargetSettings target : settings) {
             if (!leaving.contains(target.id())) {
                 ids.add(target.id());
                 dropIfRestarted(target);
-                byId.computeIfAbsent(target.id(), missing -> TargetLoad.create(target, partIndex))
+                byId.computeIfAbsent(
+                                target.id(), missing -> TargetLoad.create(target, partIndex, coldStartLimiter(nowMs)))
                         .settings(target);
             }
         }
+        isNew = false;
         byId.entrySet().removeIf(known -> {
             boolean removed = !ids.contains(known.getKey());
             if (removed) {
@@ -61,6 +65,20 @@
         order.targets(usable);
     }
 
+    /** The targets that a new arbiter finds may have received requests from the former one until now. */
+    private ColdStartLimiter coldStartLimiter(long nowMs) {
+        return isNew ? ColdStartLimiter.afterOtherArbiter(nowMs) : ColdStartLimiter.create();
+    }
+
+    /** The share of a cold target's request rate that this arbiter may use. */
+    double coldStartShare() {
+        return coldStartShare;
+    }
+
+    void setColdStartShare(double share) {
+        coldStartShare = share;
+    }
+
     private void dropIfRestarted(TargetSettings target) {
         TargetLoad known = byId.get(target.id());
         if (known != null && known.settings().startedAtMs() != target.startedAtMs()) {
--- a/kernel/src/main/java/org/marjoramswitch/kernel/settings/PoolSettings.java
+++ b/kernel/src/main/java/org/marjoramswitch/kernel/settings/PoolSettings.java
@@ -13,6 +13,7 @@
  * @param waitTimeoutMs how long a request may wait for a grant
  * @param progressTimeoutMs how long a target may make no progress on a request before the attempt ends
  * @param retryShare allowed retries as a share of successful requests
+ * @param coldStart limits of targets that have just started
  */
 public record PoolSettings(
         PoolId id,
@@ -24,7 +25,8 @@
         boolean repeatableByDefault,
         long waitTimeoutMs,
         long progressTimeoutMs,
-        double retryShare) {
+        double retryShare,
+        ColdStartLimits coldStart) {
     public static final int DEFAULT_CELL_TARGETS = 4;
     public static final long DEFAULT_INITIAL_ESTIMATE_TOKENS = 200;
     public static final long DEFAULT_WAIT_TIMEOUT_MS = 30_000;
@@ -44,7 +46,8 @@
                 true,
                 DEFAULT_WAIT_TIMEOUT_MS,
                 DEFAULT_PROGRESS_TIMEOUT_MS,
-                DEFAULT_RETRY_SHARE);
+                DEFAULT_RETRY_SHARE,
+                ColdStartLimits.NONE);
     }
 
     /** Returns default settings of a pool of plain services, whose calls are repeatable only if the caller says so. */
@@ -59,7 +62,8 @@
                 false,
                 DEFAULT_WAIT_TIMEOUT_MS,
                 DEFAULT_PROGRESS_TIMEOUT_MS,
-                DEFAULT_RETRY_SHARE);
+                DEFAULT_RETRY_SHARE,
+                ColdStartLimits.NONE);
     }
 
     public PoolSettings withCellTargets(int targets) {
@@ -73,6 +77,22 @@
                 repeatableByDefault,
                 waitTimeoutMs,
                 progressTimeoutMs,
-                retryShare);
+                retryShare,
+                coldStart);
+    }
+
+    public PoolSettings withColdStart(ColdStartLimits limits) {
+        return new PoolSettings(
+                id,
+                kind,
+                cellTargets,
+                promptTokenCost,
+                outputTokenCost,
+                initialEstimateTokens,
+                repeatableByDefault,
+                waitTimeoutMs,
+                progressTimeoutMs,
+                retryShare,
+                limits);
     }
 }
--- a/kernel/src/main/java/org/marjoramswitch/kernel/settings/TargetSettings.java
+++ b/kernel/src/main/java/org/marjoramswitch/kernel/settings/TargetSettings.java
@@ -13,6 +13,7 @@
  * @param memory memory of a model engine
  * @param startedAtMs start time of the target process by its own clock, 0 if unknown. A target that restarts under the
  *     same name is a new one, without cached prompts or running requests.
+ * @param coldStart the target's current or last cold start
  */
 public record TargetSettings(
         TargetId id,
@@ -23,8 +24,9 @@
         int slots,
         boolean checksFencing,
         EngineMemory memory,
-        long startedAtMs) {
-    /** Creates settings of a target with an unknown start time. */
+        long startedAtMs,
+        ColdStart coldStart) {
+    /** Creates settings of a warm target with an unknown start time. */
     public TargetSettings(
             TargetId id,
             PoolId pool,
@@ -34,7 +36,7 @@
             int slots,
             boolean checksFencing,
             EngineMemory memory) {
-        this(id, pool, host, port, dataCentre, slots, checksFencing, memory, 0);
+        this(id, pool, host, port, dataCentre, slots, checksFencing, memory, 0, ColdStart.NONE);
     }
 
     /** Creates settings of a target with unknown memory. */
@@ -50,10 +52,17 @@
     }
 
     public TargetSettings withMemory(EngineMemory newMemory) {
-        return new TargetSettings(id, pool, host, port, dataCentre, slots, checksFencing, newMemory, startedAtMs);
+        return new TargetSettings(
+                id, pool, host, port, dataCentre, slots, checksFencing, newMemory, startedAtMs, coldStart);
     }
 
     public TargetSettings withStart(long newStartedAtMs) {
-        return new TargetSettings(id, pool, host, port, dataCentre, slots, checksFencing, memory, newStartedAtMs);
+        return new TargetSettings(
+                id, pool, host, port, dataCentre, slots, checksFencing, memory, newStartedAtMs, coldStart);
+    }
+
+    public TargetSettings withColdStart(ColdStart newColdStart) {
+        return new TargetSettings(
+                id, pool, host, port, dataCentre, slots, checksFencing, memory, startedAtMs, newColdStart);
     }
 }
--- a/kernel/src/main/java/org/marjoramswitch/kernel/wire/MessageCodec.java
+++ b/kernel/src/main/java/org/marjoramswitch/kernel/wire/MessageCodec.java
@@ -426,7 +426,8 @@
                 .list(
                         source == null ? List.of() : List.of(source),
                         target -> out.item(1).put(target))
-                .number(message.heldMs(), 0);
+                .number(message.heldMs(), 0)
+                .number(message.startWithinMs(), Placed.ANY_TIME);
     }
 
     private static Placed readPlaced(MessageReader in) throws IOException {
@@ -434,7 +435,8 @@
         long ask = in.number();
         var target = in.target();
         List<TargetId> source = in.list(in::target);
-        return new Placed(cell, ask, target, source.isEmpty() ? null : source.get(0), in.number(0));
+        return new Placed(
+                cell, ask, target, source.isEmpty() ? null : source.get(0), in.number(0), in.number(Placed.ANY_TIME));
     }
 
     private static void writePlacementsHeld(MessageWriter out, PlacementsHeld message) {
--- a/kernel/src/test/java/org/marjoramswitch/kernel/PlacementFleet.java
+++ b/kernel/src/test/java/org/marjoramswitch/kernel/PlacementFleet.java
@@ -52,6 +52,9 @@
     final List<Action.CancelAttempt> cancelled = new ArrayList<>();
     final Map<Long, Action> ends = new TreeMap<>();
     final Set<InstanceId> frozen = new HashSet<>();
+    /** Pairs of instances between which messages are lost. */
+    final Set<Set<InstanceId>> cutLinks = new HashSet<>();
+
     private final Map<InstanceId, Long> incarnations = new TreeMap<>();
     InstanceId arbiter = INSTANCES.get(0);
     InstanceId entry = INSTANCES.get(0);
@@ -91,11 +94,23 @@
         });
     }
 
-    private Member member(InstanceId id) {
+    Member member(InstanceId id) {
         return Member.of(id, incarnations.getOrDefault(id, 1L), DATA_CENTRE, false);
     }
 
-    private void shareView() {
+    void cutLink(InstanceId one, InstanceId other) {
+        cutLinks.add(Set.of(one, other));
+        apply(one, new Event.PeerLinkChanged(other, false));
+        apply(other, new Event.PeerLinkChanged(one, false));
+    }
+
+    void healLink(InstanceId one, InstanceId other) {
+        cutLinks.remove(Set.of(one, other));
+        apply(one, new Event.PeerLinkChanged(other, true));
+        apply(other, new Event.PeerLinkChanged(one, true));
+    }
+
+    void shareView() {
         FleetView view = FleetView.of(INSTANCES.stream().map(this::member).toList());
         INSTANCES.forEach(id -> apply(id, new Event.ViewChanged(view)));
     }
@@ -180,6 +195,9 @@
         List<Sent> kept = new ArrayList<>();
         while (!wire.isEmpty()) {
             Sent sent = wire.poll();
+            if (cutLinks.contains(Set.of(sent.from(), sent.to()))) {
+                continue;
+            }
             if (frozen.contains(sent.to())) {
                 kept.add(sent);
                 continue;
--- a/kernel/src/test/java/org/marjoramswitch/kernel/placement/TargetChoiceTest.java
+++ b/kernel/src/test/java/org/marjoramswitch/kernel/placement/TargetChoiceTest.java
@@ -73,7 +73,7 @@
     /** If no target has room, no search takes place, until the first target has room again. */
     @Test
     void aFullPoolTakesNoRequestUntilATargetHasRoom() {
-        pool.targets(List.of(settings(1, 1, EngineMemory.of(MEMORY_TOKENS))), Set.of(), Set.of());
+        pool.targets(List.of(settings(1, 1, EngineMemory.of(MEMORY_TOKENS))), Set.of(), Set.of(), 0);
         TargetLoad only = pool.usable().iterator().next();
         only.takeOver(0, 100, true, NOW_MS);
         WaitingRequest request = request(1, List.of(PromptPart.of(1, 500)), Set.of());
@@ -93,7 +93,7 @@
         for (int i = 0; i < ENGINES; i++) {
             settings.add(settings(i, 23 + 7 * i, memory));
         }
-        pool.targets(settings, Set.of(), Set.of());
+        pool.targets(settings, Set.of(), Set.of(), 0);
         for (TargetLoad engine : pool.usable()) {
             int running = 1 + random.nextInt(engine.settings().slots());
             for (int i = 0; i < running; i++) {
--- a/kernel/src/test/java/org/marjoramswitch/kernel/wire/RandomMessages.java
+++ b/kernel/src/test/java/org/marjoramswitch/kernel/wire/RandomMessages.java
@@ -53,7 +53,8 @@
                 new PeerMessage.Place(
                         cell(), number(), customer(), 3, parts(), number(), number(), number(), List.of(target()));
             case 20 ->
-                new PeerMessage.Placed(cell(), number(), target(), random.nextBoolean() ? target() : null, number());
+                new PeerMessage.Placed(
+                        cell(), number(), target(), random.nextBoolean() ? target() : null, number(), number());
             case 21 -> new PeerMessage.NotPlaced(cell(), number(), number(), number());
             case 22 -> new PeerMessage.PlaceWithdrawn(cell(), number());
             case 23 -> new PeerMessage.PlacementAnswering(cell(), number());
--- a/testsuite/src/test/java/org/marjoramswitch/testsuite/target/ServiceAttemptTest.java
+++ b/testsuite/src/test/java/org/marjoramswitch/testsuite/target/ServiceAttemptTest.java
@@ -115,6 +115,17 @@
         assertEquals(TargetOutcome.COMPLETED, run(LONG_TIMEOUT_MS).outcome());
     }
 
+    /** Guards against a cold target that crashes because a lagging instance sends it the requests of seconds together. */
+    @Test
+    void callIsNotSentAfterTheTimeWithinWhichItMayStart() throws Exception {
+        for (int i = 0; i < 2; i++) {
+            RecordedAttempt late = fixture.run(
+                    service.port(), LONG_TIMEOUT_MS, fixture.serviceCall().startingBy(System.nanoTime() - 1));
+            assertEquals(TargetOutcome.NOT_SENT, late.outcome());
+        }
+        assertTrue(service.executions().isEmpty());
+    }
+
     @Test
     void callDoesNotUseASilentIdleConnection() throws Exception {
         // A pooled connection goes silent. A non-repeatable call on it would end with an unknown outcome though it
--- a/testsuite/src/test/java/org/marjoramswitch/testsuite/target/TargetFixture.java
+++ b/testsuite/src/test/java/org/marjoramswitch/testsuite/target/TargetFixture.java
@@ -61,7 +61,8 @@
                 defaults.repeatableByDefault(),
                 defaults.waitTimeoutMs(),
                 progressTimeoutMs,
-                defaults.retryShare());
+                defaults.retryShare(),
+                defaults.coldStart());
     }
 
     TargetCall chat(int tokens, boolean streaming) {
