Probe a store that fails with one call at a time

Cause: while the store turned an instance away, each prefix that it follows and its lease retried by themselves, every 200 ms on average.

Change: a failed address, also one that answers 429, is backed off for all calls of the instance, and after a backoff one call probes it while the others wait for its end. Long polls neither probe nor wait, since a missing answer says nothing about them.

Ruled out: a longer backoff alone (three prefixes and a lease still probe each by itself).

--- a/daemon/src/main/java/org/marjoramswitch/daemon/platform/GatewayAddresses.java
+++ b/daemon/src/main/java/org/marjoramswitch/daemon/platform/GatewayAddresses.java
@@ -8,7 +8,8 @@
 /**
  * Selects the store address for the next call. The current address is kept while it responds; a failed one is backed
  * off for a random time below a bound that doubles with each failure (full jitter), so that instances whose calls
- * failed at the same time do not retry at the same time.
+ * failed at the same time do not retry at the same time. After a backoff a single call probes the address: all calls
+ * of the instance would fail for the same reason, and the store counts each of them.
  */
 final class GatewayAddresses {
     private static final int MAX_DOUBLINGS = 16;
@@ -57,8 +58,28 @@
         return addresses.get(current).address;
     }
 
+    /**
+     * Whether a call may be sent to the address now: it works, or the call becomes its only probe, whose end must be
+     * reported.
+     */
+    boolean tryUse(HostPort address) {
+        Health health = find(address);
+        if (health.failures == 0) {
+            return true;
+        }
+        boolean isProbe = !health.probing;
+        health.probing = true;
+        return isProbe;
+    }
+
+    /** Ends a probe that was not sent. */
+    void probeAbandoned(HostPort address) {
+        find(address).probing = false;
+    }
+
     void succeeded(HostPort address) {
         Health health = find(address);
+        health.probing = false;
         health.failures = 0;
         health.backoffUntilMs = 0;
     }
@@ -66,6 +87,7 @@
     /** Backs the address off. Failures of concurrent calls with the same cause count as one. */
     void failed(HostPort address, long nowMs) {
         Health health = find(address);
+        health.probing = false;
         if (health.backoffUntilMs > nowMs) {
             return;
         }
@@ -90,6 +112,7 @@
         private final HostPort address;
         private int failures;
         private long backoffUntilMs;
+        private boolean probing;
 
         private Health(HostPort address) {
             this.address = address;
--- a/daemon/src/main/java/org/marjoramswitch/daemon/platform/GatewayCaller.java
+++ b/daemon/src/main/java/org/marjoramswitch/daemon/platform/GatewayCaller.java
@@ -3,6 +3,8 @@
 import io.undertow.util.HeaderMap;
 import java.io.ByteArrayOutputStream;
 import java.nio.ByteBuffer;
+import java.util.ArrayList;
+import java.util.List;
 import org.jspecify.annotations.Nullable;
 import org.marjoramswitch.daemon.log.KeyValueLog;
 import org.marjoramswitch.daemon.settings.HostPort;
@@ -29,6 +31,9 @@
     private final GatewayAddresses addresses;
     private final GatewayConnections connections;
     private final TokenBucket budget;
+    /** Calls that wait for the end of the probe of a failed address. */
+    private final List<GatewayCall> awaitingProbe = new ArrayList<>();
+
     private boolean closed;
 
     private GatewayCaller(GatewayRuntime runtime, GatewayAddresses addresses) {
@@ -59,6 +64,10 @@
             return;
         }
         HostPort address = addresses.choose(now);
+        if (!call.isPoll() && !addresses.tryUse(address)) {
+            awaitingProbe.add(call);
+            return;
+        }
         connections.acquire(address, now, new GatewayConnections.Listener() {
             @Override
             public void onConnected(GatewayConnections.Link link) {
@@ -95,6 +104,7 @@
     void addressFailed(HostPort address, String reason) {
         runtime.metrics().addressFailed();
         addresses.failed(address, runtime.nowMs());
+        startAwaiting();
         LOG.warn(
                 "platform_address_failed",
                 "type",
@@ -107,9 +117,17 @@
 
     void close() {
         closed = true;
+        startAwaiting();
         connections.close();
     }
 
+    /** Starts the calls that waited for a probe; if it failed, they wait for the end of the backoff. */
+    private void startAwaiting() {
+        List<GatewayCall> waiting = List.copyOf(awaitingProbe);
+        awaitingProbe.clear();
+        waiting.forEach(this::start);
+    }
+
     private void startLater(GatewayCall call, long waitMs) {
         runtime.after(waitMs, () -> start(call));
     }
@@ -117,6 +135,8 @@
     private void send(GatewayCall call, GatewayConnections.Link link) {
         if (!takeFromBudget(call.path())) {
             connections.release(link, runtime.nowMs());
+            addresses.probeAbandoned(link.address());
+            startAwaiting();
             call.complete(new GatewayCall.Outcome.NotSent("budget"));
             return;
         }
@@ -132,7 +152,7 @@
     private void onResponse(GatewayCall call, HostPort address, GatewayCall.Outcome.Response response) {
         int status = response.status();
         if (status == TOO_MANY_REQUESTS) {
-            onRateLimited(call, response);
+            onRateLimited(call, address, response);
             return;
         }
         if (status >= FIRST_SERVER_ERROR) {
@@ -142,17 +162,19 @@
             return;
         }
         addresses.succeeded(address);
+        startAwaiting();
         call.complete(response);
     }
 
-    private void onRateLimited(GatewayCall call, GatewayCall.Outcome.Response response) {
+    private void onRateLimited(GatewayCall call, HostPort address, GatewayCall.Outcome.Response response) {
         runtime.metrics().rateLimited();
-        long waitMs = addresses.backoffMs(call.countRateLimited());
-        if (waitMs >= call.remainingMs(runtime.nowMs())) {
+        addresses.failed(address, runtime.nowMs());
+        startAwaiting();
+        if (addresses.waitMs(runtime.nowMs()) >= call.remainingMs(runtime.nowMs())) {
             call.complete(response);
             return;
         }
-        startLater(call, waitMs);
+        start(call);
     }
 
     private void onAttemptFailed(GatewayCall call, HostPort address, String reason) {
--- a/daemon/src/test/java/org/marjoramswitch/daemon/platform/EtcdGatewayStoreTest.java
+++ b/daemon/src/test/java/org/marjoramswitch/daemon/platform/EtcdGatewayStoreTest.java
@@ -148,6 +148,24 @@
                 429, assertInstanceOf(KeyValueResult.Rejected.class, result).status());
     }
 
+    /** Guards against each call of an instance retrying by itself while the store rejects all of them. */
+    @Test
+    void storeThatRejectsCallsIsProbedByOneCallAtATime() throws Exception {
+        platform.gateway.limitCallsPerSecond(0);
+        EtcdGatewayStore probing = platform.store(PlatformFixture.options().withBackoff(200, 200));
+        List<CompletableFuture<KeyValueResult<Entry>>> reads = new ArrayList<>();
+        long before = platform.gateway.calls(CallKind.RANGE);
+        for (int i = 0; i < 20; i++) {
+            reads.add(probing.get("k" + i));
+        }
+        for (CompletableFuture<KeyValueResult<Entry>> read : reads) {
+            assertTrue(!(await(read) instanceof KeyValueResult.Answered));
+        }
+        // All reads start before the first rejection; afterwards one in each backoff of 100 ms on average.
+        long calls = platform.gateway.calls(CallKind.RANGE) - before;
+        assertTrue(calls <= 20 + 12, "calls: " + calls);
+    }
+
     @Test
     void readsAndUnsentWritesFailOver() throws Exception {
         // One address refuses connections, another accepts calls and never responds. Neither is visible to the caller,
