Eject a target only if it fails more than its pool

Cause: three failures in a row eject a target for a second, and twice as long with each failed probe.

Change: the number of failures in a row follows from the pool's own fault rate, so that a target with that rate is ejected by one series in a thousand: 3 in a sound pool, 8 or 9 at 45 in 100. Only the first three failures of a series count for the pool, since the rest are the target's own. While a fifth of the pool's requests fail, a failed probe doesn't lengthen the period.

--- a/kernel/src/main/java/org/marjoramswitch/kernel/arbiter/Arbiter.java
+++ b/kernel/src/main/java/org/marjoramswitch/kernel/arbiter/Arbiter.java
@@ -14,6 +14,7 @@
 import org.marjoramswitch.kernel.action.Action;
 import org.marjoramswitch.kernel.action.ActionSink;
 import org.marjoramswitch.kernel.action.Decision;
+import org.marjoramswitch.kernel.capacity.PoolFaultRate;
 import org.marjoramswitch.kernel.capacity.TargetSlots;
 import org.marjoramswitch.kernel.fair.CustomerAccount;
 import org.marjoramswitch.kernel.fair.FairShares;
@@ -58,6 +59,7 @@
     private final PoolSettings pool;
     private final FairShares shares;
     private final long openAtMs;
+    private final PoolFaultRate faultRate = PoolFaultRate.create();
     private final Map<TargetId, TargetSlots> targets = new TreeMap<>();
     private final Map<InstanceId, EntryState> entries = new TreeMap<>();
     private final Map<CustomerId, Set<InstanceId>> offeringEntries = new HashMap<>();
@@ -130,7 +132,7 @@
         Set<TargetId> named = new TreeSet<>();
         for (TargetSettings target : settings) {
             named.add(target.id());
-            TargetSlots slots = targets.computeIfAbsent(target.id(), missing -> TargetSlots.of(target));
+            TargetSlots slots = targets.computeIfAbsent(target.id(), missing -> TargetSlots.of(target, faultRate));
             slots.settings(target);
             slots.leaving(leaving.contains(target.id()));
         }
--- a/kernel/src/main/java/org/marjoramswitch/kernel/capacity/OutlierEjection.java
+++ b/kernel/src/main/java/org/marjoramswitch/kernel/capacity/OutlierEjection.java
@@ -3,29 +3,35 @@
 /**
  * Ejects a target after consecutive faults and re-admits it through probes.
  *
- * <p>After {@value #FAULTS_TO_EJECT} consecutive faults the target receives no requests for a period that doubles with
- * every ejection, from {@value #BASE_EJECTION_MS} ms to {@value #MAX_EJECTION_MS} ms. After that it receives one
- * request at a time as a probe until one succeeds. Without ejection, a target that fails requests immediately frees its
- * slots first and receives all waiting requests.
+ * <p>After a number of consecutive faults, which depends on the pool's fault rate, the target receives no requests for a
+ * period that doubles with every ejection, from {@value #BASE_EJECTION_MS} ms to {@value #MAX_EJECTION_MS} ms. After that
+ * it receives one request at a time as a probe until one succeeds. Without ejection, a target that fails requests
+ * immediately frees its slots first and receives all waiting requests.
+ *
+ * <p>While the whole pool fails requests, a failed probe says little about the target, and the period does not grow.
  */
 public final class OutlierEjection {
-    private static final int FAULTS_TO_EJECT = 3;
     private static final long BASE_EJECTION_MS = 1_000;
     private static final long MAX_EJECTION_MS = 30_000;
 
+    private final PoolFaultRate poolFaultRate;
     private int consecutiveFaults;
     private int ejections;
     private long ejectedUntilMs;
     private boolean probing;
 
-    private OutlierEjection() {}
+    private OutlierEjection(PoolFaultRate poolFaultRate) {
+        this.poolFaultRate = poolFaultRate;
+    }
 
-    public static OutlierEjection create() {
-        return new OutlierEjection();
+    /** @param poolFaultRate the fault rate of all targets of the pool, which the pool's arbiter records */
+    public static OutlierEjection create(PoolFaultRate poolFaultRate) {
+        return new OutlierEjection(poolFaultRate);
     }
 
     /** Records a successful request, which resets the fault and ejection counts and ends probing. */
     public void succeeded() {
+        poolFaultRate.record(false);
         consecutiveFaults = 0;
         ejections = 0;
         probing = false;
@@ -33,15 +39,19 @@
 
     /** Records a request that failed through the target's fault. */
     public void failed(long nowMs) {
+        if (consecutiveFaults < PoolFaultRate.MIN_FAULTS_TO_EJECT) {
+            // Further faults of the same series are the target's own and say nothing about the pool.
+            poolFaultRate.record(true);
+        }
         consecutiveFaults++;
-        if (!probing && consecutiveFaults < FAULTS_TO_EJECT) {
+        if (!probing && consecutiveFaults < poolFaultRate.faultsToEject()) {
             return;
         }
         if (nowMs < ejectedUntilMs) {
             return;
         }
         long ejectionMs = Math.min(MAX_EJECTION_MS, BASE_EJECTION_MS << Math.min(ejections, 5));
-        ejections++;
+        ejections += poolFaultRate.isWidespread() ? 0 : 1;
         ejectedUntilMs = nowMs + ejectionMs;
         probing = true;
     }
--- a/kernel/src/main/java/org/marjoramswitch/kernel/capacity/TargetSlots.java
+++ b/kernel/src/main/java/org/marjoramswitch/kernel/capacity/TargetSlots.java
@@ -21,7 +21,7 @@
     /** The maximum in flight covers the last one to two windows. */
     private static final long PEAK_WINDOW_MS = 2_000;
 
-    private final OutlierEjection health = OutlierEjection.create();
+    private final OutlierEjection health;
     private TargetSettings settings;
     private boolean leaving;
     private int inFlight;
@@ -31,12 +31,14 @@
     private int previousPeak;
     private long peakSinceMs;
 
-    private TargetSlots(TargetSettings settings) {
+    private TargetSlots(TargetSettings settings, PoolFaultRate poolFaultRate) {
         this.settings = settings;
+        this.health = OutlierEjection.create(poolFaultRate);
     }
 
-    public static TargetSlots of(TargetSettings settings) {
-        return new TargetSlots(settings);
+    /** @param poolFaultRate the fault rate of the cell's targets */
+    public static TargetSlots of(TargetSettings settings, PoolFaultRate poolFaultRate) {
+        return new TargetSlots(settings, poolFaultRate);
     }
 
     public TargetSettings settings() {
--- a/kernel/src/main/java/org/marjoramswitch/kernel/placement/TargetLoad.java
+++ b/kernel/src/main/java/org/marjoramswitch/kernel/placement/TargetLoad.java
@@ -2,6 +2,7 @@
 
 import java.util.List;
 import org.marjoramswitch.kernel.capacity.OutlierEjection;
+import org.marjoramswitch.kernel.capacity.PoolFaultRate;
 import org.marjoramswitch.kernel.model.PromptPart;
 import org.marjoramswitch.kernel.settings.TargetSettings;
 
@@ -26,7 +27,7 @@
      */
     private static final double USABLE_MEMORY_SHARE = 0.9;
 
-    private final OutlierEjection health = OutlierEjection.create();
+    private final OutlierEjection health;
     private final PromptCache cache;
     private final ColdStartLimiter coldStarts;
     private TargetSettings settings;
@@ -40,15 +41,24 @@
     private double endIntervalMs = HALF_LIFE_MS;
     private long endedAtMs;
 
-    private TargetLoad(TargetSettings settings, PromptPartIndex partIndex, ColdStartLimiter coldStarts) {
+    private TargetLoad(
+            TargetSettings settings,
+            PromptPartIndex partIndex,
+            PoolFaultRate poolFaultRate,
+            ColdStartLimiter coldStarts) {
         this.settings = settings;
+        this.health = OutlierEjection.create(poolFaultRate);
         this.coldStarts = coldStarts;
         this.cache = PromptCache.create(part -> partIndex.add(part, this), part -> partIndex.remove(part, this));
     }
 
     /** @param partIndex is updated with the parts that the target has cached */
-    static TargetLoad create(TargetSettings settings, PromptPartIndex partIndex, ColdStartLimiter coldStarts) {
-        return new TargetLoad(settings, partIndex, coldStarts);
+    static TargetLoad create(
+            TargetSettings settings,
+            PromptPartIndex partIndex,
+            PoolFaultRate poolFaultRate,
+            ColdStartLimiter coldStarts) {
+        return new TargetLoad(settings, partIndex, poolFaultRate, coldStarts);
     }
 
     TargetSettings settings() {
--- a/kernel/src/main/java/org/marjoramswitch/kernel/placement/TargetPool.java
+++ b/kernel/src/main/java/org/marjoramswitch/kernel/placement/TargetPool.java
@@ -7,6 +7,7 @@
 import java.util.TreeMap;
 import java.util.TreeSet;
 import org.jspecify.annotations.Nullable;
+import org.marjoramswitch.kernel.capacity.PoolFaultRate;
 import org.marjoramswitch.kernel.model.DataCentreId;
 import org.marjoramswitch.kernel.model.TargetId;
 import org.marjoramswitch.kernel.settings.TargetSettings;
@@ -18,6 +19,7 @@
 final class TargetPool {
     private final Map<TargetId, TargetLoad> byId = new TreeMap<>();
     private final PromptPartIndex partIndex = new PromptPartIndex();
+    private final PoolFaultRate faultRate = PoolFaultRate.create();
     private final TargetOrder order = TargetOrder.create();
     /** The targets that may receive requests: all but those of evacuated data centres. */
     private List<TargetLoad> usable = List.of();
@@ -45,7 +47,8 @@
                 ids.add(target.id());
                 dropIfRestarted(target);
                 byId.computeIfAbsent(
-                                target.id(), missing -> TargetLoad.create(target, partIndex, coldStartLimiter(nowMs)))
+                                target.id(),
+                                missing -> TargetLoad.create(target, partIndex, faultRate, coldStartLimiter(nowMs)))
                         .settings(target);
             }
         }
--- a/kernel/src/test/java/org/marjoramswitch/kernel/placement/FetchingTest.java
+++ b/kernel/src/test/java/org/marjoramswitch/kernel/placement/FetchingTest.java
@@ -13,6 +13,7 @@
 import org.junit.jupiter.api.BeforeEach;
 import org.junit.jupiter.api.Test;
 import org.marjoramswitch.kernel.action.Action;
+import org.marjoramswitch.kernel.capacity.PoolFaultRate;
 import org.marjoramswitch.kernel.message.PeerMessage;
 import org.marjoramswitch.kernel.message.PeerMessage.PlacementEnd;
 import org.marjoramswitch.kernel.model.CellId;
@@ -110,7 +111,8 @@
         List<PromptPart> prompt = List.of(PromptPart.of(1, SESSION_TOKENS), PromptPart.of(9, 40));
         PromptPartIndex partIndex = new PromptPartIndex();
         List<TargetLoad> engines = settings(FETCHING, "dc-1", "dc-2", "dc-1", "dc-2").stream()
-                .map(settings -> TargetLoad.create(settings, partIndex, ColdStartLimiter.create()))
+                .map(settings ->
+                        TargetLoad.create(settings, partIndex, PoolFaultRate.create(), ColdStartLimiter.create()))
                 .toList();
         engines.get(0).prefilled(prompt, 0, nowMs);
         engines.get(1).prefilled(prompt, 0, nowMs);
