Use the standard terms for placement ids, backoff requests and reported draining

PeerMessage.*.ask is placementId, Event.TargetAskedForRest is TargetBackoffRequested and Event.TargetSaidLeaving is TargetReportedDraining. Field names in the log stay, since explain reads them.

--- a/daemon/src/main/java/org/marjoramswitch/daemon/core/AttemptRelay.java
+++ b/daemon/src/main/java/org/marjoramswitch/daemon/core/AttemptRelay.java
@@ -48,10 +48,10 @@
     @Override
     public void onNotice(TargetStatusNotice notice) {
         if (notice.leaving()) {
-            events.offer(new Event.TargetSaidLeaving(target.id(), target.startedAtMs()));
+            events.offer(new Event.TargetReportedDraining(target.id(), target.startedAtMs()));
         }
         if (notice.backoffMs() > 0) {
-            events.offer(new Event.TargetAskedForRest(target.id(), notice.backoffMs()));
+            events.offer(new Event.TargetBackoffRequested(target.id(), notice.backoffMs()));
         }
     }
 
--- a/kernel/src/main/java/org/marjoramswitch/kernel/InstanceKernel.java
+++ b/kernel/src/main/java/org/marjoramswitch/kernel/InstanceKernel.java
@@ -196,10 +196,10 @@
             targetsLeaving(leaving.leaving(), nowMs, sink);
         } else if (event instanceof Event.DataCentresEvacuated evacuated) {
             evacuationsReceived(evacuated.evacuations(), nowMs, sink);
-        } else if (event instanceof Event.TargetSaidLeaving said) {
-            targetSaidLeaving(said, nowMs, sink);
-        } else if (event instanceof Event.TargetAskedForRest asked) {
-            entry.backoffRequested(asked.target(), asked.restMs(), nowMs, sink);
+        } else if (event instanceof Event.TargetReportedDraining said) {
+            targetReportedDraining(said, nowMs, sink);
+        } else if (event instanceof Event.TargetBackoffRequested requested) {
+            entry.backoffRequested(requested.target(), requested.backoffMs(), nowMs, sink);
         } else if (event instanceof Event.CrashesListed listed) {
             entry.crashesReported(new PeerMessage.CrashNews(listed.crashes(), List.of()), nowMs, sink);
         } else if (event instanceof Event.TargetReported reported) {
@@ -442,7 +442,7 @@
      * the target list does not show the shutdown, and the responses of requests sent to the target would be cut when it
      * exits.
      */
-    private void targetSaidLeaving(Event.TargetSaidLeaving said, long nowMs, ActionSink sink) {
+    private void targetReportedDraining(Event.TargetReportedDraining said, long nowMs, ActionSink sink) {
         if (markDraining(said.target(), said.startedAtMs(), nowMs, sink)) {
             forwardLeaving(said.target(), said.startedAtMs(), sink);
         }
--- a/kernel/src/main/java/org/marjoramswitch/kernel/PlacementArbiters.java
+++ b/kernel/src/main/java/org/marjoramswitch/kernel/PlacementArbiters.java
@@ -51,11 +51,11 @@
             return held.cell();
         }
         if (message instanceof PeerMessage.PlaceWithdrawn withdrawn) {
-            arbiter(withdrawn.cell(), nowMs).withdraw(from, withdrawn.ask());
+            arbiter(withdrawn.cell(), nowMs).withdraw(from, withdrawn.placementId());
             return withdrawn.cell();
         }
         if (message instanceof PeerMessage.PlacementAnswering answering) {
-            arbiter(answering.cell(), nowMs).responseStarted(from, answering.ask(), nowMs);
+            arbiter(answering.cell(), nowMs).responseStarted(from, answering.placementId(), nowMs);
             return answering.cell();
         }
         if (message instanceof PeerMessage.PlacementEnded ended) {
--- a/kernel/src/main/java/org/marjoramswitch/kernel/entry/Entry.java
+++ b/kernel/src/main/java/org/marjoramswitch/kernel/entry/Entry.java
@@ -168,7 +168,7 @@
             totalWaiting--;
             request.fetchFrom(usableSource(placed.fetchFrom(), nowMs));
             request.startWithinMs(startWithinMs);
-            start(request, placed.target(), placed.cell(), placed.ask(), "placed", nowMs, sink);
+            start(request, placed.target(), placed.cell(), placed.placementId(), "placed", nowMs, sink);
             return;
         }
         logRejected(request, placed.target(), verdict, sink);
@@ -239,7 +239,7 @@
         }
         totalWaiting--;
         // The arbiter's log explains the rejection under this cell and placement id.
-        String placement = refused.cell() + "#" + refused.ask();
+        String placement = refused.cell() + "#" + refused.placementId();
         fail(request, ErrorType.NO_TARGET_IN_TIME, refused.retryAfterMs(), placement, sink);
     }
 
--- a/kernel/src/main/java/org/marjoramswitch/kernel/entry/Placements.java
+++ b/kernel/src/main/java/org/marjoramswitch/kernel/entry/Placements.java
@@ -115,7 +115,7 @@
      */
     @Nullable
     EntryRequest placed(InstanceId from, PeerMessage.Placed placed, long nowMs, ActionSink sink) {
-        PlacementRequest placement = byId.get(placed.ask());
+        PlacementRequest placement = byId.get(placed.placementId());
         boolean open = placement != null && !placement.placed && from.equals(placement.arbiter);
         if (placement == null || !open) {
             returnPlacement(from, placed, sink);
@@ -142,13 +142,13 @@
     /** Returns a placement that is not used, so that the arbiter frees the slot. */
     void returnPlacement(InstanceId from, PeerMessage.Placed placed, ActionSink sink) {
         sink.accept(new Action.SendPeer(
-                from, new PeerMessage.PlacementEnded(placed.cell(), placed.ask(), 0, PlacementEnd.NOT_RUN)));
+                from, new PeerMessage.PlacementEnded(placed.cell(), placed.placementId(), 0, PlacementEnd.NOT_RUN)));
     }
 
     /** Accepts a rejection; null if it matches no open placement request. */
     @Nullable
     EntryRequest notPlaced(InstanceId from, PeerMessage.NotPlaced rejection, long nowMs, ActionSink sink) {
-        PlacementRequest placement = byId.get(rejection.ask());
+        PlacementRequest placement = byId.get(rejection.placementId());
         if (placement == null || placement.placed || !from.equals(placement.arbiter)) {
             return null;
         }
--- a/kernel/src/main/java/org/marjoramswitch/kernel/event/Event.java
+++ b/kernel/src/main/java/org/marjoramswitch/kernel/event/Event.java
@@ -63,10 +63,10 @@
      * @param startedAtMs start time of that target process, see {@link
      *     org.marjoramswitch.kernel.settings.TargetSettings#startedAtMs}
      */
-    record TargetSaidLeaving(TargetId target, long startedAtMs) implements Event {}
+    record TargetReportedDraining(TargetId target, long startedAtMs) implements Event {}
 
-    /** A target rejected a request and must not receive requests from this instance for {@code restMs}. */
-    record TargetAskedForRest(TargetId target, long restMs) implements Event {}
+    /** A target rejected a request and must not receive requests from this instance for {@code backoffMs}. */
+    record TargetBackoffRequested(TargetId target, long backoffMs) implements Event {}
 
     /** Crashes of targets while running a request, as listed in the platform's key-value store. */
     record CrashesListed(List<PeerMessage.RequestCrash> crashes) implements Event {}
--- a/kernel/src/main/java/org/marjoramswitch/kernel/message/PeerMessage.java
+++ b/kernel/src/main/java/org/marjoramswitch/kernel/message/PeerMessage.java
@@ -137,14 +137,14 @@
     /**
      * Entry to arbiter: a placement request for a waiting request. Times are remaining times, since clocks differ.
      *
-     * @param ask the placement id; unique within the entry's incarnation
+     * @param placementId the placement id; unique within the entry's incarnation
      * @param objectiveLeftMs time until the first byte is late, negative if it is late already
      * @param waitLeftMs time until the entry itself rejects the request
      * @param excluded targets at which the request failed before
      */
     record Place(
             CellId cell,
-            long ask,
+            long placementId,
             CustomerId customer,
             int urgency,
             List<PromptPart> parts,
@@ -157,7 +157,7 @@
         public Place delayed(long delayMs) {
             return new Place(
                     cell,
-                    ask,
+                    placementId,
                     customer,
                     urgency,
                     parts,
@@ -183,22 +183,23 @@
      */
     record Placed(
             CellId cell,
-            long ask,
+            long placementId,
             TargetId target,
             @Nullable TargetId fetchFrom,
             long heldMs,
-            long startWithinMs) implements PeerMessage {
+            long startWithinMs)
+            implements PeerMessage {
         public static final long ANY_TIME = Long.MAX_VALUE;
 
         /** Creates a placement that has no limit of time. */
-        public Placed(CellId cell, long ask, TargetId target, @Nullable TargetId fetchFrom, long heldMs) {
-            this(cell, ask, target, fetchFrom, heldMs, ANY_TIME);
+        public Placed(CellId cell, long placementId, TargetId target, @Nullable TargetId fetchFrom, long heldMs) {
+            this(cell, placementId, target, fetchFrom, heldMs, ANY_TIME);
         }
 
         @Override
         public Placed delayed(long delayMs) {
             long leftMs = startWithinMs == ANY_TIME ? ANY_TIME : startWithinMs - delayMs;
-            return new Placed(cell, ask, target, fetchFrom, heldMs + delayMs, leftMs);
+            return new Placed(cell, placementId, target, fetchFrom, heldMs + delayMs, leftMs);
         }
 
         @Override
@@ -212,10 +213,10 @@
      *
      * @param heldMs how long the request waited at the arbiter
      */
-    record NotPlaced(CellId cell, long ask, long retryAfterMs, long heldMs) implements PeerMessage {
+    record NotPlaced(CellId cell, long placementId, long retryAfterMs, long heldMs) implements PeerMessage {
         @Override
         public NotPlaced delayed(long delayMs) {
-            return new NotPlaced(cell, ask, retryAfterMs, heldMs + delayMs);
+            return new NotPlaced(cell, placementId, retryAfterMs, heldMs + delayMs);
         }
 
         @Override
@@ -225,13 +226,13 @@
     }
 
     /** Entry to arbiter: a waiting request no longer needs a target. */
-    record PlaceWithdrawn(CellId cell, long ask) implements PeerMessage {}
+    record PlaceWithdrawn(CellId cell, long placementId) implements PeerMessage {}
 
     /** Entry to arbiter: the first byte of the response arrived, so the target has completed the prefill. */
-    record PlacementAnswering(CellId cell, long ask) implements PeerMessage {}
+    record PlacementAnswering(CellId cell, long placementId) implements PeerMessage {}
 
     /** Entry to arbiter: the request has ended and its slot at the target is free. */
-    record PlacementEnded(CellId cell, long ask, long outputTokens, PlacementEnd end) implements PeerMessage {
+    record PlacementEnded(CellId cell, long placementId, long outputTokens, PlacementEnd end) implements PeerMessage {
         @Override
         public boolean prompt() {
             return true;
@@ -243,7 +244,12 @@
 
     /** Part of {@link PlacementsHeld}. */
     record HeldPlacement(
-            long ask, CustomerId customer, TargetId target, long promptTokens, long outputTokens, boolean answering) {}
+            long placementId,
+            CustomerId customer,
+            TargetId target,
+            long promptTokens,
+            long outputTokens,
+            boolean answering) {}
 
     /** How a placed request ended at its target. */
     enum PlacementEnd {
--- a/kernel/src/main/java/org/marjoramswitch/kernel/placement/PlacementArbiter.java
+++ b/kernel/src/main/java/org/marjoramswitch/kernel/placement/PlacementArbiter.java
@@ -133,10 +133,10 @@
      * id.
      */
     public void place(InstanceId entry, PeerMessage.Place message, long nowMs) {
-        if (running.getOrDefault(entry, Map.of()).containsKey(message.ask())) {
+        if (running.getOrDefault(entry, Map.of()).containsKey(message.placementId())) {
             return;
         }
-        removeWaiting(entry, message.ask());
+        removeWaiting(entry, message.placementId());
         add(WaitingRequest.of(entry, message, arrivals++, nowMs), nowMs);
     }
 
@@ -168,7 +168,7 @@
 
     /** Releases the slot of an ended attempt, and corrects its customer's charge and its target's health. */
     public void attemptEnded(InstanceId entry, PeerMessage.PlacementEnded ended, long nowMs) {
-        RunningRequest request = runningOf(entry).remove(ended.ask());
+        RunningRequest request = runningOf(entry).remove(ended.placementId());
         if (request == null) {
             return;
         }
@@ -180,12 +180,12 @@
     public void takeOver(InstanceId entry, PeerMessage.PlacementsHeld message, long nowMs) {
         for (PeerMessage.HeldPlacement held : message.held()) {
             TargetLoad target = targets.get(held.target());
-            boolean known = runningOf(entry).containsKey(held.ask());
+            boolean known = runningOf(entry).containsKey(held.placementId());
             if (target == null || known) {
                 continue;
             }
             RunningRequest request = RunningRequest.takenOver(held, target, nowMs);
-            runningOf(entry).put(held.ask(), request);
+            runningOf(entry).put(held.placementId(), request);
             target.takeOver(request.prefillTokens(), request.memoryTokens(), held.answering(), nowMs);
         }
     }
--- a/kernel/src/main/java/org/marjoramswitch/kernel/placement/WaitingRequest.java
+++ b/kernel/src/main/java/org/marjoramswitch/kernel/placement/WaitingRequest.java
@@ -43,7 +43,7 @@
     static WaitingRequest of(InstanceId entry, PeerMessage.Place message, long arrival, long nowMs) {
         return new WaitingRequest(
                 entry,
-                message.ask(),
+                message.placementId(),
                 arrival,
                 message.customer(),
                 message.urgency(),
--- a/kernel/src/main/java/org/marjoramswitch/kernel/wire/MessageCodec.java
+++ b/kernel/src/main/java/org/marjoramswitch/kernel/wire/MessageCodec.java
@@ -195,25 +195,25 @@
                 MessageType.NOT_PLACED,
                 NotPlaced.class,
                 (out, message) -> out.cell(message.cell())
-                        .number(message.ask())
+                        .number(message.placementId())
                         .number(message.retryAfterMs())
                         .number(message.heldMs(), 0),
                 in -> new NotPlaced(in.cell(), in.number(), in.number(), in.number(0)));
         put(
                 MessageType.PLACE_WITHDRAWN,
                 PlaceWithdrawn.class,
-                (out, message) -> out.cell(message.cell()).number(message.ask()),
+                (out, message) -> out.cell(message.cell()).number(message.placementId()),
                 in -> new PlaceWithdrawn(in.cell(), in.number()));
         put(
                 MessageType.PLACEMENT_ANSWERING,
                 PlacementAnswering.class,
-                (out, message) -> out.cell(message.cell()).number(message.ask()),
+                (out, message) -> out.cell(message.cell()).number(message.placementId()),
                 in -> new PlacementAnswering(in.cell(), in.number()));
         put(
                 MessageType.PLACEMENT_ENDED,
                 PlacementEnded.class,
                 (out, message) -> out.cell(message.cell())
-                        .number(message.ask())
+                        .number(message.placementId())
                         .number(message.outputTokens())
                         .number(PLACEMENT_ENDS.indexOf(message.end()), 0),
                 in -> new PlacementEnded(
@@ -390,7 +390,7 @@
     private static void writePlace(MessageWriter out, Place message) {
         out.cell(message.cell())
                 .customer(message.customer())
-                .number(message.ask())
+                .number(message.placementId())
                 .number(message.objectiveLeftMs())
                 .number(message.waitLeftMs())
                 .list(message.parts(), part -> out.item(2).put(part.id()).put(part.tokens()))
@@ -402,14 +402,15 @@
     private static Place readPlace(MessageReader in) throws IOException {
         var cell = in.cell();
         var customer = in.customer();
-        long ask = in.number();
+        long placementId = in.number();
         long objectiveLeftMs = in.number();
         long waitLeftMs = in.number();
         var prompt = in.list(() -> new PromptPart(in.number(), in.intNumber()));
         var excluded = in.list(in::target);
         long outputTokens = in.number(0);
         int urgency = in.intNumber(RequestSpec.DEFAULT_URGENCY);
-        return new Place(cell, ask, customer, urgency, prompt, outputTokens, objectiveLeftMs, waitLeftMs, excluded);
+        return new Place(
+                cell, placementId, customer, urgency, prompt, outputTokens, objectiveLeftMs, waitLeftMs, excluded);
     }
 
     private static DataCentresEvacuated readEvacuations(MessageReader in) throws IOException {
@@ -421,7 +422,7 @@
     private static void writePlaced(MessageWriter out, Placed message) {
         TargetId source = message.fetchFrom();
         out.cell(message.cell())
-                .number(message.ask())
+                .number(message.placementId())
                 .target(message.target())
                 .list(
                         source == null ? List.of() : List.of(source),
@@ -432,11 +433,16 @@
 
     private static Placed readPlaced(MessageReader in) throws IOException {
         var cell = in.cell();
-        long ask = in.number();
+        long placementId = in.number();
         var target = in.target();
         List<TargetId> source = in.list(in::target);
         return new Placed(
-                cell, ask, target, source.isEmpty() ? null : source.get(0), in.number(0), in.number(Placed.ANY_TIME));
+                cell,
+                placementId,
+                target,
+                source.isEmpty() ? null : source.get(0),
+                in.number(0),
+                in.number(Placed.ANY_TIME));
     }
 
     private static void writePlacementsHeld(MessageWriter out, PlacementsHeld message) {
@@ -444,7 +450,7 @@
                 .list(
                         message.held(),
                         held -> out.item(6)
-                                .put(held.ask())
+                                .put(held.placementId())
                                 .put(held.customer())
                                 .put(held.target())
                                 .put(held.promptTokens())
--- a/kernel/src/test/java/org/marjoramswitch/kernel/PlacementFleetTest.java
+++ b/kernel/src/test/java/org/marjoramswitch/kernel/PlacementFleetTest.java
@@ -186,7 +186,7 @@
      */
     @Test
     void announcedShutdownHoldsUntilTheTargetRestarts() {
-        apply(entry, new Event.TargetSaidLeaving(TargetId.of("t1"), 0));
+        apply(entry, new Event.TargetReportedDraining(TargetId.of("t1"), 0));
         INSTANCES.forEach(id -> apply(id, new Event.TargetsLeaving(Set.of())));
         targets("t1", "t2");
         entry = arbiter;
@@ -204,7 +204,7 @@
     /** A target in backoff receives nothing. When the backoff has elapsed, waiting requests go there immediately. */
     @Test
     void targetInBackoffIsUsedAgainAfterwards() {
-        apply(entry, new Event.TargetAskedForRest(TargetId.of("t1"), 200));
+        apply(entry, new Event.TargetBackoffRequested(TargetId.of("t1"), 200));
         for (int i = 0; i < 2 * SLOTS; i++) {
             arrive(true, 2, false);
         }
@@ -218,7 +218,7 @@
     /** An instance from which the target did not request a backoff continues to use it. */
     @Test
     void backoffAppliesToOneInstanceOnly() {
-        apply(entry, new Event.TargetAskedForRest(TargetId.of("t1"), 60_000));
+        apply(entry, new Event.TargetBackoffRequested(TargetId.of("t1"), 60_000));
         entry = arbiter;
         for (int i = 0; i < 2 * SLOTS; i++) {
             arrive(true, 2, false);
@@ -230,7 +230,7 @@
     @Test
     void placementAtATargetInBackoffIsReturned() {
         arriveAndBePlacedAtT1(
-                TargetId.of("t1"), () -> apply(entry, new Event.TargetAskedForRest(TargetId.of("t1"), 60_000)));
+                TargetId.of("t1"), () -> apply(entry, new Event.TargetBackoffRequested(TargetId.of("t1"), 60_000)));
         advance(100);
         assertEquals(1, dispatched.size());
         assertEquals(TargetId.of("t2"), dispatched.get(0).target());
@@ -241,8 +241,8 @@
      */
     @Test
     void requestIsRejectedWhileAllTargetsAreInBackoff() {
-        apply(entry, new Event.TargetAskedForRest(TargetId.of("t1"), 2_000));
-        apply(entry, new Event.TargetAskedForRest(TargetId.of("t2"), 3_000));
+        apply(entry, new Event.TargetBackoffRequested(TargetId.of("t1"), 2_000));
+        apply(entry, new Event.TargetBackoffRequested(TargetId.of("t2"), 3_000));
         long request = arrive(true, 2, false);
         assertEquals(ErrorType.TARGETS_REST, failure(request).failure().type());
         assertEquals(RunState.NOT_RUN, failure(request).failure().run());
@@ -258,7 +258,7 @@
     @Timeout(value = 20, threadMode = Timeout.ThreadMode.SEPARATE_THREAD)
     void targetInBackoffIsNotPlacedRepeatedly() {
         apply(arbiter, new Event.SettingsAccepted(settings("t1")));
-        apply(entry, new Event.TargetAskedForRest(TargetId.of("t1"), 2_000));
+        apply(entry, new Event.TargetBackoffRequested(TargetId.of("t1"), 2_000));
         long request = arrive(true, 2, false);
         assertEquals(ErrorType.TARGETS_REST, failure(request).failure().type());
         assertEquals(2_000, failure(request).failure().retryAfterMs());
@@ -271,7 +271,7 @@
         long request = arrive(true, 3, true);
         TargetId failed = dispatched.get(0).target();
         TargetId resting = TargetId.of(failed.equals(TargetId.of("t1")) ? "t2" : "t1");
-        apply(entry, new Event.TargetAskedForRest(resting, 60_000));
+        apply(entry, new Event.TargetBackoffRequested(resting, 60_000));
         end(request, TargetOutcome.BROKEN_BEFORE_ANSWER);
         advance(100);
         assertEquals(2, dispatched.size());
--- a/kernel/src/test/java/org/marjoramswitch/kernel/placement/EarlyRefusalTest.java
+++ b/kernel/src/test/java/org/marjoramswitch/kernel/placement/EarlyRefusalTest.java
@@ -112,9 +112,9 @@
                 continue;
             }
             if (send.message() instanceof PeerMessage.Placed message) {
-                placed.add(message.ask());
+                placed.add(message.placementId());
             } else if (send.message() instanceof PeerMessage.NotPlaced message) {
-                rejected.add(message.ask());
+                rejected.add(message.placementId());
             }
         }
     }
--- a/kernel/src/test/java/org/marjoramswitch/kernel/placement/PlacementArbiterTest.java
+++ b/kernel/src/test/java/org/marjoramswitch/kernel/placement/PlacementArbiterTest.java
@@ -335,10 +335,10 @@
     private void decide() {
         List<Action> actions = new ArrayList<>();
         arbiter.decide(nowMs, actions::add);
-        placedIn(actions).forEach(message -> placed.put(message.ask(), message.target()));
+        placedIn(actions).forEach(message -> placed.put(message.placementId(), message.target()));
         for (Action action : actions) {
             if (action instanceof Action.SendPeer send && send.message() instanceof PeerMessage.NotPlaced message) {
-                rejected.put(message.ask(), message.retryAfterMs());
+                rejected.put(message.placementId(), message.retryAfterMs());
             }
         }
     }
--- a/kernel/src/test/java/org/marjoramswitch/kernel/placement/PlacementSimulation.java
+++ b/kernel/src/test/java/org/marjoramswitch/kernel/placement/PlacementSimulation.java
@@ -335,7 +335,7 @@
     }
 
     private void refuse(PeerMessage.NotPlaced rejected) {
-        Request request = pending.remove(rejected.ask());
+        Request request = pending.remove(rejected.placementId());
         if (request.isRetry()) {
             count(request, tally -> tally.rejected++);
             return;
@@ -344,7 +344,7 @@
     }
 
     private void start(PeerMessage.Placed placed) {
-        Request request = pending.remove(placed.ask());
+        Request request = pending.remove(placed.placementId());
         SimulatedEngine engine = engines.get(placed.target());
         engine.submit(
                 new SimulatedEngine.Generation(
@@ -358,7 +358,9 @@
                                         <= request.kind().objectiveMs;
                                 count(request, inTime ? tally -> tally.inTime++ : tally -> tally.late++);
                                 servedValue += (inTime ? 1 : LATE_VALUE) * valueBySize(request);
-                                report(atMs, () -> arbiter.responseStarted(ENTRY, placed.ask(), Math.round(nowMs)));
+                                report(
+                                        atMs,
+                                        () -> arbiter.responseStarted(ENTRY, placed.placementId(), Math.round(nowMs)));
                             }
 
                             @Override
@@ -369,7 +371,7 @@
                                                 ENTRY,
                                                 new PeerMessage.PlacementEnded(
                                                         CELL,
-                                                        placed.ask(),
+                                                        placed.placementId(),
                                                         request.outputTokens(),
                                                         PlacementEnd.SERVED),
                                                 Math.round(nowMs)));
--- a/testkit/src/main/java/org/marjoramswitch/testkit/bench/PlacementCost.java
+++ b/testkit/src/main/java/org/marjoramswitch/testkit/bench/PlacementCost.java
@@ -152,9 +152,11 @@
     }
 
     private void start(PeerMessage.Placed placed, double nowMs) {
-        double firstMs = nowMs + FIRST_BYTE_MS + promptTokens.getOrDefault(placed.ask(), 0L) / PREFILL_TOKENS_PER_MS;
-        at(firstMs, received(new PeerMessage.PlacementAnswering(cell, placed.ask())));
-        PeerMessage ended = new PeerMessage.PlacementEnded(cell, placed.ask(), OUTPUT_TOKENS, PlacementEnd.SERVED);
+        double firstMs =
+                nowMs + FIRST_BYTE_MS + promptTokens.getOrDefault(placed.placementId(), 0L) / PREFILL_TOKENS_PER_MS;
+        at(firstMs, received(new PeerMessage.PlacementAnswering(cell, placed.placementId())));
+        PeerMessage ended =
+                new PeerMessage.PlacementEnded(cell, placed.placementId(), OUTPUT_TOKENS, PlacementEnd.SERVED);
         at(firstMs + TOKEN_MS * OUTPUT_TOKENS, received(ended));
     }
 
