Correct evacuations that an instance has missed the end of

Cause, found on reading the change again: an instance that learned of an evacuation from a peer and of its end from nobody returned each placement there for good. EvacuationList did not report an empty list twice, also where the store's revision was newer, and nothing told a peer that its list was old.

Change: each newer revision is reported; a peer whose list is older and differs gets the newer one in reply; an entry that rejects a placement for an evacuation sends the arbiter its list, so that one of the two is corrected. The members in reach are counted without a pass over all of them.

--- a/daemon/src/main/java/org/marjoramswitch/daemon/fleet/EvacuationList.java
+++ b/daemon/src/main/java/org/marjoramswitch/daemon/fleet/EvacuationList.java
@@ -31,7 +31,7 @@
         this.listener = listener;
     }
 
-    /** @param listener receives the evacuated data centres after the first read and with each change */
+    /** @param listener receives the evacuated data centres at each revision of the entries */
     public static EvacuationList of(String prefix, Consumer<Evacuations> listener) {
         return new EvacuationList(prefix, listener);
     }
@@ -44,13 +44,12 @@
                 add(entry, dataCentres);
             }
         }
+        // An unchanged list of a newer revision is reported too: it may supersede one that was learned from a peer.
         Evacuations read = Evacuations.of(revision, dataCentres);
-        boolean noneBefore = last == null || last.dataCentres().isEmpty();
-        if (read.equals(last) || (last != null && noneBefore && dataCentres.isEmpty())) {
-            return;
+        if (!read.equals(last)) {
+            last = read;
+            listener.accept(read);
         }
-        last = read;
-        listener.accept(read);
     }
 
     private void add(Entry entry, Set<DataCentreId> dataCentres) {
--- a/kernel/src/main/java/org/marjoramswitch/kernel/InstanceKernel.java
+++ b/kernel/src/main/java/org/marjoramswitch/kernel/InstanceKernel.java
@@ -236,6 +236,7 @@
         }
         if (message instanceof PeerMessage.DataCentresEvacuated evacuated) {
             evacuationsReceived(evacuated.evacuations(), nowMs, sink);
+            correctEvacuations(from, evacuated.evacuations(), sink);
             return;
         }
         if (receivedPlacement(from, message, nowMs, sink)) {
@@ -470,6 +471,14 @@
                 arbiter -> sink.accept(new Action.SendPeer(arbiter, new PeerMessage.DataCentresEvacuated(newest))));
     }
 
+    /** Replies to a peer whose list is older and differs: it has missed the start or the end of an evacuation. */
+    private void correctEvacuations(InstanceId from, Evacuations received, ActionSink sink) {
+        Evacuations own = fleet.evacuations();
+        if (received.revision() < own.revision() && !received.dataCentres().equals(own.dataCentres())) {
+            sink.accept(new Action.SendPeer(from, new PeerMessage.DataCentresEvacuated(own)));
+        }
+    }
+
     private boolean markDraining(TargetId target, long startedAtMs, long nowMs, ActionSink sink) {
         if (!fleet.markDraining(target, startedAtMs)) {
             return false;
--- a/kernel/src/main/java/org/marjoramswitch/kernel/entry/Entry.java
+++ b/kernel/src/main/java/org/marjoramswitch/kernel/entry/Entry.java
@@ -172,6 +172,10 @@
             return;
         }
         logRejected(request, placed.target(), verdict, sink);
+        if (verdict == SendAdmission.Verdict.DATA_CENTRE_EVACUATED && !from.equals(self)) {
+            // One of the two lists is out of date; the arbiter adopts this one or replies with a newer one.
+            sink.accept(new Action.SendPeer(from, new PeerMessage.DataCentresEvacuated(fleet.evacuations())));
+        }
         boolean onlyTarget =
                 verdict == SendAdmission.Verdict.TARGET_IN_BACKOFF && placements.wasExcluded(request, placed.target());
         placements.attemptEnded(request, PlacementEnd.NOT_RUN, sink);
--- a/kernel/src/main/java/org/marjoramswitch/kernel/entry/FleetState.java
+++ b/kernel/src/main/java/org/marjoramswitch/kernel/entry/FleetState.java
@@ -33,7 +33,9 @@
     /** Exceeds the number of targets in a fleet, so that only entries of targets that have long exited are dropped. */
     private static final int MAX_SELF_REPORTED_LEAVING = 2_048;
 
+    /** Shares of a cold target's request rate: a cell's arbiter and its stand-in may place requests at the same time. */
     private static final double ARBITER_COLD_SHARE = 0.75;
+
     private static final double STAND_IN_COLD_SHARE = 0.25;
 
     private final Set<InstanceId> unreachable = new TreeSet<>();
@@ -181,9 +183,13 @@
      * the instances that they reach, and the one that replaces a lagging arbiter by a fixed share.
      */
     public double coldStartShare(InstanceId self, CellId cell, long nowMs) {
-        long reachable = view.members().keySet().stream()
-                .filter(member -> !unreachable.contains(member))
-                .count();
+        int size = view.members().size();
+        long reachable = unreachable.isEmpty()
+                ? size
+                : size
+                        - unreachable.stream()
+                                .filter(view.members()::containsKey)
+                                .count();
         double reachableShare = Math.min(1.0, Math.max(1, reachable) / (double) Math.max(1, recentSize.max(nowMs)));
         double roleShare = self.equals(assignedArbiter(cell)) ? ARBITER_COLD_SHARE : STAND_IN_COLD_SHARE;
         // Squared, since the other part of the fleet may not have detected the partition yet and use its full share.
--- a/kernel/src/test/java/org/marjoramswitch/kernel/EvacuationTest.java
+++ b/kernel/src/test/java/org/marjoramswitch/kernel/EvacuationTest.java
@@ -109,6 +109,18 @@
         assertEquals(SLOTS, startsAt(WEST_TARGET, 0));
     }
 
+    /** Guards against an entry that missed the end of an evacuation and returns every placement there for good. */
+    @Test
+    void entryThatMissedTheEndLearnsOfItFromTheArbiter() {
+        INSTANCES.forEach(id -> evacuate(id, 10, EAST));
+        cutLink(entry, arbiter);
+        INSTANCES.stream().filter(id -> !id.equals(entry)).forEach(id -> evacuate(id, 11));
+        healLink(entry, arbiter);
+        fillAllSlots();
+        advance(100);
+        assertEquals(SLOTS, startsAt(EAST_TARGET, 0));
+    }
+
     /** Guards against callers that wait until their deadline though no data centre is left. */
     @Test
     void requestIsRejectedWhileAllDataCentresAreEvacuated() {
