Probe a failed store with reads only

Cause, found on reading the change again: any call but a poll could be the one probe of a failed address.

Change: reads probe and wait for one another; writes and polls go out after the backoff as before.

--- a/daemon/src/main/java/org/marjoramswitch/daemon/platform/GatewayAddresses.java
+++ b/daemon/src/main/java/org/marjoramswitch/daemon/platform/GatewayAddresses.java
@@ -8,7 +8,7 @@
 /**
  * Selects the store address for the next call. The current address is kept while it responds; a failed one is backed
  * off for a random time below a bound that doubles with each failure (full jitter), so that instances whose calls
- * failed at the same time do not retry at the same time. After a backoff a single call probes the address: all calls
+ * failed at the same time do not retry at the same time. After a backoff a single read probes the address: all reads
  * of the instance would fail for the same reason, and the store counts each of them.
  */
 final class GatewayAddresses {
@@ -59,7 +59,7 @@
     }
 
     /**
-     * Whether a call may be sent to the address now: it works, or the call becomes its only probe, whose end must be
+     * Whether a read may be sent to the address now: it works, or the read becomes its only probe, whose end must be
      * reported.
      */
     boolean tryUse(HostPort address) {
--- a/daemon/src/main/java/org/marjoramswitch/daemon/platform/GatewayCall.java
+++ b/daemon/src/main/java/org/marjoramswitch/daemon/platform/GatewayCall.java
@@ -23,40 +23,27 @@
     private final String path;
     private final String body;
     private final boolean once;
-    private final boolean poll;
     private final long deadlineMs;
     private final Consumer<Outcome> onEnd;
 
     private GatewayCall(
-            String method,
-            String path,
-            String body,
-            boolean once,
-            boolean poll,
-            long deadlineMs,
-            Consumer<Outcome> onEnd) {
+            String method, String path, String body, boolean once, long deadlineMs, Consumer<Outcome> onEnd) {
         this.method = method;
         this.path = path;
         this.body = body;
         this.once = once;
-        this.poll = poll;
         this.deadlineMs = deadlineMs;
         this.onEnd = onEnd;
     }
 
     /** A call that may be sent again if no response was received. */
     static GatewayCall repeatable(String method, String path, String body, long deadlineMs, Consumer<Outcome> onEnd) {
-        return new GatewayCall(method, path, body, false, false, deadlineMs, onEnd);
+        return new GatewayCall(method, path, body, false, deadlineMs, onEnd);
     }
 
     /** A call that is not sent again once it may have arrived; its attempt may take until the deadline. */
     static GatewayCall once(String method, String path, String body, long deadlineMs, Consumer<Outcome> onEnd) {
-        return new GatewayCall(method, path, body, true, false, deadlineMs, onEnd);
-    }
-
-    /** A call whose response the store may delay until the deadline; not sent again once it may have arrived. */
-    static GatewayCall poll(String method, String path, long deadlineMs, Consumer<Outcome> onEnd) {
-        return new GatewayCall(method, path, "", true, true, deadlineMs, onEnd);
+        return new GatewayCall(method, path, body, true, deadlineMs, onEnd);
     }
 
     String method() {
@@ -75,11 +62,6 @@
         return once;
     }
 
-    /** Whether the store may delay the response, so that its absence does not show whether the store works. */
-    boolean isPoll() {
-        return poll;
-    }
-
     long remainingMs(long nowMs) {
         return deadlineMs - nowMs;
     }
--- a/daemon/src/main/java/org/marjoramswitch/daemon/platform/GatewayCaller.java
+++ b/daemon/src/main/java/org/marjoramswitch/daemon/platform/GatewayCaller.java
@@ -31,7 +31,7 @@
     private final GatewayAddresses addresses;
     private final GatewayConnections connections;
     private final TokenBucket budget;
-    /** Calls that wait for the end of the probe of a failed address. */
+    /** Reads that wait for the end of the probe of a failed address. */
     private final List<GatewayCall> awaitingProbe = new ArrayList<>();
 
     private boolean closed;
@@ -64,7 +64,8 @@
             return;
         }
         HostPort address = addresses.choose(now);
-        if (!call.isPoll() && !addresses.tryUse(address)) {
+        // A write or a poll may stay without a response until its deadline, so only a read is used as a probe.
+        if (!call.isOnce() && !addresses.tryUse(address)) {
             awaitingProbe.add(call);
             return;
         }
@@ -121,7 +122,7 @@
         connections.close();
     }
 
-    /** Starts the calls that waited for a probe; if it failed, they wait for the end of the backoff. */
+    /** Starts the reads that waited for a probe; if it failed, they wait for the end of the backoff. */
     private void startAwaiting() {
         List<GatewayCall> waiting = List.copyOf(awaitingProbe);
         awaitingProbe.clear();
--- a/daemon/src/main/java/org/marjoramswitch/daemon/platform/StoreClient.java
+++ b/daemon/src/main/java/org/marjoramswitch/daemon/platform/StoreClient.java
@@ -104,7 +104,7 @@
             String method, String path, long timeoutMs, Function<JsonNode, T> decode) {
         Pending<T> pending = new Pending<>(path, decode, runtime.nowMs());
         long deadlineMs = pending.startedAtMs() + timeoutMs;
-        submit(GatewayCall.poll(method, path, deadlineMs, outcome -> complete(pending, outcome)));
+        submit(GatewayCall.once(method, path, "", deadlineMs, outcome -> complete(pending, outcome)));
         return pending.result();
     }
 
--- a/daemon/src/test/java/org/marjoramswitch/daemon/platform/EtcdGatewayStoreTest.java
+++ b/daemon/src/test/java/org/marjoramswitch/daemon/platform/EtcdGatewayStoreTest.java
@@ -166,6 +166,23 @@
         assertTrue(calls <= 20 + 12, "calls: " + calls);
     }
 
+    /** Guards against reads that wait for a write which the store leaves without an answer. */
+    @Test
+    void hangingWriteDoesNotDelayReads() throws Exception {
+        EtcdGatewayStore patient = platform.store(
+                PlatformFixture.options().withTimeouts(10_000, 150, 150).withBackoff(1, 1));
+        platform.gateway.respondUnavailable();
+        await(patient.compareAndSwap(Map.of(), Map.of("k", "v"), List.of(), 0));
+        platform.gateway.recover();
+        platform.gateway.delayMs(60_000);
+        CompletableFuture<KeyValueResult<Boolean>> hanging =
+                patient.compareAndSwap(Map.of(), Map.of("k", "v"), List.of(), 0);
+        until(() -> platform.gateway.calls(CallKind.TXN) == 2);
+        platform.gateway.recover();
+        assertInstanceOf(KeyValueResult.Answered.class, await(patient.get("k")));
+        assertTrue(!hanging.isDone());
+    }
+
     @Test
     void readsAndUnsentWritesFailOver() throws Exception {
         // One address refuses connections, another accepts calls and never responds. Neither is visible to the caller,
