--- a/kernel/src/test/java/org/marjoramswitch/kernel/ArbiterProcessorTest.java
+++ b/kernel/src/test/java/org/marjoramswitch/kernel/ArbiterProcessorTest.java
@@ -18,7 +18,11 @@
     private static final int LARGE_MILLICORES = 1_500;
     private static final int TARGETS = 60;
     private static final double EVENT_CORE_MS = 0.11;
+    /** The arbiter has processor time for 1.08 times the load outside the burst. */
+    private static final double SLOW_EVENT_CORE_MS = 0.42;
+
     private static final double REQUESTS_PER_SECOND = 1_400;
+    private static final int CUSTOMERS = 30;
 
     /** Guards against an arbiter with too little processor time, which starves its whole pool while targets idle. */
     @ParameterizedTest
@@ -45,4 +49,30 @@
         assertTrue(fleet.inTimeShare() >= 0.95, fleet::toString);
         assertTrue(fleet.longestWaitMs() <= 520 + 1_500 + 250 + InstanceKernel.BUSY_TICK_MS, fleet::toString);
     }
+
+    /** Guards against a pool that a burst beyond its arbiter's processor stops for good, at a load served before. */
+    @Test
+    void poolRecoversFromABurstBeyondItsArbiter() {
+        List<Integer> millicores = new ArrayList<>(Collections.nCopies(SMALL, SMALL_MILLICORES));
+        millicores.addAll(Collections.nCopies(LARGE, LARGE_MILLICORES / 2));
+        ProcessorBoundFleet fleet = ProcessorBoundFleet.of(PoolId.of("pool-0"), millicores, SLOW_EVENT_CORE_MS, 1);
+        fleet.targets(TARGETS);
+        for (int i = 1; i <= CUSTOMERS; i++) {
+            CustomerId customer = CustomerId.of("c" + i);
+            fleet.load(customer, 550 * share(i), 100, 16_000);
+            fleet.load(customer, 400 * share(i), 3_000, 5_000);
+        }
+        fleet.run(24_000);
+        assertTrue(fleet.inTimeShare(100, 3_000) >= 0.95, fleet::toString);
+        assertTrue(fleet.inTimeShare(6_000, 16_000) >= 0.95, () -> fleet.inTimeShare(6_000, 16_000) + " " + fleet);
+    }
+
+    /** The share of a customer's requests in all, which falls with its rank. */
+    private static double share(int rank) {
+        double sum = 0;
+        for (int i = 1; i <= CUSTOMERS; i++) {
+            sum += 1.0 / i;
+        }
+        return 1.0 / rank / sum;
+    }
 }
--- a/kernel/src/test/java/org/marjoramswitch/kernel/ProcessorBoundFleet.java
+++ b/kernel/src/test/java/org/marjoramswitch/kernel/ProcessorBoundFleet.java
@@ -28,7 +28,8 @@
 
 /**
  * Simulates a fleet of kernels in virtual time in which each event costs processor time. An instance processes its
- * events in order of arrival, at the speed of its processor. Targets complete each request after a fixed time.
+ * events in order of arrival, at the speed of its processor. Targets complete each request after a fixed time. Callers
+ * retry a rejected request once, after its retry delay.
  */
 final class ProcessorBoundFleet {
     private static final DataCentreId DATA_CENTRE = DataCentreId.of("dc");
@@ -47,12 +48,12 @@
     private final Map<InstanceId, Server> servers = new TreeMap<>();
     private final List<InstanceId> entries = new ArrayList<>();
     private final PriorityQueue<Due> due = new PriorityQueue<>();
-    private final Map<Long, Double> arrivedAtMs = new HashMap<>();
+    private final Map<Long, Call> calls = new HashMap<>();
+    private final List<Call> firstCalls = new ArrayList<>();
     private final Random random;
     private double nowMs;
     private long order;
     private long requests;
-    private int inTime;
     private int failed;
     private double longestWaitMs;
 
@@ -95,28 +96,34 @@
     /** Schedules requests of one customer with exponential interarrival times at randomly selected entries. */
     void load(CustomerId customer, double perSecond, double fromMs, double untilMs) {
         for (double atMs = fromMs; atMs < untilMs; atMs -= Math.log(1 - random.nextDouble()) * 1_000 / perSecond) {
-            at(atMs, () -> request(entries.get(random.nextInt(entries.size())), customer));
+            at(atMs, () -> {
+                Call call = new Call(customer, nowMs);
+                firstCalls.add(call);
+                request(call, false);
+            });
         }
     }
 
-    private void request(InstanceId entry, CustomerId customer) {
+    private void request(Call call, boolean isRetry) {
         long id = ++requests;
-        arrivedAtMs.put(id, nowMs);
-        long now = Math.round(nowMs);
+        call.isRetry = isRetry;
+        call.sentAtMs = nowMs;
+        calls.put(id, call);
+        long firstSent = Math.round(call.firstSentAtMs);
         PlacementSpec placement = new PlacementSpec(
-                List.of(PromptPart.of(id, PROMPT_TOKENS)), OUTPUT_TOKENS, now + OBJECTIVE_MS, 2, true);
+                List.of(PromptPart.of(id, PROMPT_TOKENS)), OUTPUT_TOKENS, firstSent + OBJECTIVE_MS, 2, true);
         arrive(
-                entry,
+                entries.get(random.nextInt(entries.size())),
                 new Event.RequestArrived(new RequestSpec(
                         id,
-                        customer,
+                        call.customer,
                         pool,
                         1,
                         true,
                         PROMPT_TOKENS,
                         OUTPUT_TOKENS,
                         0,
-                        now + CALLER_TIMEOUT_MS,
+                        firstSent + CALLER_TIMEOUT_MS,
                         placement,
                         0)));
     }
@@ -177,25 +184,44 @@
             at(
                     nowMs + RESPONSE_MS,
                     () -> arrive(at, new Event.TargetEnded(dispatch.requestId(), TargetOutcome.COMPLETED, Usage.NONE)));
-        } else if (action instanceof Action.Fail) {
+        } else if (action instanceof Action.Fail fail) {
+            rejected(fail);
+        }
+    }
+
+    private void rejected(Action.Fail fail) {
+        Call call = calls.get(fail.requestId());
+        if (call == null || call.isRetry) {
             failed++;
+            return;
         }
+        at(nowMs + fail.failure().retryAfterMs(), () -> request(call, true));
     }
 
     private void recordWait(long request) {
-        longestWaitMs = Math.max(longestWaitMs, nowMs - arrivedAtMs.getOrDefault(request, nowMs));
+        Call call = calls.get(request);
+        longestWaitMs = Math.max(longestWaitMs, call == null ? 0 : nowMs - call.sentAtMs);
     }
 
     private void responseStarted(InstanceId entry, long request) {
-        if (nowMs - arrivedAtMs.getOrDefault(request, 0.0) <= OBJECTIVE_MS) {
-            inTime++;
+        Call call = calls.get(request);
+        if (call != null) {
+            call.isInTime = nowMs - call.firstSentAtMs <= OBJECTIVE_MS;
         }
         arrive(entry, new Event.TargetAnswering(request));
     }
 
     /** Returns the share of requests whose first byte arrived within the latency objective. */
     double inTimeShare() {
-        return (double) inTime / requests;
+        return inTimeShare(0, Double.MAX_VALUE);
+    }
+
+    /** Returns the same share of the requests first sent between two times. */
+    double inTimeShare(double fromMs, double untilMs) {
+        List<Call> sent = firstCalls.stream()
+                .filter(call -> call.firstSentAtMs >= fromMs && call.firstSentAtMs < untilMs)
+                .toList();
+        return (double) sent.stream().filter(call -> call.isInTime).count() / sent.size();
     }
 
     /** Returns the longest time from the arrival of a request until it was dispatched or rejected. */
@@ -205,8 +231,8 @@
 
     @Override
     public String toString() {
-        return pool + ": " + requests + " requests, " + inTime + " in time, " + failed + " failed, longest wait "
-                + longestWaitMs;
+        return pool + ": " + firstCalls.size() + " requests, " + inTimeShare() + " in time, " + failed
+                + " failed, longest wait " + longestWaitMs;
     }
 
     private void at(double atMs, Runnable task) {
@@ -217,6 +243,20 @@
         return servers.get(id);
     }
 
+    /** A caller's request, sent once or twice. */
+    private static final class Call {
+        private final CustomerId customer;
+        private final double firstSentAtMs;
+        private double sentAtMs;
+        private boolean isRetry;
+        private boolean isInTime;
+
+        private Call(CustomerId customer, double firstSentAtMs) {
+            this.customer = customer;
+            this.firstSentAtMs = firstSentAtMs;
+        }
+    }
+
     private static final class Server {
         private final InstanceKernel kernel;
         private int millicores;
--- a/kernel/src/test/java/org/marjoramswitch/kernel/arbiter/ArbiterTest.java
+++ b/kernel/src/test/java/org/marjoramswitch/kernel/arbiter/ArbiterTest.java
@@ -103,6 +103,21 @@
         assertEquals(List.of(), grants(NOW_MS));
     }
 
+    /** Guards against two requests per slot after a target was missing from the list while its requests continued. */
+    @Test
+    void targetThatIsListedAgainKeepsItsRequestsInFlight() {
+        register(E1, offer(A, 8));
+        List<PeerMessage.Grant> running = grants(NOW_MS);
+        assertEquals(SLOTS, running.size());
+
+        arbiter.targets(List.of(), Set.of());
+        arbiter.targets(List.of(target(T1)), Set.of());
+
+        assertEquals(List.of(), grants(NOW_MS));
+        arbiter.attemptEnded(E1, running.get(0).sequence(), 10, false, NOW_MS);
+        assertEquals(1, grants(NOW_MS).size());
+    }
+
     @Test
     void failingTargetIsEjectedAndReadmittedByAProbe() {
         // The target fails every request immediately. Without ejection it frees its slots first and receives all
--- a/kernel/src/test/java/org/marjoramswitch/kernel/placement/PlacementArbiterTest.java
+++ b/kernel/src/test/java/org/marjoramswitch/kernel/placement/PlacementArbiterTest.java
@@ -272,6 +272,28 @@
         assertEquals(TargetId.of("t1"), placed.get(waiting));
     }
 
+    /** Guards against two requests per slot after a target was missing from the list while its requests continued. */
+    @Test
+    void aTargetThatIsListedAgainKeepsItsRunningRequests() {
+        targets("t1", "t2");
+        for (int i = 0; i < 2 * SLOTS; i++) {
+            place();
+        }
+        long running = placed.entrySet().stream()
+                .filter(entry -> entry.getValue().equals(TargetId.of("t2")))
+                .findFirst()
+                .orElseThrow()
+                .getKey();
+        targets("t1");
+        targets("t1", "t2");
+        assertNull(place());
+        long waiting = lastId;
+        place();
+        end(running, PlacementEnd.SERVED);
+        assertEquals(TargetId.of("t2"), placed.get(waiting));
+        assertNull(placed.get(lastId));
+    }
+
     @Test
     void aWithdrawnRequestIsNotPlaced() {
         targets("t1");
--- a/kernel/src/test/java/org/marjoramswitch/kernel/placement/PlacementLoadTest.java
+++ b/kernel/src/test/java/org/marjoramswitch/kernel/placement/PlacementLoadTest.java
@@ -6,6 +6,7 @@
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.params.ParameterizedTest;
 import org.junit.jupiter.params.provider.CsvSource;
+import org.junit.jupiter.params.provider.ValueSource;
 import org.marjoramswitch.kernel.model.CustomerId;
 import org.marjoramswitch.kernel.placement.PlacementSimulation.Kind;
 import org.marjoramswitch.kernel.settings.EngineMemory;
@@ -170,6 +171,27 @@
         assertTrue(simulation.valueShareBySize() > minValueShare, simulation::toString);
     }
 
+    /**
+     * Guards against a customer that gets nothing because its requests reach the arbiter after their objective, as at an
+     * entry that lags, while those of others are in time. The load is 1.8 times the capacity.
+     */
+    @ParameterizedTest
+    @ValueSource(longs = {1, 2, 3})
+    void aCustomerWhoseRequestsArriveLateHasItsShare(long seed) {
+        PlacementSimulation simulation =
+                new PlacementSimulation(ENGINES, ENGINE, PlacementSimulation.Sizes.UNEVEN, seed);
+        CustomerId late = CustomerId.of("late");
+        simulation.delay(late, 900);
+        simulation.load(late, 130, 0, LOAD_UNTIL_MS);
+        simulation.load(customer(1), 130, 0, LOAD_UNTIL_MS);
+        simulation.load(customer(2), 130, 0, LOAD_UNTIL_MS);
+        simulation.run(RUN_UNTIL_MS);
+        double best = Math.max(simulation.begunTokens(customer(1)), simulation.begunTokens(customer(2)));
+        assertTrue(
+                simulation.begunTokens(late) >= 0.5 * best,
+                () -> simulation.begunTokens(late) + " tokens, best " + best + ", " + simulation);
+    }
+
     /** No engine is idle while a request waits, and no request is rejected while there is capacity. */
     @Test
     void nothingIsRejectedBelowCapacity() {
--- a/kernel/src/test/java/org/marjoramswitch/kernel/placement/PlacementSimulation.java
+++ b/kernel/src/test/java/org/marjoramswitch/kernel/placement/PlacementSimulation.java
@@ -52,6 +52,8 @@
     private final Map<Long, Request> pending = new HashMap<>();
     private final Map<Kind, Tally> tallies = new EnumMap<>(Kind.class);
     private final Map<CustomerId, Tally> byCustomer = new TreeMap<>();
+    private final Map<CustomerId, Double> entryDelayMs = new HashMap<>();
+    private final Map<CustomerId, Long> begunTokens = new HashMap<>();
     private final Set<Long> prefilledAnywhere = new HashSet<>();
     private final Map<Kind, Tally> largest = new EnumMap<>(Kind.class);
     private final Sizes sizes;
@@ -205,6 +207,11 @@
         }
     }
 
+    /** Delays the customer's requests on their way to the arbiter, as an entry does that lags. */
+    void delay(CustomerId customer, double delayMs) {
+        entryDelayMs.put(customer, delayMs);
+    }
+
     void run(double untilMs) {
         for (double tickMs = 10; tickMs < untilMs; tickMs += 10) {
             at(tickMs, () -> {});
@@ -304,8 +311,9 @@
     private void send(Request request) {
         long id = nextId++;
         pending.put(id, request);
+        double delayMs = entryDelayMs.getOrDefault(request.customer(), 0.0);
         at(
-                nowMs + ONE_WAY_DELAY_MS,
+                nowMs + delayMs + ONE_WAY_DELAY_MS,
                 () -> arbiter.place(
                         ENTRY,
                         new PeerMessage.Place(
@@ -345,6 +353,8 @@
 
     private void start(PeerMessage.Placed placed) {
         Request request = pending.remove(placed.placementId());
+        long tokens = request.prompt().stream().mapToLong(PromptPart::tokens).sum() + 2L * request.outputTokens();
+        begunTokens.merge(request.customer(), tokens, Long::sum);
         SimulatedEngine engine = engines.get(placed.target());
         engine.submit(
                 new SimulatedEngine.Generation(
@@ -400,6 +410,11 @@
                 + byCustomer;
     }
 
+    /** Tokens of the customer's requests that engines began, an output token counted twice. */
+    long begunTokens(CustomerId customer) {
+        return begunTokens.getOrDefault(customer, 0L);
+    }
+
     /** Number of requests without retries. */
     long requestCount() {
         return tallies.values().stream().mapToLong(tally -> tally.requests).sum();
