Keep the share of a customer whose requests arrive late

A customer asked for 15.87 million tokens in six seconds and got 1.33, another one got 3.81, while a quarter of the slots was free.

Cause: its callers use one small instance, which falls behind, so that its requests reach the arbiter 0.7 to 0.9 s after their objective. Late requests are placed only while none in time waits, and rejected on arrival otherwise: 174 to 560 a second of that customer. A customer that is rejected on arrival has no backlog, so its virtual counter owes it nothing.

Ruled out: an arbiter behind (no decisions_behind), a full pool (8 to 10 of 12 slots in use at the median).

Change: the arbiter compares what each customer asked for and was charged in the last two seconds. A late request of a customer that got less than 0.6 of what it asked for and of what the best served customer got takes its turn among those in time. Half is the operators' bound.

Tried first: compared with the best served customer alone.

--- a/kernel/src/main/java/org/marjoramswitch/kernel/placement/FairShareEstimate.java
+++ b/kernel/src/main/java/org/marjoramswitch/kernel/placement/FairShareEstimate.java
@@ -6,29 +6,61 @@
 import org.marjoramswitch.kernel.model.CustomerId;
 
 /**
- * Estimates an even share of the cell's recent work: the tokens charged in the last seconds, divided by the number of
- * customers they were charged to.
+ * Tracks the tokens that each customer asked for and was charged in the last seconds.
  *
- * <p>A customer that has used less may catch up by this much, see {@link org.marjoramswitch.kernel.fair.FairShares}.
- * Without this credit, a customer below its share would be delayed by its own bursts: each request would wait until all
- * others had been charged as much as the one before it.
+ * <p>A customer that has used less than an even share may catch up by one, see {@link
+ * org.marjoramswitch.kernel.fair.FairShares}. Without this credit, a customer below its share would be delayed by its own
+ * bursts: each request would wait until all others had been charged as much as the one before it.
  *
- * <p>Cost: constant time, amortized. Not thread-safe.
+ * <p>Shares by virtual counters hold among customers whose requests wait at the same moment. A customer whose requests
+ * are rejected on arrival, because they are late, never waits and would get nothing as long as others' requests are in
+ * time. Its service is therefore compared with its demand and with the customer served best, see {@link #isUnderserved}.
+ *
+ * <p>Cost: recording takes constant time, amortized; a comparison is linear in the customers of the last seconds. Not
+ * thread-safe.
  */
 final class FairShareEstimate {
     /** Customers receive their shares over a few seconds; up to half of that can be caught up at once. */
     private static final double WINDOW_MS = 2_000;
+    /**
+     * Minimum service relative to the customer's demand or to the customer served best. Above a half, since the average
+     * lags behind the service.
+     */
+    private static final double MIN_RATIO = 0.6;
+
+    /** Older averages have decayed to less than a hundredth. */
+    private static final long UNUSED_KEPT_MS = 10_000;
 
     private static final float LOAD_FACTOR = 0.75f;
 
+    /** In order of the last charge. */
     private final Map<CustomerId, Long> lastChargedAtMs = new LinkedHashMap<>(16, LOAD_FACTOR, true);
+    /** In order of the last request or charge. */
+    private final Map<CustomerId, RecentService> byCustomer = new LinkedHashMap<>(16, LOAD_FACTOR, true);
+
     private double windowTokens;
     private long updatedAtMs;
 
-    void recordCharge(CustomerId customer, double tokens, long nowMs) {
+    /** Records the arrival of a request. */
+    void recordDemand(CustomerId customer, double tokens, long nowMs) {
+        RecentService service = use(customer, nowMs);
+        service.askedTokens += tokens;
+        service.largestTokens = Math.max(service.largestTokens, tokens);
+    }
+
+    void recordCharge(CustomerId customer, double tokens, double weight, long nowMs) {
         decay(nowMs);
         windowTokens += tokens;
         lastChargedAtMs.put(customer, nowMs);
+        RecentService service = use(customer, nowMs);
+        service.chargedTokens += tokens;
+        service.weight = weight;
+    }
+
+    /** Reverses the charge of a request that was not run. */
+    void refund(CustomerId customer, double tokens, long nowMs) {
+        RecentService service = use(customer, nowMs);
+        service.chargedTokens = Math.max(0, service.chargedTokens - tokens);
     }
 
     /** The tokens of an even share over the window. */
@@ -37,6 +69,34 @@
         return windowTokens / Math.max(1, lastChargedAtMs.size());
     }
 
+    /**
+     * Whether the customer got much less than it asked for and, by weight, than the customer served best. One request
+     * more or less is not counted, which is all of the demand of many customers.
+     */
+    boolean isUnderserved(CustomerId customer, long nowMs) {
+        RecentService own = use(customer, nowMs);
+        removeUnused(nowMs);
+        double bestByWeight = 0;
+        for (RecentService service : byCustomer.values()) {
+            bestByWeight = Math.max(bestByWeight, service.chargedTokensAt(nowMs) / service.weight);
+        }
+        double minTokens = MIN_RATIO * Math.min(own.askedTokens, bestByWeight * own.weight);
+        return own.chargedTokens + own.largestTokens < minTokens;
+    }
+
+    private RecentService use(CustomerId customer, long nowMs) {
+        RecentService service = byCustomer.computeIfAbsent(customer, missing -> new RecentService(nowMs));
+        service.decay(nowMs);
+        return service;
+    }
+
+    private void removeUnused(long nowMs) {
+        Iterator<RecentService> eldestFirst = byCustomer.values().iterator();
+        while (eldestFirst.hasNext() && nowMs - eldestFirst.next().usedAtMs > UNUSED_KEPT_MS) {
+            eldestFirst.remove();
+        }
+    }
+
     private void decay(long nowMs) {
         // An exponential average, because a sliding window would have to keep every charge.
         windowTokens *= Math.exp(-Math.max(0, nowMs - updatedAtMs) / WINDOW_MS);
@@ -46,4 +106,33 @@
             eldestFirst.remove();
         }
     }
+
+    /** Exponential averages of one customer. */
+    private static final class RecentService {
+        private double askedTokens;
+        private double chargedTokens;
+        private double largestTokens;
+        private double weight = 1;
+        private long usedAtMs;
+
+        private RecentService(long nowMs) {
+            this.usedAtMs = nowMs;
+        }
+
+        private double chargedTokensAt(long nowMs) {
+            return chargedTokens * decayFactor(nowMs);
+        }
+
+        private void decay(long nowMs) {
+            double factor = decayFactor(nowMs);
+            askedTokens *= factor;
+            chargedTokens *= factor;
+            largestTokens *= factor;
+            usedAtMs = Math.max(usedAtMs, nowMs);
+        }
+
+        private double decayFactor(long nowMs) {
+            return Math.exp(-Math.max(0, nowMs - usedAtMs) / WINDOW_MS);
+        }
+    }
 }
--- a/kernel/src/main/java/org/marjoramswitch/kernel/placement/PlacementArbiter.java
+++ b/kernel/src/main/java/org/marjoramswitch/kernel/placement/PlacementArbiter.java
@@ -38,7 +38,8 @@
  * whatever the number of requests and events.
  *
  * <p>A request is late once its first byte can no longer meet its objective. Late requests use only capacity that the
- * others leave, are held for a bounded time ({@link LateRequestHold}), and are then rejected with a retry delay.
+ * others leave, are held for a bounded time ({@link LateRequestHold}), and are then rejected with a retry delay. Those of
+ * a customer that is served much less than another one take their turn among the requests in time.
  *
  * <p>All state is soft. Requests carry an id chosen by the entry instance, which re-registers its running requests
  * after switching arbiters. Two arbiters of one cell, on the two sides of a partition, may overload targets for a
@@ -236,11 +237,15 @@
                 FIRST_BYTE_P75_FACTOR * (TargetChoice.MIN_PREFILL_QUEUE_MS / 2 + model.expectedMs(prefillTokens));
         SizeClass size = SizeClass.of(newRequest.objectiveAtMs() - nowMs, firstByteMs);
         WaitingRequest request = newRequest.withSize(size, prefillTokens);
+        fairShare.recordDemand(request.customer(), request.costTokens(), nowMs);
         long lateAtMs = request.objectiveAtMs() - Math.round(firstByteMs);
         if (size == SizeClass.LARGE && policy.has(Mechanism.SIZE_BALANCE) && sizes.isLargeUnderserved()) {
             long queueWaitMs = SizeClass.expectedQueueWaitMs(request.objectiveAtMs() - nowMs);
             lateAtMs = Math.max(lateAtMs, nowMs + queueWaitMs);
         }
+        if (lateAtMs <= nowMs && fairShare.isUnderserved(request.customer(), nowMs)) {
+            lateAtMs = nowMs + LateRequestHold.holdMs(request.deadlineMs(), nowMs);
+        }
         if (lateAtMs <= nowMs) {
             addLate(request, nowMs);
             return;
@@ -343,7 +348,7 @@
         for (WaitingRequest request : waiting.of(customer).requests()) {
             TargetChoice.Chosen chosen = examinedArrivals.add(request.arrival()) ? chooseInTime(request, choice) : null;
             if (chosen != null) {
-                start(request, choice, chosen, "in_time", nowMs, sink);
+                start(request, choice, chosen, reason(request, nowMs), nowMs, sink);
                 return true;
             }
             examined++;
@@ -359,11 +364,15 @@
         for (WaitingRequest request : arrived) {
             TargetChoice.Chosen chosen = waiting.isInTime(request) ? chooseInTime(request, choice) : null;
             if (chosen != null) {
-                start(request, choice, chosen, "in_time", nowMs, sink);
+                start(request, choice, chosen, reason(request, nowMs), nowMs, sink);
             }
         }
     }
 
+    private static String reason(WaitingRequest request, long nowMs) {
+        return request.objectiveAtMs() > nowMs ? "in_time" : "late_by_share";
+    }
+
     private TargetChoice.@Nullable Chosen chooseInTime(WaitingRequest request, TargetChoice choice) {
         choices++;
         return choice.chooseInTime(request);
@@ -396,7 +405,8 @@
         target.countStart(targets.coldStartShare(), nowMs);
         choice.started(target);
         shares.charge(request.customer(), request.costTokens());
-        fairShare.recordCharge(request.customer(), request.costTokens(), nowMs);
+        double weight = shares.account(request.customer()).weight();
+        fairShare.recordCharge(request.customer(), request.costTokens(), weight, nowMs);
         double tokensAhead = request.prompt().isEmpty() ? 0 : pendingTokens + chosen.prefillTokens();
         runningOf(request.entry())
                 .put(request.placementId(), RunningRequest.placed(request, chosen, tokensAhead, nowMs));
@@ -432,6 +442,9 @@
         boolean ran = ended.end() != PlacementEnd.NOT_RUN && ended.end() != PlacementEnd.REFUSED;
         long spent = ran ? WaitingRequest.cost(request.promptTokens(), ended.outputTokens()) : 0;
         shares.charge(request.customer(), spent - request.costTokens());
+        if (!ran) {
+            fairShare.refund(request.customer(), request.costTokens(), nowMs);
+        }
         TargetLoad target = targetOf(request);
         if (target == null) {
             return;
