Keep count of requests at a target that is missing from the list for a moment

What callers would see: late responses while engines hold more requests than they have slots for, for as long as the load lasts.

Listed again with the same start it counted from zero, and the ends of the old requests were subtracted from the new ones, so the difference stayed. Entries that lapse in an outage of the store come back one by one, so half of a pool can go through this. A pool without any listed target lost its arbiter's state altogether, waiting requests included.

The same in both paths: placed requests (TargetPool) and granted ones (Arbiter). Change: an unlisted target is kept, unusable, until its requests have ended; an arbiter's state until nothing waits or runs.

--- a/kernel/src/main/java/org/marjoramswitch/kernel/PlacementArbiters.java
+++ b/kernel/src/main/java/org/marjoramswitch/kernel/PlacementArbiters.java
@@ -83,7 +83,9 @@
 
     /** Updates all arbiters after targets were added, removed or moved to other cells. */
     void refreshTargets(long nowMs) {
-        byCell.keySet().removeIf(cell -> fleet.cells().targets(cell).isEmpty());
+        byCell.values()
+                .removeIf(arbiter -> arbiter.isIdle()
+                        && fleet.cells().targets(arbiter.cell()).isEmpty());
         byCell.values().forEach(arbiter -> setTargets(arbiter, nowMs));
     }
 
--- a/kernel/src/main/java/org/marjoramswitch/kernel/arbiter/Arbiter.java
+++ b/kernel/src/main/java/org/marjoramswitch/kernel/arbiter/Arbiter.java
@@ -127,7 +127,10 @@
                 .toList();
     }
 
-    /** Sets the cell's targets. Requests in flight at a target that has left the cell stay accounted for. */
+    /**
+     * Sets the cell's targets. Requests in flight at a target that has left the cell stay accounted for, since it may be
+     * listed again before they end.
+     */
     public void targets(Collection<TargetSettings> settings, Set<TargetId> leaving) {
         Set<TargetId> named = new TreeSet<>();
         for (TargetSettings target : settings) {
@@ -136,7 +139,13 @@
             slots.settings(target);
             slots.leaving(leaving.contains(target.id()));
         }
-        targets.keySet().retainAll(named);
+        targets.entrySet().removeIf(known -> {
+            boolean left = !named.contains(known.getKey());
+            if (left) {
+                known.getValue().leaving(true);
+            }
+            return left && known.getValue().inFlight() == 0;
+        });
     }
 
     /** Applies a target's load report. */
--- a/kernel/src/main/java/org/marjoramswitch/kernel/placement/PlacementArbiter.java
+++ b/kernel/src/main/java/org/marjoramswitch/kernel/placement/PlacementArbiter.java
@@ -156,6 +156,11 @@
         return !waiting.isEmpty();
     }
 
+    /** Whether no request waits or runs, so that the state may be discarded. */
+    public boolean isIdle() {
+        return waiting.isEmpty() && running.values().stream().allMatch(Map::isEmpty);
+    }
+
     /** Removes a waiting request. Has no effect on a running one. */
     public void withdraw(InstanceId entry, long placementId) {
         removeWaiting(entry, placementId);
--- a/kernel/src/main/java/org/marjoramswitch/kernel/placement/TargetPool.java
+++ b/kernel/src/main/java/org/marjoramswitch/kernel/placement/TargetPool.java
@@ -18,6 +18,9 @@
  */
 final class TargetPool {
     private final Map<TargetId, TargetLoad> byId = new TreeMap<>();
+    /** Targets that are not listed any more and still have requests in flight; they may be listed again. */
+    private final Map<TargetId, TargetLoad> unlisted = new TreeMap<>();
+
     private final PromptPartIndex partIndex = new PromptPartIndex();
     private final PoolFaultRate faultRate = PoolFaultRate.create();
     private final TargetOrder order = TargetOrder.create();
@@ -46,9 +49,7 @@
             if (!leaving.contains(target.id())) {
                 ids.add(target.id());
                 dropIfRestarted(target);
-                byId.computeIfAbsent(
-                                target.id(),
-                                missing -> TargetLoad.create(target, partIndex, faultRate, coldStartLimiter(nowMs)))
+                byId.computeIfAbsent(target.id(), missing -> unlistedOrNew(target, nowMs))
                         .settings(target);
             }
         }
@@ -57,9 +58,12 @@
             boolean removed = !ids.contains(known.getKey());
             if (removed) {
                 known.getValue().clearCache();
+                known.getValue().setUsable(false);
+                unlisted.put(known.getKey(), known.getValue());
             }
             return removed;
         });
+        unlisted.values().removeIf(target -> target.inFlight() == 0);
         byId.values()
                 .forEach(target ->
                         target.setUsable(!evacuated.contains(target.settings().dataCentre())));
@@ -68,6 +72,12 @@
         order.targets(usable);
     }
 
+    private TargetLoad unlistedOrNew(TargetSettings target, long nowMs) {
+        TargetLoad known = unlisted.remove(target.id());
+        boolean isSame = known != null && known.settings().startedAtMs() == target.startedAtMs();
+        return isSame ? known : TargetLoad.create(target, partIndex, faultRate, coldStartLimiter(nowMs));
+    }
+
     /** The targets that a new arbiter finds may have received requests from the former one until now. */
     private ColdStartLimiter coldStartLimiter(long nowMs) {
         return isNew ? ColdStartLimiter.afterOtherArbiter(nowMs) : ColdStartLimiter.create();
@@ -90,10 +100,11 @@
         }
     }
 
-    /** The target; null if it is gone or has restarted since {@code startedAtMs}. */
+    /** The target, listed or not; null if it is gone or has restarted since {@code startedAtMs}. */
     @Nullable
     TargetLoad get(TargetId id, long startedAtMs) {
-        TargetLoad known = byId.get(id);
+        TargetLoad listed = byId.get(id);
+        TargetLoad known = listed == null ? unlisted.get(id) : listed;
         return known == null || known.settings().startedAtMs() != startedAtMs ? null : known;
     }
 
