Clear the cached parts of an unlisted target when its state is discarded

Found on reading: a first byte that arrives while the target is not listed adds its prompt to the index of cached parts, where it stayed after the target was gone. Placements never use such a target as a source, so nothing was seen.

--- a/kernel/src/main/java/org/marjoramswitch/kernel/placement/TargetPool.java
+++ b/kernel/src/main/java/org/marjoramswitch/kernel/placement/TargetPool.java
@@ -63,7 +63,7 @@
             }
             return removed;
         });
-        unlisted.values().removeIf(target -> target.inFlight() == 0);
+        unlisted.values().removeIf(TargetPool::isDiscarded);
         byId.values()
                 .forEach(target ->
                         target.setUsable(!evacuated.contains(target.settings().dataCentre())));
@@ -74,8 +74,22 @@
 
     private TargetLoad unlistedOrNew(TargetSettings target, long nowMs) {
         TargetLoad known = unlisted.remove(target.id());
-        boolean isSame = known != null && known.settings().startedAtMs() == target.startedAtMs();
-        return isSame ? known : TargetLoad.create(target, partIndex, faultRate, coldStartLimiter(nowMs));
+        if (known != null && known.settings().startedAtMs() == target.startedAtMs()) {
+            return known;
+        }
+        if (known != null) {
+            known.clearCache();
+        }
+        return TargetLoad.create(target, partIndex, faultRate, coldStartLimiter(nowMs));
+    }
+
+    /** Discards the state of an unlisted target whose requests have ended, which may have cached parts meanwhile. */
+    private static boolean isDiscarded(TargetLoad unlisted) {
+        boolean ended = unlisted.inFlight() == 0;
+        if (ended) {
+            unlisted.clearCache();
+        }
+        return ended;
     }
 
     /** The targets that a new arbiter finds may have received requests from the former one until now. */
