Do not learn first-byte times from entries that lag

What callers saw: one flooded entry made the arbiter reject requests of all customers while a quarter of the slots was free.

Cause: an entry that lags sends requests late and reads responses late. Its reports went into the model of the time to first byte, whose fixed part rose to its limit of 200 ms for all targets. With an objective of 250 to 400 ms that is late on arrival. Its requests also counted as prompts to prefill from their placement on, though the engine had not got them.

Change: the arbiter compares each entry's excess over the expected first byte with the lower quartile of all entries; reports of an entry that is 40 ms and more above are not learned from, and its requests do not count as pending prefill. Real delays at the targets show at all entries.

--- a/kernel/src/main/java/org/marjoramswitch/kernel/placement/PlacementArbiter.java
+++ b/kernel/src/main/java/org/marjoramswitch/kernel/placement/PlacementArbiter.java
@@ -73,6 +73,7 @@
     private final PlacementPolicy policy;
     private final FairShares shares;
     private final FirstByteModel model = new FirstByteModel();
+    private final EntryDelays entryDelays = new EntryDelays();
     private final WaitingQueues waiting = new WaitingQueues();
     private final SizeBalance sizes = new SizeBalance();
     private final FairShareEstimate fairShare = new FairShareEstimate();
@@ -178,7 +179,15 @@
             target.prefilled(request.prompt(), request.prefillTokens(), nowMs);
         }
         if (request.tokensAhead() > 0) {
-            model.observe(request.tokensAhead(), nowMs - request.startedAtMs());
+            observeFirstByte(entry, request, nowMs);
+        }
+    }
+
+    private void observeFirstByte(InstanceId entry, RunningRequest request, long nowMs) {
+        long elapsedMs = nowMs - request.startedAtMs();
+        double excessMs = elapsedMs - model.expectedMs(request.tokensAhead());
+        if (entryDelays.record(entry, excessMs, nowMs)) {
+            model.observe(request.tokensAhead(), elapsedMs);
         }
     }
 
@@ -211,6 +220,7 @@
      * again.
      */
     public void removeEntry(InstanceId entry, long nowMs) {
+        entryDelays.remove(entry);
         waiting.removeAll(entry).forEach(request -> updateWaitingCount(request.customer()));
         Map<Long, RunningRequest> held = running.remove(entry);
         if (held != null) {
@@ -417,7 +427,9 @@
         double pendingTokens = target.pendingPrefillTokens(nowMs, model);
         removeWaiting(request.entry(), request.placementId());
         sizes.recordOutcome(request.size(), true);
-        target.started(request.prompt(), chosen.prefillTokens(), request.memoryTokens(), nowMs);
+        // An entry that lags sends the request at an unknown later time; until then the target has nothing to prefill.
+        long prefillTokens = entryDelays.isLate(request.entry()) ? 0 : chosen.prefillTokens();
+        target.started(request.prompt(), prefillTokens, request.memoryTokens(), nowMs);
         target.countStart(targets.coldStartShare(), nowMs);
         choice.started(target);
         shares.charge(request.customer(), request.costTokens());
@@ -425,7 +437,7 @@
         fairShare.recordCharge(request.customer(), request.costTokens(), weight, nowMs);
         double tokensAhead = request.prompt().isEmpty() ? 0 : pendingTokens + chosen.prefillTokens();
         runningOf(request.entry())
-                .put(request.placementId(), RunningRequest.placed(request, chosen, tokensAhead, nowMs));
+                .put(request.placementId(), RunningRequest.placed(request, chosen, prefillTokens, tokensAhead, nowMs));
         sink.accept(new Action.SendPeer(
                 request.entry(),
                 new PeerMessage.Placed(
--- a/kernel/src/main/java/org/marjoramswitch/kernel/placement/RunningRequest.java
+++ b/kernel/src/main/java/org/marjoramswitch/kernel/placement/RunningRequest.java
@@ -25,8 +25,13 @@
         double tokensAhead,
         long startedAtMs,
         boolean responseStarted) {
-    /** Creates a request that this arbiter places at a target. */
-    static RunningRequest placed(WaitingRequest request, TargetChoice.Chosen chosen, double tokensAhead, long nowMs) {
+    /**
+     * Creates a request that this arbiter places at a target.
+     *
+     * @param prefillTokens prompt tokens that the target counts as pending
+     */
+    static RunningRequest placed(
+            WaitingRequest request, TargetChoice.Chosen chosen, long prefillTokens, double tokensAhead, long nowMs) {
         return new RunningRequest(
                 request.customer(),
                 chosen.target().settings().id(),
@@ -34,7 +39,7 @@
                 request.prompt(),
                 request.promptTokens(),
                 request.outputTokens(),
-                chosen.prefillTokens(),
+                prefillTokens,
                 tokensAhead,
                 nowMs,
                 false);
--- a/kernel/src/test/java/org/marjoramswitch/kernel/placement/PlacementLoadTest.java
+++ b/kernel/src/test/java/org/marjoramswitch/kernel/placement/PlacementLoadTest.java
@@ -192,6 +192,25 @@
                 () -> simulation.begunTokens(late) + " tokens, best " + best + ", " + simulation);
     }
 
+    /**
+     * Guards against rejecting the requests of all customers because one entry lags, so that first bytes seem to take
+     * long. The load is 0.7 of the capacity.
+     */
+    @ParameterizedTest
+    @ValueSource(longs = {1, 2, 3})
+    void anEntryThatLagsDoesNotDelayOtherCustomers(long seed) {
+        PlacementSimulation simulation =
+                new PlacementSimulation(ENGINES, ENGINE, PlacementSimulation.Sizes.UNEVEN, seed);
+        CustomerId late = CustomerId.of("late");
+        simulation.delay(late, 500);
+        simulation.load(late, 70, 0, LOAD_UNTIL_MS);
+        simulation.load(customer(1), 70, 0, LOAD_UNTIL_MS);
+        simulation.load(customer(2), 60, 0, LOAD_UNTIL_MS);
+        simulation.run(RUN_UNTIL_MS);
+        assertTrue(simulation.of(customer(1)).inTimeShare() >= 0.95, simulation::toString);
+        assertTrue(simulation.of(customer(2)).inTimeShare() >= 0.95, simulation::toString);
+    }
+
     /** No engine is idle while a request waits, and no request is rejected while there is capacity. */
     @Test
     void nothingIsRejectedBelowCapacity() {
--- a/kernel/src/test/java/org/marjoramswitch/kernel/placement/PlacementSimulation.java
+++ b/kernel/src/test/java/org/marjoramswitch/kernel/placement/PlacementSimulation.java
@@ -32,6 +32,7 @@
     private static final PoolId POOL = PoolId.of("engines");
     private static final CellId CELL = CellId.of(POOL, 0);
     private static final InstanceId ENTRY = InstanceId.of("entry");
+    private static final InstanceId LAGGING_ENTRY = InstanceId.of("lagging-entry");
     /** One-way delay between the entry instance and the arbiter, and from there to an engine. */
     private static final double ONE_WAY_DELAY_MS = 1.5;
     /** Delay until an engine's report of a first token or an end reaches the arbiter. */
@@ -207,7 +208,7 @@
         }
     }
 
-    /** Delays the customer's requests on their way to the arbiter, as an entry does that lags. */
+    /** Sends the customer's requests by an entry that lags by {@code delayMs} in all that it does. */
     void delay(CustomerId customer, double delayMs) {
         entryDelayMs.put(customer, delayMs);
     }
@@ -311,11 +312,11 @@
     private void send(Request request) {
         long id = nextId++;
         pending.put(id, request);
-        double delayMs = entryDelayMs.getOrDefault(request.customer(), 0.0);
+        double delayMs = delayMs(request);
         at(
                 nowMs + delayMs + ONE_WAY_DELAY_MS,
                 () -> arbiter.place(
-                        ENTRY,
+                        entryOf(request),
                         new PeerMessage.Place(
                                 CELL,
                                 id,
@@ -330,12 +331,21 @@
                         Math.round(nowMs)));
     }
 
+    private double delayMs(Request request) {
+        return entryDelayMs.getOrDefault(request.customer(), 0.0);
+    }
+
+    private InstanceId entryOf(Request request) {
+        return entryDelayMs.containsKey(request.customer()) ? LAGGING_ENTRY : ENTRY;
+    }
+
     private void decide() {
         List<Action> actions = new ArrayList<>();
         arbiter.decide(Math.round(nowMs), actions::add);
         for (Action action : actions) {
             if (action instanceof Action.SendPeer send && send.message() instanceof PeerMessage.Placed placed) {
-                at(nowMs + 2 * ONE_WAY_DELAY_MS, () -> start(placed));
+                double delayMs = delayMs(pending.get(placed.placementId()));
+                at(nowMs + 2 * ONE_WAY_DELAY_MS + delayMs, () -> start(placed));
             } else if (action instanceof Action.SendPeer send
                     && send.message() instanceof PeerMessage.NotPlaced rejected) {
                 refuse(rejected);
@@ -370,16 +380,17 @@
                                 count(request, inTime ? tally -> tally.inTime++ : tally -> tally.late++);
                                 servedValue += (inTime ? 1 : LATE_VALUE) * valueBySize(request);
                                 report(
-                                        atMs,
-                                        () -> arbiter.responseStarted(ENTRY, placed.placementId(), Math.round(nowMs)));
+                                        atMs + delayMs(request),
+                                        () -> arbiter.responseStarted(
+                                                entryOf(request), placed.placementId(), Math.round(nowMs)));
                             }
 
                             @Override
                             public void onEnd(double atMs) {
                                 report(
-                                        atMs,
+                                        atMs + delayMs(request),
                                         () -> arbiter.attemptEnded(
-                                                ENTRY,
+                                                entryOf(request),
                                                 new PeerMessage.PlacementEnded(
                                                         CELL,
                                                         placed.placementId(),
