Close new connections unread while an instance lags

Change: while it lags, a new connection is closed before anything is read, so that its caller sends the request to another instance. Requests on open connections are rejected as before.

--- a/daemon/src/main/java/org/marjoramswitch/daemon/caller/ForwardServer.java
+++ b/daemon/src/main/java/org/marjoramswitch/daemon/caller/ForwardServer.java
@@ -22,10 +22,12 @@
     private static final int MAX_HEADERS = 100;
     private static final int BUFFER_BYTES = 16 << 10;
 
+    private final CallerListener callers;
     private final Undertow undertow;
     private final LagProbe lag;
 
-    private ForwardServer(Undertow undertow, LagProbe lag) {
+    private ForwardServer(CallerListener callers, Undertow undertow, LagProbe lag) {
+        this.callers = callers;
         this.undertow = undertow;
         this.lag = lag;
     }
@@ -71,14 +73,13 @@
                 .setWorker(worker)
                 .setBufferSize(BUFFER_BYTES)
                 .setDirectBuffers(true)
-                .setSocketOption(Options.CONNECTION_HIGH_WATER, parts.options().maxConnections())
-                .setSocketOption(Options.CONNECTION_LOW_WATER, parts.options().maxConnections())
-                .setSocketOption(Options.TCP_NODELAY, true)
-                .addHttpListener(parts.callers().port(), parts.callers().host(), forward);
+                .setSocketOption(Options.TCP_NODELAY, true);
         parts.others().forEach((address, handler) -> builder.addHttpListener(address.port(), address.host(), handler));
         Undertow undertow = builder.build();
         undertow.start();
-        ForwardServer server = new ForwardServer(undertow, lag);
+        CallerListener callers = CallerListener.start(
+                worker, parts.callers(), parts.options().maxConnections(), forward, lag::isLagging, metrics);
+        ForwardServer server = new ForwardServer(callers, undertow, lag);
         server.applyLimits(CallerLimits.DEFAULT);
         return server;
     }
@@ -94,6 +95,7 @@
                 .set(UndertowOptions.DECODE_URL, false)
                 .set(UndertowOptions.ALWAYS_SET_DATE, true)
                 .getMap();
+        callers.setServerOptions(options);
         undertow.getListenerInfo().forEach(listener -> listener.setServerOptions(options));
     }
 
@@ -101,6 +103,7 @@
     @Override
     public void close() {
         lag.close();
+        callers.close();
         undertow.stop();
     }
 }
