Revert "Close new connections unread while an instance lags"

This reverts. Callers whose connection is closed all go on to the next instance, which lags then too, and the requests that had been taken are served after their callers have left. What an instance that lags should do with new connections stays open.

--- a/daemon/src/main/java/org/marjoramswitch/daemon/caller/ForwardServer.java
+++ b/daemon/src/main/java/org/marjoramswitch/daemon/caller/ForwardServer.java
@@ -22,12 +22,10 @@
     private static final int MAX_HEADERS = 100;
     private static final int BUFFER_BYTES = 16 << 10;
 
-    private final CallerListener callers;
     private final Undertow undertow;
     private final LagProbe lag;
 
-    private ForwardServer(CallerListener callers, Undertow undertow, LagProbe lag) {
-        this.callers = callers;
+    private ForwardServer(Undertow undertow, LagProbe lag) {
         this.undertow = undertow;
         this.lag = lag;
     }
@@ -73,13 +71,14 @@
                 .setWorker(worker)
                 .setBufferSize(BUFFER_BYTES)
                 .setDirectBuffers(true)
-                .setSocketOption(Options.TCP_NODELAY, true);
+                .setSocketOption(Options.CONNECTION_HIGH_WATER, parts.options().maxConnections())
+                .setSocketOption(Options.CONNECTION_LOW_WATER, parts.options().maxConnections())
+                .setSocketOption(Options.TCP_NODELAY, true)
+                .addHttpListener(parts.callers().port(), parts.callers().host(), forward);
         parts.others().forEach((address, handler) -> builder.addHttpListener(address.port(), address.host(), handler));
         Undertow undertow = builder.build();
         undertow.start();
-        CallerListener callers = CallerListener.start(
-                worker, parts.callers(), parts.options().maxConnections(), forward, lag::isLagging, metrics);
-        ForwardServer server = new ForwardServer(callers, undertow, lag);
+        ForwardServer server = new ForwardServer(undertow, lag);
         server.applyLimits(CallerLimits.DEFAULT);
         return server;
     }
@@ -95,7 +94,6 @@
                 .set(UndertowOptions.DECODE_URL, false)
                 .set(UndertowOptions.ALWAYS_SET_DATE, true)
                 .getMap();
-        callers.setServerOptions(options);
         undertow.getListenerInfo().forEach(listener -> listener.setServerOptions(options));
     }
 
@@ -103,7 +101,6 @@
     @Override
     public void close() {
         lag.close();
-        callers.close();
         undertow.stop();
     }
 }
