--- a/kernel/src/main/java/org/marjoramswitch/kernel/placement/TargetPool.java
+++ b/kernel/src/main/java/org/marjoramswitch/kernel/placement/TargetPool.java
@@ -63,7 +63,7 @@
             }
             return removed;
         });
-        unlisted.values().removeIf(TargetPool::isDiscarded);
+        unlisted.values().removeIf(TargetPool::discardIfEnded);
         byId.values()
                 .forEach(target ->
                         target.setUsable(!evacuated.contains(target.settings().dataCentre())));
@@ -83,8 +83,8 @@
         return TargetLoad.create(target, partIndex, faultRate, coldStartLimiter(nowMs));
     }
 
-    /** Discards the state of an unlisted target whose requests have ended, which may have cached parts meanwhile. */
-    private static boolean isDiscarded(TargetLoad unlisted) {
+    /** Clears an unlisted target, which may have cached parts meanwhile; returns whether its requests have ended. */
+    private static boolean discardIfEnded(TargetLoad unlisted) {
         boolean ended = unlisted.inFlight() == 0;
         if (ended) {
             unlisted.clearCache();
