--- a/kernel/src/main/java/org/marjoramswitch/kernel/placement/LagRejection.java
+++ b/kernel/src/main/java/org/marjoramswitch/kernel/placement/LagRejection.java
@@ -5,11 +5,12 @@
  *
  * <p>Events are processed in order of arrival, so a burst leaves a lag that lasts as long as the load is near what the
  * arbiter can process: all requests become late, although targets are idle. Entries leave an arbiter with a long lag
- * together, and the requests that they send again keep this and the next arbiter behind for good. A rejection costs a
+ * together, and the requests that they send again keep this and the next arbiter behind permanently. A rejection costs a
  * part of a placement, since no response and no end of the request follow.
  *
  * <p>Requests that have become late are rejected first, then those of customers with considerably more than an even
- * share, finally all. A lag within the objectives is not a reason to reject requests in time.
+ * share, finally all. From the second step on, some requests are rejected that would have been in time: while the
+ * overload lasts, fewer are served than without this, and those after it are served in time again.
  */
 final class LagRejection {
     private static final long LATE_LAG_MS = 20;
--- a/kernel/src/test/java/org/marjoramswitch/kernel/ArbiterProcessorTest.java
+++ b/kernel/src/test/java/org/marjoramswitch/kernel/ArbiterProcessorTest.java
@@ -52,7 +52,7 @@
     }
 
     /**
-     * Guards against a pool that a burst beyond its arbiter's processor stops for good, at a load served before. The
+     * Guards against a pool that stays late after a burst beyond its arbiter's processor, at a load served before. The
      * burst ends at 5 s. In the second case the arbiter has too little processor for the callers that retry, for up to
      * {@code RetryAfterPolicy}'s longest delay of 4 s.
      */
