--- a/daemon/src/main/java/org/marjoramswitch/daemon/Daemon.java
+++ b/daemon/src/main/java/org/marjoramswitch/daemon/Daemon.java
@@ -142,9 +142,10 @@
     }
 
     private void onSettings(FleetSettings accepted) {
+        // First, so that no request on a new pool reaches the decision loop before the pool does.
+        core.decisions().offer(new Event.SettingsAccepted(accepted));
         fleetSettings = accepted;
         core.announceGeneration(accepted.generation());
-        core.decisions().offer(new Event.SettingsAccepted(accepted));
     }
 
     /** The model engines that this instance arbitrates; plain services report no load. */
--- a/daemon/src/main/java/org/marjoramswitch/daemon/ForwardingDaemon.java
+++ b/daemon/src/main/java/org/marjoramswitch/daemon/ForwardingDaemon.java
@@ -3,7 +3,6 @@
 import io.undertow.server.HttpHandler;
 import java.io.IOException;
 import java.util.Map;
-import java.util.TreeMap;
 import java.util.concurrent.TimeUnit;
 import java.util.function.Function;
 import java.util.function.Supplier;
@@ -14,6 +13,7 @@
 import org.marjoramswitch.daemon.caller.InstanceDirectory;
 import org.marjoramswitch.daemon.configuration.RoutedSettingsFollower;
 import org.marjoramswitch.daemon.exchange.CallDecoder;
+import org.marjoramswitch.daemon.fleet.ActiveFleetSettings;
 import org.marjoramswitch.daemon.fleet.EvacuationList;
 import org.marjoramswitch.daemon.fleet.InstanceRegistration;
 import org.marjoramswitch.daemon.fleet.TargetList;
@@ -29,12 +29,6 @@
 import org.marjoramswitch.daemon.target.UndertowTargetClient;
 import org.marjoramswitch.kernel.KernelOptions;
 import org.marjoramswitch.kernel.event.Event;
-import org.marjoramswitch.kernel.model.TargetId;
-import org.marjoramswitch.kernel.settings.ColdStart;
-import org.marjoramswitch.kernel.settings.EngineMemory;
-import org.marjoramswitch.kernel.settings.FleetSettings;
-import org.marjoramswitch.kernel.settings.PoolSettings;
-import org.marjoramswitch.kernel.settings.TargetSettings;
 
 /**
  * One instance on a platform with its own protocols for routes, targets and callers: the same core as {@link Daemon},
@@ -48,9 +42,8 @@
     private final InstanceCore core;
     private final RoutedSettingsFollower configuration;
     private final ForwardServer callers;
-    private volatile RoutedSettings settings = RoutedSettings.NONE;
+    private final ActiveFleetSettings settings;
     private volatile boolean finishing;
-    private Map<TargetId, TargetSettings> targets = Map.of();
 
     private ForwardingDaemon(
             LocalSettings local, KernelOptions options, Platform platform, StartedComponents components)
@@ -70,6 +63,7 @@
                 core.clock(),
                 core.worker().getIoThread()));
         core.persistCrashesIn(store);
+        this.settings = ActiveFleetSettings.create(core.decisions());
         this.callers = components.add(ForwardServer.start(
                 new ForwardServer.Parts(
                         local.callers(),
@@ -77,7 +71,7 @@
                         platform.callers(),
                         platform.decoder(),
                         core.decisions(),
-                        () -> settings,
+                        settings::routed,
                         () -> core.drainState().hasBegun(),
                         core.decisions()::lagMs,
                         core.clock()),
@@ -97,7 +91,7 @@
                 store::onView,
                 seen -> configuration.onVersionAnnounced(seen.instance(), seen.generation()));
         components.add(TargetList.start(
-                store, platform.targetPrefix(), platform.targetDecoder(), this::onTargets, core.clock()));
+                store, platform.targetPrefix(), platform.targetDecoder(), settings::onTargets, core.clock()));
         InstanceRegistration registration = components.add(InstanceRegistration.start(store, local));
         components.add(FleetListReader.start(
                 store, LIST_INTERVAL_MS, core.clock().startMs(), core.metrics(), list -> {
@@ -175,41 +169,17 @@
         });
     }
 
-    private synchronized void onSettings(RoutedSettings newest) {
-        settings = newest;
+    private void onSettings(RoutedSettings newest) {
         callers.applyLimits(newest.limits());
+        settings.onSettings(newest);
         core.announceGeneration(newest.version());
-        offerSettings();
-    }
-
-    private synchronized void onTargets(Map<TargetId, TargetSettings> listed) {
-        targets = listed;
-        offerSettings();
-    }
-
-    /** Sends routes' pools and listed targets to the decision loop together, whichever of the two has changed. */
-    private void offerSettings() {
-        RoutedSettings current = settings;
-        Map<TargetId, TargetSettings> targetsOfPools = new TreeMap<>();
-        for (TargetSettings target : targets.values()) {
-            PoolSettings pool = current.pools().get(target.pool());
-            if (pool != null) {
-                EngineMemory memory = current.memories().getOrDefault(pool.id(), EngineMemory.UNKNOWN);
-                ColdStart coldStart = ColdStart.until(
-                        target.coldStart().untilMs(), pool.coldStart().requestsPerSecond());
-                targetsOfPools.put(target.id(), target.withMemory(memory).withColdStart(coldStart));
-            }
-        }
-        core.decisions()
-                .offer(new Event.SettingsAccepted(
-                        FleetSettings.of(current.version(), current.customers(), current.pools(), targetsOfPools)));
     }
 
     private Health health() {
         if (core.drainState().hasBegun()) {
             return Health.notReady("the instance is leaving");
         }
-        return settings.version() == 0 ? Health.notReady("no settings yet") : Health.READY;
+        return settings.routed().version() == 0 ? Health.notReady("no settings yet") : Health.READY;
     }
 
     /**
--- a/daemon/src/main/java/org/marjoramswitch/daemon/caller/ForwardHandler.java
+++ b/daemon/src/main/java/org/marjoramswitch/daemon/caller/ForwardHandler.java
@@ -111,7 +111,7 @@
             return Failure.notRun(ErrorType.MALFORMED_REQUEST, 0, framing);
         }
         if (route == null) {
-            return Failure.notRun(ErrorType.NO_ROUTE, 0, pathOf(exchange.getRequestURI()));
+            return Failure.notRun(ErrorType.NO_ROUTE, 0, noRouteDetail(exchange, current));
         }
         if (!exchange.isHttp11()) {
             // An HTTP/1.0 response ends with its connection, so a partial one is indistinguishable from a complete one.
@@ -134,6 +134,12 @@
                 : null;
     }
 
+    private static String noRouteDetail(HttpServerExchange exchange, RoutedSettings current) {
+        String host = exchange.getRequestHeaders().getFirst(Headers.HOST);
+        return host + pathOf(exchange.getRequestURI()) + " by version " + current.version() + " with "
+                + current.routes().size() + " routes";
+    }
+
     /** Two body lengths allow request smuggling: two parsers may disagree on where the body ends. */
     private static @Nullable String framingFault(HeaderMap headers) {
         HeaderValues lengths = headers.get(Headers.CONTENT_LENGTH);
--- a/kernel/src/main/java/org/marjoramswitch/kernel/entry/Entry.java
+++ b/kernel/src/main/java/org/marjoramswitch/kernel/entry/Entry.java
@@ -115,8 +115,10 @@
     /** Queues a new request of a caller, or fails it immediately if it cannot be accepted. */
     public void arrived(RequestSpec spec, long nowMs, ActionSink sink) {
         PoolSettings settings = fleet.settings().pools().get(spec.pool());
+        // The request was routed by other settings than these, which do not show whether its route still exists.
         Failure refusal = settings == null
-                ? Failure.notRun(ErrorType.UNKNOWN_POOL, 0, spec.pool().name())
+                ? Failure.notRun(
+                        ErrorType.NO_TARGET_IN_TIME, RETRY_AFTER_MS, spec.pool().name())
                 : refusal(spec, nowMs);
         if (refusal != null) {
             refuse(spec, refusal, sink);
--- a/kernel/src/test/java/org/marjoramswitch/kernel/entry/EntryTest.java
+++ b/kernel/src/test/java/org/marjoramswitch/kernel/entry/EntryTest.java
@@ -71,6 +71,18 @@
         assertTrue(failure.retryAfterMs() > 0);
     }
 
+    /** Guards against a 404 for a proper request that was routed by settings with another set of pools. */
+    @Test
+    void requestOnAPoolThatIsMissingIsRejectedWithRetryAfter() {
+        fleet.settings(FleetSettings.of(2, Map.of(), Map.of(), Map.of()));
+        arrive(1, true);
+
+        Failure failure = onlyFailure();
+        assertEquals(503, failure.type().httpStatus());
+        assertEquals(RunState.NOT_RUN, failure.run());
+        assertTrue(failure.retryAfterMs() > 0);
+    }
+
     @Test
     void brokenAttemptFollowedByRejectedOnesEndsAsUnknown() {
         // The first target accepts the request and breaks off; the retry is rejected by the second. The failure must
