Keep a retry budget of their own for requests that may have run

Cause: all retries of a pool at an entry came from one budget, 10 and a tenth of the successes. After the crash each request that is sent to the dead target until it is ejected finds its connection refused and takes a retry, within milliseconds. A request whose connection broke before the response, and which the target may have run, then finds the budget empty.

Change: requests that may have run take retries from a budget of their own.

Test: EntryTest#refusedAttemptsLeaveRetriesForRequestsThatMayHaveRun, which failed before with a failure in place of a retry.

Ruled out: no charge for refused connections, since the transport reports them and a target's own rejection alike as REFUSED, and a retry after those does load the pool.

--- a/kernel/src/main/java/org/marjoramswitch/kernel/entry/Entry.java
+++ b/kernel/src/main/java/org/marjoramswitch/kernel/entry/Entry.java
@@ -627,7 +627,7 @@
             EntryRequest request, TargetOutcome outcome, PoolQueues pool, long nowMs, ActionSink sink) {
         if (outcome == TargetOutcome.COMPLETED) {
             PoolSettings settings = poolSettings(request);
-            pool.retryBudget().succeeded(settings == null ? 0 : settings.retryShare());
+            pool.succeeded(settings == null ? 0 : settings.retryShare());
             complete(request, sink);
             return;
         }
@@ -678,7 +678,7 @@
 
     private boolean takeRetry(EntryRequest request, PoolQueues pool, long nowMs) {
         if (request.spec().placement() == null) {
-            return pool.retryBudget().take();
+            return pool.takeRetry(request.mayHaveRun());
         }
         int instances = fleet.view().members().size();
         return pool.windowedRetryBudget().take(options.resendLimits(), instances, nowMs);
--- a/kernel/src/main/java/org/marjoramswitch/kernel/entry/PoolQueues.java
+++ b/kernel/src/main/java/org/marjoramswitch/kernel/entry/PoolQueues.java
@@ -17,7 +17,8 @@
     private final PoolId pool;
     private final Map<CustomerId, CustomerQueue> waiting = new TreeMap<>();
     private final Map<CustomerId, DrainRate> drainRates = new TreeMap<>();
-    private final RetryBudget retryBudget = RetryBudget.create();
+    private final RetryBudget retriesNotRun = RetryBudget.create();
+    private final RetryBudget retriesMayHaveRun = RetryBudget.create();
     private final WindowedRetryBudget windowedRetryBudget = WindowedRetryBudget.create();
     private final PrefixDirectory prefixes = new PrefixDirectory();
     private final Map<CustomerId, CellId> homes = new TreeMap<>();
@@ -35,9 +36,23 @@
         return pool;
     }
 
-    /** The retry budget of granted requests: a share of this entry's successes. */
-    RetryBudget retryBudget() {
-        return retryBudget;
+    /**
+     * Records a success of a granted request, of which a share may be retried.
+     *
+     * @param retryShare retries allowed per success
+     */
+    void succeeded(double retryShare) {
+        retriesNotRun.succeeded(retryShare);
+        retriesMayHaveRun.succeeded(retryShare);
+    }
+
+    /**
+     * Takes a retry of a granted request from its budget; false if none is left. Connections that a crashed target
+     * refuses use up a budget within milliseconds, so requests that it may have run have a budget of their own: without
+     * a retry the caller could not know whether they ran.
+     */
+    boolean takeRetry(boolean mayHaveRun) {
+        return mayHaveRun ? retriesMayHaveRun.take() : retriesNotRun.take();
     }
 
     /** The retry budget of placed requests: a share of the requests in a time window, across the whole fleet. */
--- a/kernel/src/test/java/org/marjoramswitch/kernel/entry/EntryTest.java
+++ b/kernel/src/test/java/org/marjoramswitch/kernel/entry/EntryTest.java
@@ -42,6 +42,8 @@
     private static final DataCentreId DATA_CENTRE = DataCentreId.of("dc");
     private static final long DEADLINE_MS = 30_000;
     private static final int MAX_QUEUED = 3;
+    /** More than the initial retry budget and what their successes add to it. */
+    private static final int REFUSED_REQUESTS = 20;
 
     private final FleetState fleet = FleetState.of(view(ARBITER));
     private final Entry entry = Entry.create(SELF, KernelOptions.defaults(), fleet);
@@ -98,6 +100,26 @@
         assertEquals(RunState.UNKNOWN, onlyFailure().run());
     }
 
+    /** Guards against an unknown outcome because refused connections of a crashed target have used up the retry budget. */
+    @Test
+    void refusedAttemptsLeaveRetriesForRequestsThatMayHaveRun() {
+        for (int id = 1; id <= REFUSED_REQUESTS; id++) {
+            arrive(id, true);
+            grant(T1);
+            end(id, TargetOutcome.REFUSED);
+            grant(T2);
+            end(id, TargetOutcome.COMPLETED);
+        }
+        arrive(REFUSED_REQUESTS + 1, true);
+        grant(T1);
+        actions.clear();
+        end(REFUSED_REQUESTS + 1, TargetOutcome.BROKEN_BEFORE_ANSWER);
+        grant(T2);
+
+        assertEquals(0, count(Action.Fail.class));
+        assertEquals(1, count(Action.Dispatch.class));
+    }
+
     @Test
     void nonRepeatableRequestIsNotRetriedAfterABrokenAttempt() {
         arrive(1, false);
