--- a/kernel/src/test/java/org/marjoramswitch/kernel/placement/PlacementLoadTest.java
+++ b/kernel/src/test/java/org/marjoramswitch/kernel/placement/PlacementLoadTest.java
@@ -8,6 +8,7 @@
 import org.junit.jupiter.params.provider.CsvSource;
 import org.junit.jupiter.params.provider.ValueSource;
 import org.marjoramswitch.kernel.model.CustomerId;
+import org.marjoramswitch.kernel.model.InstanceId;
 import org.marjoramswitch.kernel.placement.PlacementSimulation.Kind;
 import org.marjoramswitch.kernel.settings.EngineMemory;
 
@@ -26,6 +27,12 @@
     private static final SimulatedEngine.Speed LARGE_ENGINE =
             new SimulatedEngine.Speed(16, 3.55, 0.0462, 157, EngineMemory.fetching(636_749, 0.0004));
     private static final int LARGE_ENGINES = 37;
+    private static final SimulatedEngine.Speed SLOW_ENGINE =
+            new SimulatedEngine.Speed(128, 3.23, 0.0483, 112, 0.154, EngineMemory.fetching(986_232, 0.000256));
+    private static final double SLOW_FIRST_BYTE_MS = 150;
+    private static final double SLOW_PER_SECOND = 170;
+    private static final int SLOW_ENGINES = 6;
+    private static final int SLOW_ENTRIES = 8;
     /** A tenth of the customers send eleven times as much as the others. */
     private static final int LARGE_CUSTOMERS = 60;
 
@@ -211,6 +218,26 @@
         assertTrue(simulation.of(customer(2)).inTimeShare() >= 0.95, simulation::toString);
     }
 
+    /**
+     * Guards against taking entries on time for lagging ones where first bytes are slow and differ by hundreds of
+     * milliseconds, so that engines seem to have little to prefill and get more than they can.
+     */
+    @ParameterizedTest
+    @ValueSource(longs = {1, 2, 3})
+    void slowFirstBytesAreNotTakenForLaggingEntries(long seed) {
+        PlacementSimulation simulation =
+                new PlacementSimulation(SLOW_ENGINES, SLOW_ENGINE, PlacementSimulation.Sizes.UNEVEN, seed);
+        for (int i = 0; i < CUSTOMERS; i++) {
+            simulation.enterBy(customer(i), InstanceId.of("entry-" + i % SLOW_ENTRIES));
+            simulation.load(customer(i), SLOW_PER_SECOND / CUSTOMERS, 0, LOAD_UNTIL_MS);
+        }
+        simulation.delayFirstBytes(SLOW_FIRST_BYTE_MS);
+        simulation.run(RUN_UNTIL_MS);
+        assertTrue(simulation.valueShare() > 0.46, simulation::toString);
+        double repeatedShare = (double) simulation.repeatedPrefillTokens() / simulation.prefilledTokens();
+        assertTrue(repeatedShare < 0.02, simulation::toString);
+    }
+
     /** No engine is idle while a request waits, and no request is rejected while there is capacity. */
     @Test
     void nothingIsRejectedBelowCapacity() {
--- a/kernel/src/test/java/org/marjoramswitch/kernel/placement/PlacementSimulation.java
+++ b/kernel/src/test/java/org/marjoramswitch/kernel/placement/PlacementSimulation.java
@@ -41,6 +41,7 @@
     private static final double TOP_TENTH_SIGMAS = 1.2816;
 
     private static final double OUTPUT_SIGMA = 0.8;
+    private static final double FIRST_BYTE_SIGMA = 1;
     private static final int FIRST_PART_TOKENS = 300;
     /** Value of a late response relative to one in time. */
     private static final double LATE_VALUE = 0.3;
@@ -54,11 +55,13 @@
     private final Map<Kind, Tally> tallies = new EnumMap<>(Kind.class);
     private final Map<CustomerId, Tally> byCustomer = new TreeMap<>();
     private final Map<CustomerId, Double> entryDelayMs = new HashMap<>();
+    private final Map<CustomerId, InstanceId> entries = new HashMap<>();
     private final Map<CustomerId, Long> begunTokens = new HashMap<>();
     private final Set<Long> prefilledAnywhere = new HashSet<>();
     private final Map<Kind, Tally> largest = new EnumMap<>(Kind.class);
     private final Sizes sizes;
     private final Random random;
+    private double firstByteDelayMs;
     private long nextId;
     private long order;
     private double nowMs;
@@ -208,6 +211,16 @@
         }
     }
 
+    /** Delays each first byte by a random time of this mean, which is not used for other requests. */
+    void delayFirstBytes(double meanMs) {
+        firstByteDelayMs = meanMs;
+    }
+
+    /** Sends the customer's requests by this entry. */
+    void enterBy(CustomerId customer, InstanceId entry) {
+        entries.put(customer, entry);
+    }
+
     /** Sends the customer's requests by an entry that lags by {@code delayMs} in all that it does. */
     void delay(CustomerId customer, double delayMs) {
         entryDelayMs.put(customer, delayMs);
@@ -336,7 +349,8 @@
     }
 
     private InstanceId entryOf(Request request) {
-        return entryDelayMs.containsKey(request.customer()) ? LAGGING_ENTRY : ENTRY;
+        InstanceId defaultEntry = entryDelayMs.containsKey(request.customer()) ? LAGGING_ENTRY : ENTRY;
+        return entries.getOrDefault(request.customer(), defaultEntry);
     }
 
     private void decide() {
@@ -374,7 +388,8 @@
                         placed.fetchFrom() == null ? null : engines.get(placed.fetchFrom()),
                         new SimulatedEngine.Listener() {
                             @Override
-                            public void onFirstToken(double atMs) {
+                            public void onFirstToken(double tokenAtMs) {
+                                double atMs = tokenAtMs + randomFirstByteDelayMs();
                                 boolean inTime = atMs + 2 * ONE_WAY_DELAY_MS - request.firstSentAtMs()
                                         <= request.kind().objectiveMs;
                                 count(request, inTime ? tally -> tally.inTime++ : tally -> tally.late++);
@@ -402,6 +417,10 @@
                 nowMs);
     }
 
+    private double randomFirstByteDelayMs() {
+        return firstByteDelayMs == 0 ? 0 : spread(firstByteDelayMs, FIRST_BYTE_SIGMA, random);
+    }
+
     private void report(double atMs, Runnable task) {
         at(Math.max(nowMs, atMs + REPORT_DELAY_MS), task);
     }
--- a/kernel/src/test/java/org/marjoramswitch/kernel/placement/SimulatedEngine.java
+++ b/kernel/src/test/java/org/marjoramswitch/kernel/placement/SimulatedEngine.java
@@ -44,13 +44,28 @@
      * @param stepMs duration of an empty step
      * @param slotMs additional step time per running request
      * @param prefillTokensPerMs prompt tokens prefilled per millisecond
+     * @param attentionMs additional time to prefill a token for each million tokens before it
      * @param memory memory for running requests and cached parts
      */
-    record Speed(int slots, double stepMs, double slotMs, double prefillTokensPerMs, EngineMemory memory) {
+    record Speed(
+            int slots,
+            double stepMs,
+            double slotMs,
+            double prefillTokensPerMs,
+            double attentionMs,
+            EngineMemory memory) {
+        Speed(int slots, double stepMs, double slotMs, double prefillTokensPerMs, EngineMemory memory) {
+            this(slots, stepMs, slotMs, prefillTokensPerMs, 0, memory);
+        }
+
         Speed fetching(double fetchMsPerToken) {
             return new Speed(
                     slots, stepMs, slotMs, prefillTokensPerMs, EngineMemory.fetching(memory.tokens(), fetchMsPerToken));
         }
+
+        double prefillMs(long tokens, long tokensBefore) {
+            return tokens / prefillTokensPerMs + attentionMs * tokens * (tokensBefore + tokens / 2.0) / 1_000_000;
+        }
     }
 
     /** One request at an engine. */
@@ -69,6 +84,10 @@
             this.fetchFrom = fetchFrom;
             this.listener = listener;
         }
+
+        private long prefilledTokens() {
+            return prompt.stream().mapToLong(PromptPart::tokens).sum() - pendingTokens;
+        }
     }
 
     /** Receives a request's first token and end. */
@@ -107,9 +126,10 @@
         if (!stepping) {
             return;
         }
-        chunkTokens = prefilling.isEmpty() ? 0 : Math.min(CHUNK_TOKENS, prefilling.peek().pendingTokens);
-        stepEndsMs =
-                nowMs + speed.stepMs() + speed.slotMs() * running.size() + chunkTokens / speed.prefillTokensPerMs();
+        Generation oldest = prefilling.peek();
+        chunkTokens = oldest == null ? 0 : Math.min(CHUNK_TOKENS, oldest.pendingTokens);
+        double prefillMs = oldest == null ? 0 : speed.prefillMs(chunkTokens, oldest.prefilledTokens());
+        stepEndsMs = nowMs + speed.stepMs() + speed.slotMs() * running.size() + prefillMs;
     }
 
     private void admit(Generation generation) {
