Recognize the lag of an I/O thread whose timers do not fire

Cause: an I/O thread of XNIO runs its task queue to the end before it looks at its timers and its sockets. Each accepted connection is a task, and so is each write to a caller. While tasks come faster than they are done, no timer fires and no socket is read: neither a caller's close nor a target's response, which waits unread for seconds. The probe of the lag is such a timer, so it did not report anything, and the instance went on accepting.

Change: a timer that is overdue by 200 ms counts as lag at once, and each of the I/O threads has its own, not one of two.

Test: LagProbeTest#threadWhoseTimersDoNotFireIsLagging, which failed before.

--- a/daemon/src/main/java/org/marjoramswitch/daemon/caller/ForwardServer.java
+++ b/daemon/src/main/java/org/marjoramswitch/daemon/caller/ForwardServer.java
@@ -4,10 +4,12 @@
 import io.undertow.Undertow;
 import io.undertow.UndertowOptions;
 import io.undertow.server.HttpHandler;
+import java.util.List;
 import java.util.Map;
 import java.util.function.BooleanSupplier;
 import java.util.function.LongSupplier;
 import java.util.function.Supplier;
+import java.util.stream.IntStream;
 import org.marjoramswitch.daemon.exchange.CallDecoder;
 import org.marjoramswitch.daemon.exchange.RequestSubmitter;
 import org.marjoramswitch.daemon.route.CallerLimits;
@@ -15,6 +17,7 @@
 import org.marjoramswitch.daemon.settings.HostPort;
 import org.xnio.OptionMap;
 import org.xnio.Options;
+import org.xnio.XnioIoThread;
 import org.xnio.XnioWorker;
 
 /** HTTP server of an instance that forwards requests on the operators' routes. */
@@ -56,7 +59,7 @@
      */
     public static ForwardServer start(Parts parts, XnioWorker worker, MetricRegistry metrics) {
         MemoryBudget budget = MemoryBudget.of(parts.options().maxBufferedBytes());
-        LagProbe lag = LagProbe.start(worker.getIoThread(), parts.decisionsLagMs(), parts.clockMs());
+        LagProbe lag = LagProbe.start(ioThreads(worker), parts.decisionsLagMs(), parts.clockMs());
         ForwardHandler forward = new ForwardHandler(
                 parts.options(),
                 parts.decoder(),
@@ -83,6 +86,12 @@
         return server;
     }
 
+    private static List<XnioIoThread> ioThreads(XnioWorker worker) {
+        return IntStream.range(0, worker.getIoThreadCount())
+                .mapToObj(worker::getIoThread)
+                .toList();
+    }
+
     /** Applies the limits to new connections. The limit of a body's size is also checked for each request. */
     public void applyLimits(CallerLimits limits) {
         OptionMap options = OptionMap.builder()
--- a/daemon/src/main/java/org/marjoramswitch/daemon/caller/LagProbe.java
+++ b/daemon/src/main/java/org/marjoramswitch/daemon/caller/LagProbe.java
@@ -1,5 +1,6 @@
 package org.marjoramswitch.daemon.caller;
 
+import java.util.List;
 import java.util.concurrent.RejectedExecutionException;
 import java.util.concurrent.TimeUnit;
 import java.util.function.LongSupplier;
@@ -7,33 +8,42 @@
 import org.xnio.XnioExecutor;
 
 /**
- * Samples the instance's lag: the delay of a timer on an I/O thread that serves callers, or the time that the last
+ * Samples the instance's lag: the delay of a timer on each I/O thread that serves callers, or the time that the last
  * event waited to be processed by the decision loop, whichever is longer.
+ *
+ * <p>An I/O thread runs its timers only when its task queue is empty, and each new connection is a task. While
+ * connections arrive faster than they are served, no timer fires at all, so an overdue timer counts as well.
  */
 final class LagProbe implements AutoCloseable {
     private static final KeyValueLog LOG = KeyValueLog.of(LagProbe.class);
+    /** Longer than a single pause that {@link PersistentLagDetector} ignores. */
+    private static final long MAX_OVERDUE_MS = 200;
 
-    private final XnioExecutor thread;
     private final LongSupplier decisionsLagMs;
     private final LongSupplier clockMs;
-    private final PersistentLagDetector lag = new PersistentLagDetector();
-    private long dueMs;
+    private final List<Sampler> samplers;
     private volatile boolean closed;
 
-    private LagProbe(XnioExecutor thread, LongSupplier decisionsLagMs, LongSupplier clockMs) {
-        this.thread = thread;
+    private LagProbe(List<? extends XnioExecutor> threads, LongSupplier decisionsLagMs, LongSupplier clockMs) {
         this.decisionsLagMs = decisionsLagMs;
         this.clockMs = clockMs;
+        this.samplers = threads.stream().map(Sampler::new).toList();
     }
 
-    static LagProbe start(XnioExecutor thread, LongSupplier decisionsLagMs, LongSupplier clockMs) {
-        LagProbe probe = new LagProbe(thread, decisionsLagMs, clockMs);
-        probe.scheduleSample();
+    static LagProbe start(List<? extends XnioExecutor> threads, LongSupplier decisionsLagMs, LongSupplier clockMs) {
+        LagProbe probe = new LagProbe(threads, decisionsLagMs, clockMs);
+        probe.samplers.forEach(Sampler::schedule);
         return probe;
     }
 
     boolean isLagging() {
-        return lag.isPersistent();
+        long nowMs = clockMs.getAsLong();
+        for (Sampler sampler : samplers) {
+            if (sampler.isLagging(nowMs)) {
+                return true;
+            }
+        }
+        return false;
     }
 
     @Override
@@ -41,25 +51,43 @@
         closed = true;
     }
 
-    private void scheduleSample() {
-        dueMs = clockMs.getAsLong() + PersistentLagDetector.SAMPLE_MS;
-        try {
-            thread.executeAfter(this::sample, PersistentLagDetector.SAMPLE_MS, TimeUnit.MILLISECONDS);
-        } catch (RejectedExecutionException e) {
-            LOG.debug("lag_probe_closed_late", "reason", String.valueOf(e.getMessage()));
+    /** Samples the lag of one I/O thread. */
+    private final class Sampler {
+        private final XnioExecutor thread;
+        private final PersistentLagDetector lag = new PersistentLagDetector();
+        private volatile long dueMs;
+
+        Sampler(XnioExecutor thread) {
+            this.thread = thread;
         }
-    }
 
-    private void sample() {
-        if (closed) {
-            return;
+        boolean isLagging(long nowMs) {
+            return lag.isPersistent() || nowMs - dueMs >= MAX_OVERDUE_MS;
         }
-        boolean wasLagging = lag.isPersistent();
-        long lateMs = Math.max(clockMs.getAsLong() - dueMs, decisionsLagMs.getAsLong());
-        lag.sample(lateMs);
-        if (wasLagging != lag.isPersistent()) {
-            LOG.info(wasLagging ? "instance_on_time" : "instance_behind", "lateMs", lateMs);
+
+        void schedule() {
+            dueMs = clockMs.getAsLong() + PersistentLagDetector.SAMPLE_MS;
+            try {
+                thread.executeAfter(this::sample, PersistentLagDetector.SAMPLE_MS, TimeUnit.MILLISECONDS);
+            } catch (RejectedExecutionException e) {
+                LOG.debug("lag_probe_closed_late", "reason", String.valueOf(e.getMessage()));
+            }
+        }
+
+        private void sample() {
+            if (closed) {
+                return;
+            }
+            long overdueMs = clockMs.getAsLong() - dueMs;
+            boolean wasLagging = lag.isPersistent();
+            long lateMs = Math.max(overdueMs, decisionsLagMs.getAsLong());
+            lag.sample(lateMs);
+            if (wasLagging != lag.isPersistent()) {
+                LOG.info(wasLagging ? "instance_on_time" : "instance_behind", "lateMs", lateMs);
+            } else if (overdueMs >= MAX_OVERDUE_MS) {
+                LOG.info("instance_was_behind", "lateMs", lateMs);
+            }
+            schedule();
         }
-        scheduleSample();
     }
 }
--- a/daemon/src/main/java/org/marjoramswitch/daemon/fleet/ActiveFleetSettings.java
+++ b/daemon/src/main/java/org/marjoramswitch/daemon/fleet/ActiveFleetSettings.java
@@ -62,8 +62,8 @@
 
     private TargetSettings withPoolSettings(TargetSettings target, PoolSettings pool) {
         EngineMemory memory = newest.memories().getOrDefault(pool.id(), EngineMemory.UNKNOWN);
-        ColdStart coldStart = ColdStart.until(
-                target.coldStart().untilMs(), pool.coldStart().requestsPerSecond());
+        ColdStart coldStart =
+                ColdStart.until(target.coldStart().untilMs(), pool.coldStart().requestsPerSecond());
         return target.withMemory(memory).withColdStart(coldStart);
     }
 }
--- /dev/null
+++ b/daemon/src/test/java/org/marjoramswitch/daemon/caller/LagProbeTest.java
@@ -0,0 +1,77 @@
+package org.marjoramswitch.daemon.caller;
+
+import static org.junit.jupiter.api.Assertions.assertFalse;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import java.util.ArrayDeque;
+import java.util.List;
+import java.util.Queue;
+import java.util.concurrent.TimeUnit;
+import org.junit.jupiter.api.Test;
+import org.xnio.XnioExecutor;
+
+class LagProbeTest {
+    private final ManualExecutor onTime = new ManualExecutor();
+    private final ManualExecutor busy = new ManualExecutor();
+    private long nowMs = 1_000;
+    private final LagProbe probe = LagProbe.start(List.of(onTime, busy), () -> 0, () -> nowMs);
+
+    /** Guards against accepting requests for seconds because the timer that would show the lag never fires. */
+    @Test
+    void threadWhoseTimersDoNotFireIsLagging() {
+        for (int i = 0; i < 20; i++) {
+            nowMs += PersistentLagDetector.SAMPLE_MS;
+            onTime.runTimers();
+        }
+        assertTrue(probe.isLagging());
+        busy.runTimers();
+        assertFalse(probe.isLagging());
+    }
+
+    @Test
+    void singlePauseIsNotALag() {
+        nowMs += 110;
+        assertFalse(probe.isLagging());
+        onTime.runTimers();
+        busy.runTimers();
+        assertFalse(probe.isLagging());
+    }
+
+    @Test
+    void threadThatIsAlwaysLateIsLagging() {
+        for (int i = 0; i < 5; i++) {
+            nowMs += PersistentLagDetector.SAMPLE_MS;
+            onTime.runTimers();
+            nowMs += 100;
+            busy.runTimers();
+        }
+        assertTrue(probe.isLagging());
+    }
+
+    /** An I/O thread whose timers fire when the test says so. */
+    private static final class ManualExecutor implements XnioExecutor {
+        private final Queue<Runnable> timers = new ArrayDeque<>();
+
+        void runTimers() {
+            for (int pending = timers.size(); pending > 0; pending--) {
+                timers.remove().run();
+            }
+        }
+
+        @Override
+        public void execute(Runnable task) {
+            throw new UnsupportedOperationException("no tasks are expected");
+        }
+
+        @Override
+        public Key executeAfter(Runnable task, long time, TimeUnit unit) {
+            timers.add(task);
+            return () -> timers.remove(task);
+        }
+
+        @Override
+        public Key executeAtInterval(Runnable task, long time, TimeUnit unit) {
+            throw new UnsupportedOperationException("no intervals are expected");
+        }
+    }
+}
--- a/daemon/src/test/java/org/marjoramswitch/daemon/fleet/ActiveFleetSettingsTest.java
+++ b/daemon/src/test/java/org/marjoramswitch/daemon/fleet/ActiveFleetSettingsTest.java
@@ -38,7 +38,8 @@
 
     @Test
     void targetsOfUnknownPoolsAreLeftOutUntilTheirPoolIsAdded() {
-        settings.onTargets(Map.of(TARGET, new TargetSettings(TARGET, POOL, "127.0.0.1", 80, DataCentreId.of("dc"), 4, false)));
+        settings.onTargets(
+                Map.of(TARGET, new TargetSettings(TARGET, POOL, "127.0.0.1", 80, DataCentreId.of("dc"), 4, false)));
         settings.onSettings(routed(1));
 
         assertEquals(Set.of(), offered.get(0).targets().keySet());
