--- a/kernel/src/main/java/org/marjoramswitch/kernel/placement/Mechanism.java
+++ b/kernel/src/main/java/org/marjoramswitch/kernel/placement/Mechanism.java
@@ -21,6 +21,10 @@
     LATE_HOLDING,
     /** A request that cannot be started in time is rejected on arrival. */
     EARLY_REFUSAL,
+    /** Late requests of a customer that is served much less than others take their turn among those in time. */
+    LATE_SHARE,
+    /** First bytes that an entry reports late are not learned from, and its prompts do not count as pending. */
+    ENTRY_DELAYS,
     /** An arbiter that lags rejects requests immediately. */
     LAG_REJECTION,
     /** Targets that fail several requests in a row are excluded for a while. */
--- a/kernel/src/main/java/org/marjoramswitch/kernel/placement/PlacementArbiter.java
+++ b/kernel/src/main/java/org/marjoramswitch/kernel/placement/PlacementArbiter.java
@@ -186,7 +186,8 @@
     private void observeFirstByte(InstanceId entry, RunningRequest request, long nowMs) {
         long elapsedMs = nowMs - request.startedAtMs();
         double excessMs = elapsedMs - model.expectedMs(request.tokensAhead());
-        if (entryDelays.record(entry, excessMs, nowMs)) {
+        boolean onTime = entryDelays.record(entry, excessMs, nowMs);
+        if (onTime || !policy.has(Mechanism.ENTRY_DELAYS)) {
             model.observe(request.tokensAhead(), elapsedMs);
         }
     }
@@ -269,7 +270,9 @@
             long queueWaitMs = SizeClass.expectedQueueWaitMs(request.objectiveAtMs() - nowMs);
             lateAtMs = Math.max(lateAtMs, nowMs + queueWaitMs);
         }
-        if (lateAtMs <= nowMs && fairShare.isUnderserved(request.customer(), nowMs)) {
+        if (policy.has(Mechanism.LATE_SHARE)
+                && lateAtMs <= nowMs
+                && fairShare.isUnderserved(request.customer(), nowMs)) {
             lateAtMs = nowMs + LateRequestHold.holdMs(request.deadlineMs(), nowMs);
         }
         if (lateAtMs <= nowMs) {
@@ -428,7 +431,8 @@
         removeWaiting(request.entry(), request.placementId());
         sizes.recordOutcome(request.size(), true);
         // An entry that lags sends the request at an unknown later time; until then the target has nothing to prefill.
-        long prefillTokens = entryDelays.isLate(request.entry()) ? 0 : chosen.prefillTokens();
+        boolean late = policy.has(Mechanism.ENTRY_DELAYS) && entryDelays.isLate(request.entry());
+        long prefillTokens = late ? 0 : chosen.prefillTokens();
         target.started(request.prompt(), prefillTokens, request.memoryTokens(), nowMs);
         target.countStart(targets.coldStartShare(), nowMs);
         choice.started(target);
