Do not take a pause of the process for a lag of its I/O threads

After a pause of the process of 200 ms and more the first request may be handled before the overdue timer fires; the log of the run has timers late by 219, 401 and 406 ms just before.

Change: an overdue timer counts as lag only if more than 20 requests were handled while it was overdue, which is what a flood does and a pause does not.

--- a/daemon/src/main/java/org/marjoramswitch/daemon/caller/LagProbe.java
+++ b/daemon/src/main/java/org/marjoramswitch/daemon/caller/LagProbe.java
@@ -3,6 +3,7 @@
 import java.util.List;
 import java.util.concurrent.RejectedExecutionException;
 import java.util.concurrent.TimeUnit;
+import java.util.concurrent.atomic.AtomicInteger;
 import java.util.function.LongSupplier;
 import org.marjoramswitch.daemon.log.KeyValueLog;
 import org.xnio.XnioExecutor;
@@ -12,12 +13,15 @@
  * event waited to be processed by the decision loop, whichever is longer.
  *
  * <p>An I/O thread runs its timers only when its task queue is empty, and each new connection is a task. While
- * connections arrive faster than they are served, no timer fires at all, so an overdue timer counts as well.
+ * connections arrive faster than they are served, no timer fires at all, so an overdue timer counts as well, provided that
+ * requests are handled meanwhile: after a pause of the process the first ones may come before the timer.
  */
 final class LagProbe implements AutoCloseable {
     private static final KeyValueLog LOG = KeyValueLog.of(LagProbe.class);
     /** Longer than a single pause that {@link PersistentLagDetector} ignores. */
     private static final long MAX_OVERDUE_MS = 200;
+    /** Requests handled while a timer is overdue that show a lag and not a pause. */
+    private static final int MIN_REQUESTS = 20;
 
     private final LongSupplier decisionsLagMs;
     private final LongSupplier clockMs;
@@ -36,6 +40,7 @@
         return probe;
     }
 
+    /** Whether the instance lags; called once for each request. */
     boolean isLagging() {
         long nowMs = clockMs.getAsLong();
         for (Sampler sampler : samplers) {
@@ -55,6 +60,7 @@
     private final class Sampler {
         private final XnioExecutor thread;
         private final PersistentLagDetector lag = new PersistentLagDetector();
+        private final AtomicInteger requestsWhileOverdue = new AtomicInteger();
         private volatile long dueMs;
 
         Sampler(XnioExecutor thread) {
@@ -62,11 +68,15 @@
         }
 
         boolean isLagging(long nowMs) {
-            return lag.isPersistent() || nowMs - dueMs >= MAX_OVERDUE_MS;
+            if (lag.isPersistent()) {
+                return true;
+            }
+            return nowMs - dueMs >= MAX_OVERDUE_MS && requestsWhileOverdue.incrementAndGet() > MIN_REQUESTS;
         }
 
         void schedule() {
             dueMs = clockMs.getAsLong() + PersistentLagDetector.SAMPLE_MS;
+            requestsWhileOverdue.set(0);
             try {
                 thread.executeAfter(this::sample, PersistentLagDetector.SAMPLE_MS, TimeUnit.MILLISECONDS);
             } catch (RejectedExecutionException e) {
