Revert "Learn a target's service time relative to its pool's"

The share was computed against a pool's mean of at least 1 ms, so that of a target that responds in 0 to 1 ms stays far below 1, while a target without observations counts with 1 and is never used.

--- a/kernel/src/main/java/org/marjoramswitch/kernel/placement/TargetLoad.java
+++ b/kernel/src/main/java/org/marjoramswitch/kernel/placement/TargetLoad.java
@@ -13,8 +13,7 @@
     /** Weight of the newest value in an exponential moving average. */
     private static final double GAIN = 0.1;
     /**
-     * Half-life of an observed service time, which decays towards the optimistic estimate so that a slow target is used
-     * again.
+     * Half-life of an observed mean, which decays towards the optimistic estimate so that a slow target is used again.
      */
     private static final double HALF_LIFE_MS = 5_000;
     /**
@@ -22,8 +21,6 @@
      * a target that was slow once would stay the most expensive one as long as requests arrive one at a time.
      */
     private static final double OPTIMISTIC_SERVICE_SHARE = 0.8;
-    /** Limit of one observation relative to the pool's mean, since a single slow response says little about a target. */
-    private static final double MAX_SERVICE_SHARE = 4;
     /**
      * Share of an engine's memory that placements may use; the rest is reserved for load that the arbiter does not know
      * of: requests of other arbiters and responses that are longer than expected.
@@ -39,12 +36,7 @@
     private long pendingPrefillTokens;
     private long prefillingSinceMs;
     private long runningTokens;
-    /**
-     * The mean service time relative to the pool's. An absolute time would become wrong while the target is not used: the
-     * first responses of a process are slow everywhere, and a target that gave one of them would seem slow from then on.
-     */
-    private double serviceShare = 1;
-
+    private double serviceMs;
     private long servedAtMs;
     private double endIntervalMs = HALF_LIFE_MS;
     private long endedAtMs;
@@ -206,23 +198,18 @@
 
     /** Records the service time of a request. */
     void served(long elapsedMs, double poolMeanMs, long nowMs) {
-        double observedShare = Math.min(MAX_SERVICE_SHARE, elapsedMs / Math.max(1, poolMeanMs));
-        double knownShare = serviceShare(nowMs);
-        serviceShare = knownShare + GAIN * (observedShare - knownShare);
+        double knownMs = meanServiceMs(poolMeanMs, nowMs);
+        serviceMs = knownMs + GAIN * (elapsedMs - knownMs);
         servedAtMs = nowMs;
     }
 
-    /** The expected service time here; the pool's mean if none was observed. */
+    /** The mean service time here, decayed by its age; the pool's mean if none was observed. */
     double meanServiceMs(double poolMeanMs, long nowMs) {
-        return serviceShare(nowMs) * poolMeanMs;
-    }
-
-    /** The observed share, decayed by its age. */
-    private double serviceShare(long nowMs) {
         if (servedAtMs == 0) {
-            return 1;
+            return poolMeanMs;
         }
         double freshness = Math.pow(0.5, (nowMs - servedAtMs) / HALF_LIFE_MS);
-        return OPTIMISTIC_SERVICE_SHARE + freshness * (serviceShare - OPTIMISTIC_SERVICE_SHARE);
+        double optimisticMs = OPTIMISTIC_SERVICE_SHARE * poolMeanMs;
+        return optimisticMs + freshness * (serviceMs - optimisticMs);
     }
 }
