Read a target's software version and what a request resumes, and log both

None of this was in the log: the version in a target's entry was checked and dropped, the Resumes header was not read. target_ready and dispatch now show them. No decision uses them yet.

--- a/daemon/src/main/java/org/marjoramswitch/daemon/caller/RoutedCall.java
+++ b/daemon/src/main/java/org/marjoramswitch/daemon/caller/RoutedCall.java
@@ -11,6 +11,7 @@
 import org.marjoramswitch.kernel.model.PlacementSpec;
 import org.marjoramswitch.kernel.model.PromptPart;
 import org.marjoramswitch.kernel.model.RequestSpec;
+import org.marjoramswitch.kernel.model.StreamSpec;
 import org.marjoramswitch.kernel.settings.PoolSettings;
 import org.marjoramswitch.kernel.settings.TargetKind;
 
@@ -72,7 +73,15 @@
             return PlacementSpec.plain(objectiveAtMs, route.attempts());
         }
         boolean resumable = route.kind().isRepeatable() && route.kind().isStreaming();
-        return new PlacementSpec(metadata.prompt(), outputTokens(), objectiveAtMs, route.attempts(), resumable);
+        return new PlacementSpec(metadata.prompt(), outputTokens(), objectiveAtMs, route.attempts(), resumable)
+                .withStream(resumable ? stream() : null);
+    }
+
+    private StreamSpec stream() {
+        long requestKey = StreamSpec.key(customer, metadata.requestId());
+        return metadata.resumes()
+                ? StreamSpec.resuming(requestKey, StreamSpec.key(customer, metadata.resumedRequestId()))
+                : StreamSpec.beginning(requestKey);
     }
 
     /** The caller's estimate, which is correct at the median, or else the caller's limit. */
--- a/daemon/src/main/java/org/marjoramswitch/daemon/exchange/CallDecoder.java
+++ b/daemon/src/main/java/org/marjoramswitch/daemon/exchange/CallDecoder.java
@@ -30,11 +30,20 @@
      * @param prompt the prompt's parts in order
      * @param maxOutputTokens limit of the response's tokens; 0 if not given
      * @param expectedOutputTokens the caller's estimate; 0 if not given
+     * @param lastEventId the last event of a stream that the caller received; empty if it received none
+     * @param resumedRequestId the request whose response began the stream that is resumed; empty if not given
      */
     record CallMetadata(
             String requestId,
             long timeoutMs,
             List<PromptPart> prompt,
             long maxOutputTokens,
-            long expectedOutputTokens) {}
+            long expectedOutputTokens,
+            String lastEventId,
+            String resumedRequestId) {
+        /** Whether the caller resumes a stream of which it has received a part. */
+        public boolean resumes() {
+            return !lastEventId.isEmpty() || !resumedRequestId.isEmpty();
+        }
+    }
 }
--- a/daemon/src/main/java/org/marjoramswitch/daemon/fleet/TargetList.java
+++ b/daemon/src/main/java/org/marjoramswitch/daemon/fleet/TargetList.java
@@ -204,7 +204,16 @@
     private void logChanges(Map<TargetId, TargetSettings> ready) {
         ready.forEach((id, target) -> {
             if (!published.containsKey(id)) {
-                LOG.info("target_ready", "target", id, "pool", target.pool(), "dataCentre", target.dataCentre());
+                LOG.info(
+                        "target_ready",
+                        "target",
+                        id,
+                        "pool",
+                        target.pool(),
+                        "dataCentre",
+                        target.dataCentre(),
+                        "softwareVersion",
+                        target.softwareVersion());
             }
         });
         published.forEach((id, target) -> {
--- a/daemon/src/test/java/org/marjoramswitch/daemon/caller/ForwardServerTest.java
+++ b/daemon/src/test/java/org/marjoramswitch/daemon/caller/ForwardServerTest.java
@@ -157,7 +157,7 @@
     private static final class PlainDecoder implements CallDecoder {
         @Override
         public CallMetadata read(Map<String, String> headers) {
-            return new CallMetadata("", 0, List.of(), 0, 0);
+            return new CallMetadata("", 0, List.of(), 0, 0, "", "");
         }
 
         @Override
--- a/kernel/src/main/java/org/marjoramswitch/kernel/entry/Entry.java
+++ b/kernel/src/main/java/org/marjoramswitch/kernel/entry/Entry.java
@@ -25,12 +25,14 @@
 import org.marjoramswitch.kernel.model.PoolId;
 import org.marjoramswitch.kernel.model.RequestSpec;
 import org.marjoramswitch.kernel.model.RunState;
+import org.marjoramswitch.kernel.model.StreamSpec;
 import org.marjoramswitch.kernel.model.TargetId;
 import org.marjoramswitch.kernel.model.TargetOutcome;
 import org.marjoramswitch.kernel.model.Usage;
 import org.marjoramswitch.kernel.placement.RetryAfterPolicy;
 import org.marjoramswitch.kernel.settings.CustomerSettings;
 import org.marjoramswitch.kernel.settings.PoolSettings;
+import org.marjoramswitch.kernel.settings.TargetSettings;
 
 /**
  * Queues the requests of one instance's own callers, binds grants to them, evaluates how attempts ended and completes
@@ -596,6 +598,10 @@
                 sequence,
                 "reason",
                 reason,
+                "softwareVersion",
+                softwareVersion(target),
+                "resumes",
+                resumes(spec),
                 "prefixHeld",
                 prefixHeld,
                 "fetchFrom",
@@ -604,6 +610,20 @@
                 nowMs - request.arrivedAtMs())));
     }
 
+    private String softwareVersion(TargetId target) {
+        TargetSettings settings = fleet.settings().targets().get(target);
+        return settings == null ? "" : settings.softwareVersion();
+    }
+
+    /** The key of the stream's beginning if the caller resumes one, "unnamed" if it does not name the beginning. */
+    private static String resumes(RequestSpec spec) {
+        StreamSpec stream = spec.placement() == null ? null : spec.placement().stream();
+        if (stream == null || !stream.resumed()) {
+            return "-";
+        }
+        return stream.beginningKey() == 0 ? "unnamed" : Long.toHexString(stream.beginningKey());
+    }
+
     private void settle(
             EntryRequest request, TargetOutcome outcome, Usage usage, @Nullable CellLink link, ActionSink sink) {
         PoolSettings pool = poolSettings(request);
--- a/kernel/src/main/java/org/marjoramswitch/kernel/settings/TargetSettings.java
+++ b/kernel/src/main/java/org/marjoramswitch/kernel/settings/TargetSettings.java
@@ -14,6 +14,8 @@
  * @param startedAtMs start time of the target process by its own clock, 0 if unknown. A target that restarts under the
  *     same name is a new one, without cached prompts or running requests.
  * @param coldStart the target's current or last cold start
+ * @param softwareVersion the version of the target's software; a stream that one version began cannot be continued by
+ *     another. Empty if unknown.
  */
 public record TargetSettings(
         TargetId id,
@@ -25,7 +27,8 @@
         boolean checksFencing,
         EngineMemory memory,
         long startedAtMs,
-        ColdStart coldStart) {
+        ColdStart coldStart,
+        String softwareVersion) {
     /** Creates settings of a warm target with an unknown start time. */
     public TargetSettings(
             TargetId id,
@@ -36,7 +39,7 @@
             int slots,
             boolean checksFencing,
             EngineMemory memory) {
-        this(id, pool, host, port, dataCentre, slots, checksFencing, memory, 0, ColdStart.NONE);
+        this(id, pool, host, port, dataCentre, slots, checksFencing, memory, 0, ColdStart.NONE, "");
     }
 
     /** Creates settings of a target with unknown memory. */
@@ -53,16 +56,61 @@
 
     public TargetSettings withMemory(EngineMemory newMemory) {
         return new TargetSettings(
-                id, pool, host, port, dataCentre, slots, checksFencing, newMemory, startedAtMs, coldStart);
+                id,
+                pool,
+                host,
+                port,
+                dataCentre,
+                slots,
+                checksFencing,
+                newMemory,
+                startedAtMs,
+                coldStart,
+                softwareVersion);
     }
 
     public TargetSettings withStart(long newStartedAtMs) {
         return new TargetSettings(
-                id, pool, host, port, dataCentre, slots, checksFencing, memory, newStartedAtMs, coldStart);
+                id,
+                pool,
+                host,
+                port,
+                dataCentre,
+                slots,
+                checksFencing,
+                memory,
+                newStartedAtMs,
+                coldStart,
+                softwareVersion);
     }
 
     public TargetSettings withColdStart(ColdStart newColdStart) {
         return new TargetSettings(
-                id, pool, host, port, dataCentre, slots, checksFencing, memory, startedAtMs, newColdStart);
+                id,
+                pool,
+                host,
+                port,
+                dataCentre,
+                slots,
+                checksFencing,
+                memory,
+                startedAtMs,
+                newColdStart,
+                softwareVersion);
+    }
+
+    public TargetSettings withSoftwareVersion(String newSoftwareVersion) {
+        return new TargetSettings(
+                id,
+                pool,
+                host,
+                port,
+                dataCentre,
+                slots,
+                checksFencing,
+                memory,
+                startedAtMs,
+                coldStart,
+                newSoftwareVersion);
     }
 }
