--- a/daemon/src/main/java/org/marjoramswitch/daemon/ForwardingDaemon.java
+++ b/daemon/src/main/java/org/marjoramswitch/daemon/ForwardingDaemon.java
@@ -12,6 +12,7 @@
 import org.marjoramswitch.daemon.caller.InfoHandlers;
 import org.marjoramswitch.daemon.caller.InstanceDirectory;
 import org.marjoramswitch.daemon.configuration.RoutedSettingsFollower;
+import org.marjoramswitch.daemon.core.KernelStatus;
 import org.marjoramswitch.daemon.exchange.CallDecoder;
 import org.marjoramswitch.daemon.fleet.ActiveFleetSettings;
 import org.marjoramswitch.daemon.fleet.EvacuationList;
@@ -182,6 +183,11 @@
         return settings.routed().version() == 0 ? Health.notReady("no settings yet") : Health.READY;
     }
 
+    /** Returns the state of the instance's decisions, which may be some milliseconds old. */
+    public KernelStatus status() {
+        return core.kernel().status();
+    }
+
     /**
      * Announces that the instance is draining, but accepts requests for a while longer: callers cache addresses, and a
      * request rejected here would reach another instance late. Each response closes its connection.
--- a/daemon/src/main/java/org/marjoramswitch/daemon/caller/ForwardHandler.java
+++ b/daemon/src/main/java/org/marjoramswitch/daemon/caller/ForwardHandler.java
@@ -173,7 +173,7 @@
         Map<String, String> headers = endToEnd(caller.http().getRequestHeaders());
         CallMetadata metadata = decoder.read(headers);
         long requestId = submitter.nextRequestId();
-        PoolId poolId = route.pool(metadata.requestId().hashCode());
+        PoolId poolId = route.pool(metadata.routingId().hashCode());
         PoolSettings pool = current.pools().get(poolId);
         caller.setPool(poolId);
         caller.setRequestId(requestId);
--- a/daemon/src/main/java/org/marjoramswitch/daemon/exchange/CallDecoder.java
+++ b/daemon/src/main/java/org/marjoramswitch/daemon/exchange/CallDecoder.java
@@ -41,6 +41,11 @@
             long expectedOutputTokens,
             String lastEventId,
             String resumedRequestId) {
+        /** The id that selects the pool of a split route: a stream is continued by the pool that began it. */
+        public String routingId() {
+            return resumedRequestId.isEmpty() ? requestId : resumedRequestId;
+        }
+
         /** Whether the caller resumes a stream of which it has received a part. */
         public boolean resumes() {
             return !lastEventId.isEmpty() || !resumedRequestId.isEmpty();
--- a/kernel/src/main/java/org/marjoramswitch/kernel/InstanceKernel.java
+++ b/kernel/src/main/java/org/marjoramswitch/kernel/InstanceKernel.java
@@ -27,6 +27,8 @@
 import org.marjoramswitch.kernel.settings.FleetSettings;
 import org.marjoramswitch.kernel.settings.PoolSettings;
 import org.marjoramswitch.kernel.settings.TargetSettings;
+import org.marjoramswitch.kernel.stream.ServedVersions;
+import org.marjoramswitch.kernel.stream.StreamDirectory;
 
 /**
  * Makes all routing decisions of one instance, as the entry instance of its own callers and as the arbiter of the cells
@@ -55,6 +57,9 @@
     private final Map<CellId, Long> assignedSinceMs = new TreeMap<>();
     private final Set<CellId> changedCells = new TreeSet<>();
     private final PlacementArbiters placements;
+    private final StreamDirectory streams = StreamDirectory.create();
+    private final ServedVersions servedVersions = ServedVersions.create();
+    private final StreamReplication streamReplication;
     private final Deque<PeerMessage> selfMessages = new ArrayDeque<>();
     private final SilentPeerDetector silentEntryDetector = SilentPeerDetector.create();
     private boolean draining;
@@ -65,8 +70,9 @@
         this.self = self;
         this.options = options;
         this.fleet = FleetState.of(FleetView.of(List.of(self)));
-        this.entry = Entry.create(self.id(), options, fleet);
-        this.placements = PlacementArbiters.of(self.id(), fleet, options.placement());
+        this.entry = Entry.create(self.id(), options, fleet, streams);
+        this.placements = PlacementArbiters.of(self.id(), fleet, options.placement(), streams, servedVersions);
+        this.streamReplication = StreamReplication.of(self.id(), fleet, streams, servedVersions);
     }
 
     public static InstanceKernel create(Member self) {
@@ -100,6 +106,11 @@
         return entry.waitingCount();
     }
 
+    /** Returns the number of streams whose software version this instance knows. */
+    public int recordedStreams() {
+        return streams.size();
+    }
+
     /** Returns the cells that this instance currently arbitrates. */
     public List<CellId> arbitratedCells() {
         return List.copyOf(arbiters.keySet());
@@ -181,7 +192,7 @@
         } else if (event instanceof Event.TargetProgress progress) {
             entry.delivered(progress.requestId(), progress.outputTokens(), sink);
         } else if (event instanceof Event.TargetAnswering answering) {
-            entry.responseStarted(answering.requestId(), sink);
+            entry.responseStarted(answering.requestId(), nowMs, sink);
         } else if (event instanceof Event.TargetEnded ended) {
             entry.attemptEnded(ended.requestId(), ended.outcome(), ended.usage(), nowMs, sink);
         } else if (event instanceof Event.PeerReceived received) {
@@ -241,7 +252,7 @@
             correctEvacuations(from, evacuated.evacuations(), sink);
             return;
         }
-        if (receivedPlacement(received, nowMs, sink)) {
+        if (receivedPlacement(received, nowMs, sink) || streamReplication.received(message, nowMs)) {
             return;
         }
         if (message instanceof PeerMessage.Register register) {
@@ -380,6 +391,7 @@
         if (changed.up()) {
             entry.connected(changed.peer(), nowMs, sink);
             sendEvacuations(changed.peer(), sink);
+            streamReplication.connected(changed.peer(), nowMs, sink);
         } else {
             arbiters.values().forEach(arbiter -> arbiter.disconnected(changed.peer()));
         }
@@ -429,6 +441,7 @@
 
     private void settingsAccepted(FleetSettings settings, long nowMs, ActionSink sink) {
         fleet.settings(settings);
+        servedVersions.listed(settings.targets().values(), nowMs);
         updateAssignments(nowMs);
         refreshTargets(nowMs);
         entry.fleetChanged(nowMs, sink);
@@ -530,6 +543,7 @@
 
     private void tick(long nowMs, ActionSink sink) {
         entry.tick(nowMs, sink);
+        streamReplication.tick(nowMs, sink);
         disconnectSilentEntries(nowMs, sink);
         arbiters.values().removeIf(arbiter -> !arbiter.hasEntries());
         changedCells.addAll(arbiters.keySet());
--- a/kernel/src/main/java/org/marjoramswitch/kernel/PlacementArbiters.java
+++ b/kernel/src/main/java/org/marjoramswitch/kernel/PlacementArbiters.java
@@ -10,25 +10,42 @@
 import org.marjoramswitch.kernel.message.PeerMessage;
 import org.marjoramswitch.kernel.model.CellId;
 import org.marjoramswitch.kernel.model.InstanceId;
+import org.marjoramswitch.kernel.model.PoolId;
 import org.marjoramswitch.kernel.placement.PlacementArbiter;
 import org.marjoramswitch.kernel.placement.PlacementPolicy;
 import org.marjoramswitch.kernel.settings.PoolSettings;
+import org.marjoramswitch.kernel.stream.ServedVersions;
+import org.marjoramswitch.kernel.stream.StreamDirectory;
 
 /** Holds the placement arbiters of the cells for which entries have sent placement requests to this instance. */
 final class PlacementArbiters {
     private final InstanceId self;
     private final FleetState fleet;
     private final PlacementPolicy policy;
+    private final StreamDirectory streams;
+    private final ServedVersions servedVersions;
     private final Map<CellId, PlacementArbiter> byCell = new TreeMap<>();
 
-    private PlacementArbiters(InstanceId self, FleetState fleet, PlacementPolicy policy) {
+    private PlacementArbiters(
+            InstanceId self,
+            FleetState fleet,
+            PlacementPolicy policy,
+            StreamDirectory streams,
+            ServedVersions servedVersions) {
         this.self = self;
         this.fleet = fleet;
         this.policy = policy;
+        this.streams = streams;
+        this.servedVersions = servedVersions;
     }
 
-    static PlacementArbiters of(InstanceId self, FleetState fleet, PlacementPolicy policy) {
-        return new PlacementArbiters(self, fleet, policy);
+    static PlacementArbiters of(
+            InstanceId self,
+            FleetState fleet,
+            PlacementPolicy policy,
+            StreamDirectory streams,
+            ServedVersions servedVersions) {
+        return new PlacementArbiters(self, fleet, policy, streams, servedVersions);
     }
 
     Collection<CellId> cells() {
@@ -46,7 +63,7 @@
         InstanceId from = received.from();
         PeerMessage message = received.message();
         if (message instanceof PeerMessage.Place place) {
-            arbiter(place.cell(), nowMs).place(from, place, received.delayMs(), nowMs);
+            place(from, place, received.delayMs(), nowMs);
             return place.cell();
         }
         if (message instanceof PeerMessage.PlacementsHeld held) {
@@ -68,6 +85,35 @@
         return null;
     }
 
+    private void place(InstanceId from, PeerMessage.Place place, long delayMs, long nowMs) {
+        PlacementArbiter arbiter = arbiter(place.cell(), nowMs);
+        if (!place.hasUnknownVersion()) {
+            arbiter.place(from, place, delayMs, nowMs);
+            return;
+        }
+        String version = streamVersion(place, nowMs);
+        if (version == null) {
+            arbiter.rejectUnknownStream(from, place, nowMs);
+            return;
+        }
+        arbiter.place(from, place.withSoftwareVersion(version), delayMs, nowMs);
+    }
+
+    /**
+     * The version at which a resumed stream began; null if it is not certain. A stream that its caller names is recorded
+     * unless this instance has missed it; if peers are unreachable, the stream may have begun there, at a version that
+     * this instance does not know.
+     */
+    private @Nullable String streamVersion(PeerMessage.Place place, long nowMs) {
+        PoolId pool = place.cell().pool();
+        String recorded = streams.versionOf(pool, place.resumedStream(), nowMs);
+        boolean named = place.resumedStream() != PeerMessage.Place.UNNAMED_STREAM;
+        if (recorded != null || (named && !fleet.unreachable().isEmpty())) {
+            return recorded;
+        }
+        return servedVersions.onlyVersion(pool, nowMs);
+    }
+
     void decide(CellId cell, long nowMs, ActionSink sink) {
         PlacementArbiter arbiter = byCell.get(cell);
         if (arbiter != null) {
--- a/kernel/src/main/java/org/marjoramswitch/kernel/cell/ArbiterAssignment.java
+++ b/kernel/src/main/java/org/marjoramswitch/kernel/cell/ArbiterAssignment.java
@@ -62,16 +62,21 @@
         if (arbiter == null || !unreachable.contains(arbiter)) {
             return arbiter;
         }
-        return rankByCell.getOrDefault(cell, List.of()).stream()
+        return rank(cell).stream()
                 .filter(instance -> !unreachable.contains(instance))
                 .findFirst()
                 .orElse(null);
     }
 
+    /** Returns the instances that may arbitrate the cell, in the order in which they replace one another. */
+    public List<InstanceId> rank(CellId cell) {
+        return rankByCell.getOrDefault(cell, List.of());
+    }
+
     private void assign(Collection<CellId> cells, ProcessorTier tier) {
         Map<InstanceId, Integer> load = new HashMap<>();
         for (CellId cell : cells) {
-            List<InstanceId> rank = rank(cell, tier);
+            List<InstanceId> rank = rankIn(tier, cell);
             rankByCell.put(cell, rank);
             InstanceId arbiter = rank.stream()
                     .filter(instance -> load.getOrDefault(instance, 0) < tier.quota(instance, cells.size()))
@@ -82,7 +87,7 @@
         }
     }
 
-    private static List<InstanceId> rank(CellId cell, ProcessorTier tier) {
+    private static List<InstanceId> rankIn(ProcessorTier tier, CellId cell) {
         List<InstanceId> rank = new ArrayList<>(Rendezvous.rank(cell.toString(), tier.eligible()));
         rank.sort(Comparator.comparing(instance -> !tier.contains(instance)));
         return rank;
--- a/kernel/src/main/java/org/marjoramswitch/kernel/entry/Entry.java
+++ b/kernel/src/main/java/org/marjoramswitch/kernel/entry/Entry.java
@@ -22,6 +22,7 @@
 import org.marjoramswitch.kernel.model.CellId;
 import org.marjoramswitch.kernel.model.CustomerId;
 import org.marjoramswitch.kernel.model.InstanceId;
+import org.marjoramswitch.kernel.model.PlacementSpec;
 import org.marjoramswitch.kernel.model.PoolId;
 import org.marjoramswitch.kernel.model.RequestSpec;
 import org.marjoramswitch.kernel.model.RunState;
@@ -33,6 +34,7 @@
 import org.marjoramswitch.kernel.settings.CustomerSettings;
 import org.marjoramswitch.kernel.settings.PoolSettings;
 import org.marjoramswitch.kernel.settings.TargetSettings;
+import org.marjoramswitch.kernel.stream.StreamDirectory;
 
 /**
  * Queues the requests of one instance's own callers, binds grants to them, evaluates how attempts ended and completes
@@ -80,18 +82,18 @@
     private boolean draining;
     private long lastTickMs;
 
-    private Entry(InstanceId self, KernelOptions options, FleetState fleet) {
+    private Entry(InstanceId self, KernelOptions options, FleetState fleet, StreamDirectory streams) {
         this.self = self;
         this.options = options;
         this.fleet = fleet;
         this.demand = new DemandPublisher(options, fleet);
         this.registrations = new Registrations(self, options, fleet, demand, this::pool, requests.values());
-        this.placements = new Placements(self, fleet, targetBackoffs);
+        this.placements = new Placements(self, fleet, targetBackoffs, streams);
         this.admission = SendAdmission.of(fleet, targetBackoffs, poisonGossip.poisonRequests());
     }
 
-    public static Entry create(InstanceId self, KernelOptions options, FleetState fleet) {
-        return new Entry(self, options, fleet);
+    public static Entry create(InstanceId self, KernelOptions options, FleetState fleet, StreamDirectory streams) {
+        return new Entry(self, options, fleet, streams);
     }
 
     /** This entry's registrations with the arbiters. */
@@ -153,11 +155,16 @@
     }
 
     /** The first byte of the running attempt's response has arrived. */
-    public void responseStarted(long requestId, ActionSink sink) {
+    public void responseStarted(long requestId, long nowMs, ActionSink sink) {
         EntryRequest request = requests.get(requestId);
-        if (request != null && request.target() != null) {
-            placements.responseStarted(request, sink);
+        if (request == null || request.target() == null) {
+            return;
+        }
+        PlacementSpec placement = request.spec().placement();
+        if (placement != null && placement.resumable()) {
+            request.streamStarted();
         }
+        placements.responseStarted(request, nowMs, sink);
     }
 
     /** Handles a placement: starts the request at the target, or returns the placement if the target cannot be used. */
@@ -248,7 +255,8 @@
         totalWaiting--;
         // The arbiter's log explains the rejection under this cell and placement id.
         String placement = refused.cell() + "#" + refused.placementId();
-        fail(request, ErrorType.NO_TARGET_IN_TIME, refused.retryAfterMs(), placement, sink);
+        ErrorType type = refused.streamLost() ? ErrorType.STREAM_NOT_RESUMABLE : ErrorType.NO_TARGET_IN_TIME;
+        fail(request, type, refused.retryAfterMs(), placement, sink);
     }
 
     /** Adapts registrations and placement requests to changed arbiters, cells or links. */
@@ -315,6 +323,9 @@
         if (!outcome.notRun()) {
             request.markMayHaveRun();
         }
+        if (!outcome.answerBegun()) {
+            request.nothingDelivered();
+        }
         recordCrash(request.spec().digest(), target, outcome, nowMs, sink);
         finishOrRetry(request, outcome, pool, nowMs, sink);
         if (link != null && !outcome.targetFault()) {
@@ -577,7 +588,11 @@
         RequestSpec spec = request.spec();
         PoolQueues pool = pool(spec.pool());
         boolean prefixHeld = pool.prefixes().holds(target, spec.prefixHash());
-        request.attemptStarted(target, cell, sequence);
+        String softwareVersion = softwareVersion(target);
+        request.attemptStarted(target, softwareVersion, cell, sequence);
+        if (spec.placement() != null && spec.placement().resumesStream()) {
+            request.resumeAt(softwareVersion);
+        }
         pool.prefixes().record(target, spec.prefixHash());
         pool.drainRate(spec.customer()).requestStarted(nowMs);
         sink.accept(new Action.Dispatch(
@@ -599,7 +614,7 @@
                 "reason",
                 reason,
                 "softwareVersion",
-                softwareVersion(target),
+                softwareVersion,
                 "resumes",
                 resumes(spec),
                 "prefixHeld",
--- a/kernel/src/main/java/org/marjoramswitch/kernel/entry/EntryRequest.java
+++ b/kernel/src/main/java/org/marjoramswitch/kernel/entry/EntryRequest.java
@@ -23,6 +23,12 @@
     private long reportedTokens;
     private boolean callerGone;
     private int executions;
+    /** The software version of the target of the running attempt; empty if unknown. */
+    private String targetVersion = "";
+    /** The software version at which the request's stream must continue; null if any will do. */
+    private @Nullable String streamVersion;
+    /** The number of the attempt that set {@link #streamVersion}; 0 if the stream began in an earlier request. */
+    private int streamAttempt;
 
     EntryRequest(RequestSpec spec, long arrivedAtMs) {
         this.spec = spec;
@@ -107,9 +113,39 @@
         return failedAt.contains(candidate);
     }
 
-    void attemptStarted(TargetId atTarget, CellId inCell, long grantSequence) {
+    /** The software version at which the request's stream must continue; null if any will do. */
+    @Nullable
+    String streamVersion() {
+        return streamVersion;
+    }
+
+    /** Confines the request to the version at which an earlier request began its stream. */
+    void resumeAt(String softwareVersion) {
+        if (!softwareVersion.isEmpty()) {
+            streamVersion = softwareVersion;
+        }
+    }
+
+    /** The response has begun; from now on only targets of the same version can continue it. */
+    void streamStarted() {
+        if (streamVersion == null && !targetVersion.isEmpty()) {
+            streamVersion = targetVersion;
+            streamAttempt = attempts;
+        }
+    }
+
+    /** The running attempt has ended without a part of its response reaching the caller. */
+    void nothingDelivered() {
+        if (streamAttempt == attempts) {
+            streamVersion = null;
+            streamAttempt = 0;
+        }
+    }
+
+    void attemptStarted(TargetId atTarget, String softwareVersion, CellId inCell, long grantSequence) {
         attempts++;
         target = atTarget;
+        targetVersion = softwareVersion;
         cell = inCell;
         sequence = grantSequence;
         costTokens = 0;
--- a/kernel/src/main/java/org/marjoramswitch/kernel/entry/FleetState.java
+++ b/kernel/src/main/java/org/marjoramswitch/kernel/entry/FleetState.java
@@ -249,6 +249,13 @@
         return assignment.reachable(cell, excluded);
     }
 
+    /** The reachable instances that may arbitrate the cell, in the order in which they replace one another. */
+    public List<InstanceId> reachableRank(CellId cell) {
+        return assignment.rank(cell).stream()
+                .filter(instance -> !unreachable.contains(instance))
+                .toList();
+    }
+
     /** The arbiter that the view assigns to the cell, whether or not it is reachable from this instance. */
     public @Nullable InstanceId assignedArbiter(CellId cell) {
         return assignment.arbiter(cell);
--- a/kernel/src/main/java/org/marjoramswitch/kernel/entry/Placements.java
+++ b/kernel/src/main/java/org/marjoramswitch/kernel/entry/Placements.java
@@ -10,6 +10,7 @@
 import java.util.Set;
 import java.util.TreeMap;
 import java.util.TreeSet;
+import java.util.stream.LongStream;
 import org.jspecify.annotations.Nullable;
 import org.marjoramswitch.kernel.action.Action;
 import org.marjoramswitch.kernel.action.ActionSink;
@@ -22,9 +23,12 @@
 import org.marjoramswitch.kernel.model.PlacementSpec;
 import org.marjoramswitch.kernel.model.PoolId;
 import org.marjoramswitch.kernel.model.PromptPart;
+import org.marjoramswitch.kernel.model.RequestSpec;
+import org.marjoramswitch.kernel.model.StreamSpec;
 import org.marjoramswitch.kernel.model.TargetId;
 import org.marjoramswitch.kernel.placement.LateRequestHold;
 import org.marjoramswitch.kernel.settings.TargetSettings;
+import org.marjoramswitch.kernel.stream.StreamDirectory;
 
 /**
  * Tracks this entry's placement requests: the arbiter that each was sent to, and the arbiters that account for the slot
@@ -39,6 +43,7 @@
     private final InstanceId self;
     private final FleetState fleet;
     private final TargetBackoffs targetBackoffs;
+    private final StreamDirectory streams;
     private final ArbiterBackoffs arbiterBackoffs = new ArbiterBackoffs();
     private final Map<Long, PlacementRequest> byId = new TreeMap<>();
     private final Map<Long, PlacementRequest> byRequest = new HashMap<>();
@@ -51,10 +56,11 @@
     private long lastId;
     private long resumedAtMs = Long.MIN_VALUE;
 
-    Placements(InstanceId self, FleetState fleet, TargetBackoffs targetBackoffs) {
+    Placements(InstanceId self, FleetState fleet, TargetBackoffs targetBackoffs, StreamDirectory streams) {
         this.self = self;
         this.fleet = fleet;
         this.targetBackoffs = targetBackoffs;
+        this.streams = streams;
     }
 
     /** Sends a placement request; false if the pool has no target. */
@@ -203,13 +209,31 @@
     }
 
     /** The first byte of the running attempt's response has arrived. */
-    void responseStarted(EntryRequest request, ActionSink sink) {
+    void responseStarted(EntryRequest request, long nowMs, ActionSink sink) {
         PlacementRequest placement = byRequest.get(request.spec().requestId());
         if (placement == null || !placement.placed || placement.responseStarted) {
             return;
         }
         placement.responseStarted = true;
         sendToAccounting(placement, new PeerMessage.PlacementAnswering(placement.cell, placement.id), sink);
+        reportStream(placement, nowMs, sink);
+    }
+
+    /** Reports the version of a stream that has begun, since its caller may resume it at another instance. */
+    private void reportStream(PlacementRequest placement, long nowMs, ActionSink sink) {
+        StreamSpec stream = placement.spec().stream();
+        String version = placement.request.streamVersion();
+        if (stream == null || version == null) {
+            return;
+        }
+        RequestSpec spec = placement.request.spec();
+        long leftMs = spec.deadlineMs() - nowMs;
+        List<PeerMessage.StreamBeginning> beginnings = LongStream.of(stream.requestKey(), stream.beginningKey())
+                .filter(key -> key != 0)
+                .mapToObj(key -> new PeerMessage.StreamBeginning(key, version, leftMs))
+                .toList();
+        beginnings.forEach(beginning -> streams.record(spec.pool(), beginning, nowMs));
+        send(placement, new PeerMessage.StreamsBegan(spec.pool(), beginnings, false), sink);
     }
 
     /**
@@ -320,6 +344,7 @@
         Set<TargetId> backedOff = targetBackoffs.backedOffTargets(nowMs);
         placement.excludesBackedOff = !backedOff.isEmpty();
         placement.excluded = excluded(placement, backedOff);
+        String version = streamVersion(request, nowMs);
         send(
                 placement,
                 new PeerMessage.Place(
@@ -331,10 +356,30 @@
                         spec.outputTokens(),
                         spec.objectiveAtMs() - nowMs,
                         request.spec().deadlineMs() - nowMs,
-                        placement.excluded),
+                        placement.excluded,
+                        version == null ? "" : version,
+                        version == null ? resumedStream(spec) : PeerMessage.Place.NO_STREAM),
                 sink);
     }
 
+    /** The version to which the request is confined; null if any will do or the arbiter has to find it. */
+    private @Nullable String streamVersion(EntryRequest request, long nowMs) {
+        StreamSpec stream = Objects.requireNonNull(request.spec().placement()).stream();
+        if (request.streamVersion() == null && stream != null && stream.resumed()) {
+            String known = streams.versionOf(request.spec().pool(), stream.beginningKey(), nowMs);
+            request.resumeAt(known == null ? "" : known);
+        }
+        return request.streamVersion();
+    }
+
+    private static long resumedStream(PlacementSpec spec) {
+        StreamSpec stream = spec.stream();
+        if (stream == null || !stream.resumed()) {
+            return PeerMessage.Place.NO_STREAM;
+        }
+        return stream.beginningKey() == 0 ? PeerMessage.Place.UNNAMED_STREAM : stream.beginningKey();
+    }
+
     /**
      * The targets in backoff and those that have failed the request. An arbiter ignores a list of all targets, so the
      * failed ones are allowed again in that case; a target in backoff would reject the request.
--- a/kernel/src/main/java/org/marjoramswitch/kernel/entry/SendAdmission.java
+++ b/kernel/src/main/java/org/marjoramswitch/kernel/entry/SendAdmission.java
@@ -29,6 +29,8 @@
         TARGET_UNKNOWN(Scope.TARGET),
         TARGET_DRAINING(Scope.TARGET),
         DATA_CENTRE_EVACUATED(Scope.TARGET),
+        /** The request's stream began at another software version. */
+        SOFTWARE_VERSION_DIFFERS(Scope.TARGET),
         /** The target is usable, but not until its backoff has elapsed. */
         TARGET_IN_BACKOFF(Scope.MOMENT),
         /** The placement is older than its target, which is in its cold start, allows. */
@@ -80,6 +82,11 @@
         if (startWithinMs <= 0) {
             return Verdict.PLACEMENT_STALE;
         }
+        String streamVersion = request.streamVersion();
+        TargetSettings settings = fleet.settings().targets().get(target);
+        if (streamVersion != null && settings != null && !streamVersion.equals(settings.softwareVersion())) {
+            return Verdict.SOFTWARE_VERSION_DIFFERS;
+        }
         return checkTarget(target, nowMs);
     }
 
--- a/kernel/src/main/java/org/marjoramswitch/kernel/error/ErrorType.java
+++ b/kernel/src/main/java/org/marjoramswitch/kernel/error/ErrorType.java
@@ -27,6 +27,7 @@
     REQUEST_BLOCKED(133, Severity.WARNING, 503, "Targets end when they run the request, so it is not run: %s"),
     TARGETS_REST(134, Severity.WARNING, 503, "Each target of %s wants no request for a while"),
     DATA_CENTRES_EVACUATED(135, Severity.WARNING, 503, "All data centres with targets of %s are evacuated"),
+    STREAM_NOT_RESUMABLE(136, Severity.WARNING, 503, "No target can continue the stream: %s"),
     CALLER_GONE(129, Severity.NOTICE, 499, "The caller went away"),
     KEY_IN_USE(140, Severity.NOTICE, 409, "The key belongs to another request"),
     KEY_DEAD(141, Severity.NOTICE, 409, "The request with this key was declared not run; use a new key"),
--- a/kernel/src/main/java/org/marjoramswitch/kernel/message/PeerMessage.java
+++ b/kernel/src/main/java/org/marjoramswitch/kernel/message/PeerMessage.java
@@ -141,6 +141,9 @@
      * @param objectiveLeftMs time until the first byte is late, negative if it is late already
      * @param waitLeftMs time until the entry itself rejects the request
      * @param excluded targets at which the request failed before
+     * @param softwareVersion the version at which the request's stream began and must continue; empty if any will do
+     * @param resumedStream the key of a stream that the request resumes and whose version the entry does not know, or
+     *     {@link #NO_STREAM} or {@link #UNNAMED_STREAM}
      */
     record Place(
             CellId cell,
@@ -151,8 +154,61 @@
             long outputTokens,
             long objectiveLeftMs,
             long waitLeftMs,
-            List<TargetId> excluded)
+            List<TargetId> excluded,
+            String softwareVersion,
+            long resumedStream)
             implements PeerMessage {
+        /** The request begins its stream, or the entry knows the stream's version. */
+        public static final long NO_STREAM = 0;
+        /** The caller resumes a stream without naming its beginning. */
+        public static final long UNNAMED_STREAM = -1;
+
+        /** Creates a request that any target may serve. */
+        public Place(
+                CellId cell,
+                long placementId,
+                CustomerId customer,
+                int urgency,
+                List<PromptPart> parts,
+                long outputTokens,
+                long objectiveLeftMs,
+                long waitLeftMs,
+                List<TargetId> excluded) {
+            this(
+                    cell,
+                    placementId,
+                    customer,
+                    urgency,
+                    parts,
+                    outputTokens,
+                    objectiveLeftMs,
+                    waitLeftMs,
+                    excluded,
+                    "",
+                    NO_STREAM);
+        }
+
+        /** Whether the version of the request's stream has yet to be found. */
+        public boolean hasUnknownVersion() {
+            return softwareVersion.isEmpty() && resumedStream != NO_STREAM;
+        }
+
+        /** Returns the message of a request that only targets of this version may serve. */
+        public Place withSoftwareVersion(String version) {
+            return new Place(
+                    cell,
+                    placementId,
+                    customer,
+                    urgency,
+                    parts,
+                    outputTokens,
+                    objectiveLeftMs,
+                    waitLeftMs,
+                    excluded,
+                    version,
+                    NO_STREAM);
+        }
+
         @Override
         public Place delayed(long delayMs) {
             return new Place(
@@ -164,7 +220,9 @@
                     outputTokens,
                     objectiveLeftMs - delayMs,
                     waitLeftMs - delayMs,
-                    excluded);
+                    excluded,
+                    softwareVersion,
+                    resumedStream);
         }
 
         @Override
@@ -209,14 +267,16 @@
     }
 
     /**
-     * Arbiter to entry: no target can serve the request in time.
+     * Arbiter to entry: no target can serve the request in time, or none can continue its stream.
      *
      * @param heldMs how long the request waited at the arbiter
+     * @param streamLost whether the version of the request's stream is not known or serves no more
      */
-    record NotPlaced(CellId cell, long placementId, long retryAfterMs, long heldMs) implements PeerMessage {
+    record NotPlaced(CellId cell, long placementId, long retryAfterMs, long heldMs, boolean streamLost)
+            implements PeerMessage {
         @Override
         public NotPlaced delayed(long delayMs) {
-            return new NotPlaced(cell, placementId, retryAfterMs, heldMs + delayMs);
+            return new NotPlaced(cell, placementId, retryAfterMs, heldMs + delayMs, streamLost);
         }
 
         @Override
@@ -228,6 +288,35 @@
     /** Entry to arbiter: a waiting request no longer needs a target. */
     record PlaceWithdrawn(CellId cell, long placementId) implements PeerMessage {}
 
+    /**
+     * Entry to arbiter, and arbiter to the instances that may replace it: streams of a pool that have begun.
+     *
+     * @param replicated whether the sender has forwarded them to the other instances
+     */
+    record StreamsBegan(PoolId pool, List<StreamBeginning> beginnings, boolean replicated) implements PeerMessage {}
+
+    /**
+     * Part of {@link StreamsBegan}.
+     *
+     * @param streamKey see {@link org.marjoramswitch.kernel.model.StreamSpec#key}
+     * @param leftMs time until the caller's timeout expires
+     */
+    record StreamBeginning(long streamKey, String softwareVersion, long leftMs) {}
+
+    /**
+     * Any to a peer that connects: the software versions that have served recently.
+     *
+     * @param knownForMs how long the sender, or one of its peers, has followed the list of targets
+     */
+    record VersionHistory(long knownForMs, List<ServedVersion> versions) implements PeerMessage {}
+
+    /**
+     * Part of {@link VersionHistory}.
+     *
+     * @param ageMs time since a target of this version last served, 0 if one does now
+     */
+    record ServedVersion(PoolId pool, String softwareVersion, long ageMs) {}
+
     /** Entry to arbiter: the first byte of the response arrived, so the target has completed the prefill. */
     record PlacementAnswering(CellId cell, long placementId) implements PeerMessage {}
 
--- a/kernel/src/main/java/org/marjoramswitch/kernel/placement/PlacementArbiter.java
+++ b/kernel/src/main/java/org/marjoramswitch/kernel/placement/PlacementArbiter.java
@@ -66,6 +66,11 @@
      */
     private static final long COLD_START_WITHIN_MS = 300;
 
+    /** Reasons for rejecting a request that continues a stream. */
+    private static final String STREAM_UNKNOWN = "stream_unknown";
+
+    private static final String VERSION_GONE = "software_version_gone";
+
     private static final double INITIAL_SERVICE_MS = 50;
     private static final double SERVICE_GAIN = 0.05;
 
@@ -81,8 +86,8 @@
     private final Map<InstanceId, Map<Long, RunningRequest>> running = new HashMap<>();
     /** Requests received since the last pass. */
     private final List<WaitingRequest> arrived = new ArrayList<>();
-    /** Requests received since the last call of {@link #decide} that were rejected because this instance lags. */
-    private final List<WaitingRequest> rejectedForLag = new ArrayList<>();
+    /** Requests that were rejected since the last call of {@link #decide}. */
+    private final List<Rejection> rejected = new ArrayList<>();
 
     private @Nullable TargetChoice lastPass;
     private double meanServiceMs = INITIAL_SERVICE_MS;
@@ -125,6 +130,16 @@
             Collection<TargetSettings> settings, Set<TargetId> leaving, Set<DataCentreId> evacuated, long nowMs) {
         targets.targets(settings, leaving, evacuated, nowMs);
         lastPass = null;
+        for (WaitingRequest request : waiting.all()) {
+            if (!hasTargetOfVersion(request)) {
+                removeWaiting(request.entry(), request.placementId());
+                rejected.add(new Rejection(request, VERSION_GONE));
+            }
+        }
+    }
+
+    private boolean hasTargetOfVersion(WaitingRequest request) {
+        return !request.continuesStream() || targets.usable().stream().anyMatch(request::isServedBy);
     }
 
     /** Sets the share of a cold target's request rate that this arbiter may use, the rest being for other arbiters. */
@@ -145,13 +160,26 @@
         removeWaiting(entry, message.placementId());
         WaitingRequest request = WaitingRequest.of(entry, message, arrivals++, nowMs);
         fairShare.recordDemand(request.customer(), request.costTokens(), nowMs);
+        if (!hasTargetOfVersion(request)) {
+            rejected.add(new Rejection(request, VERSION_GONE));
+            return;
+        }
         if (policy.has(Mechanism.LAG_REJECTION) && LagRejection.rejects(request, delayMs, fairShare, nowMs)) {
-            rejectedForLag.add(request);
+            rejected.add(new Rejection(request, "arbiter_lag"));
             return;
         }
         add(request, nowMs);
     }
 
+    /** Rejects a request that resumes a stream whose software version is not known. */
+    public void rejectUnknownStream(InstanceId entry, PeerMessage.Place message, long nowMs) {
+        if (running.getOrDefault(entry, Map.of()).containsKey(message.placementId())) {
+            return;
+        }
+        removeWaiting(entry, message.placementId());
+        rejected.add(new Rejection(WaitingRequest.of(entry, message, arrivals++, nowMs), STREAM_UNKNOWN));
+    }
+
     /** Whether any request waits for a target. */
     public boolean isWaiting() {
         return !waiting.isEmpty();
@@ -236,8 +264,8 @@
 
     /** Starts the requests that can be started and rejects late ones whose hold has expired. */
     public void decide(long nowMs, ActionSink sink) {
-        rejectedForLag.forEach(request -> refuse(request, "arbiter_lag", nowMs, sink));
-        rejectedForLag.clear();
+        rejected.forEach(rejection -> refuse(rejection.request(), rejection.reason(), nowMs, sink));
+        rejected.clear();
         moveLate(nowMs);
         if (!waiting.isEmpty()) {
             place(nowMs, sink);
@@ -341,7 +369,8 @@
                         cell,
                         request.placementId(),
                         RetryAfterPolicy.afterMs(request, policy, nowMs),
-                        nowMs - request.arrivedAtMs())));
+                        nowMs - request.arrivedAtMs(),
+                        reason.equals(STREAM_UNKNOWN) || reason.equals(VERSION_GONE))));
         sink.accept(PlacementLog.notPlaced(cell, request, reason, waiting, targets.size(), nowMs));
     }
 
@@ -506,6 +535,8 @@
         shares.waiting(customer, waiting.of(customer).size());
     }
 
+    private record Rejection(WaitingRequest request, String reason) {}
+
     private Map<Long, RunningRequest> runningOf(InstanceId entry) {
         return running.computeIfAbsent(entry, missing -> new LinkedHashMap<>());
     }
--- a/kernel/src/main/java/org/marjoramswitch/kernel/placement/PromptSources.java
+++ b/kernel/src/main/java/org/marjoramswitch/kernel/placement/PromptSources.java
@@ -13,6 +13,9 @@
  * its prompt cached, or another engine prefills the same tokens again, which amounts to a tenth of all prefill work on
  * a day of overload.
  *
+ * <p>Parts are fetched only between engines of the same software version, since what one version writes may not be
+ * readable for another.
+ *
  * <p>An ejected engine is not a source: after a failed fetch, the target has to prefill the prompt itself. An engine in an
  * evacuated data centre is not one either.
  *
@@ -68,17 +71,27 @@
             return null;
         }
         DataCentreId dataCentre = target.settings().dataCentre();
-        if (best.target().settings().dataCentre().equals(dataCentre)) {
-            return best.target() == target ? null : best;
+        Source found = isSameVersion(best.target(), target) ? best : null;
+        if (found != null && found.target().settings().dataCentre().equals(dataCentre)) {
+            return found.target() == target ? null : found;
         }
         for (TargetLoad holder : holders) {
             boolean sameDataCentre = holder.settings().dataCentre().equals(dataCentre);
-            Source source = sameDataCentre ? source(prompt, holder, nowMs) : null;
-            if (source != null && source.tokens() == best.tokens()) {
+            boolean preferred = isSameVersion(holder, target) && (sameDataCentre || found == null);
+            Source source = preferred ? source(prompt, holder, nowMs) : null;
+            if (source == null || source.tokens() != best.tokens()) {
+                continue;
+            }
+            if (sameDataCentre) {
                 return holder == target ? null : source;
             }
+            found = source;
         }
-        return best;
+        return found == null || found.target() == target ? null : found;
+    }
+
+    private static boolean isSameVersion(TargetLoad one, TargetLoad other) {
+        return one.settings().softwareVersion().equals(other.settings().softwareVersion());
     }
 
     private static @Nullable Source source(List<PromptPart> prompt, TargetLoad holder, long nowMs) {
--- a/kernel/src/main/java/org/marjoramswitch/kernel/placement/TargetChoice.java
+++ b/kernel/src/main/java/org/marjoramswitch/kernel/placement/TargetChoice.java
@@ -236,14 +236,18 @@
         return (prefillWeight() + awayFromHomeShare) * Math.max(0, prefillMs - MIN_SAVED_MS);
     }
 
-    /** Excludes the targets that have already failed the request, unless no other target remains. */
+    /**
+     * Excludes targets of a software version that cannot continue the request's stream, and those that have already
+     * failed the request, unless no other target remains.
+     */
     private Predicate<TargetLoad> allowed(WaitingRequest request) {
         Set<TargetId> excluded = request.excluded();
+        Predicate<TargetLoad> able = target -> target.isUsable() && request.isServedBy(target);
         Predicate<TargetLoad> notExcluded = target ->
-                target.isUsable() && !excluded.contains(target.settings().id());
-        boolean anyRemaining =
-                excluded.size() < pool.size() || pool.usable().stream().anyMatch(notExcluded);
-        return anyRemaining ? notExcluded : TargetLoad::isUsable;
+                able.test(target) && !excluded.contains(target.settings().id());
+        boolean anyRemaining = (!request.continuesStream() && excluded.size() < pool.size())
+                || pool.usable().stream().anyMatch(notExcluded);
+        return anyRemaining ? notExcluded : able;
     }
 
     /**
--- a/kernel/src/main/java/org/marjoramswitch/kernel/placement/WaitingQueues.java
+++ b/kernel/src/main/java/org/marjoramswitch/kernel/placement/WaitingQueues.java
@@ -70,6 +70,13 @@
         return removed;
     }
 
+    /** All waiting requests. */
+    List<WaitingRequest> all() {
+        List<WaitingRequest> all = new ArrayList<>(inTimeByDeadline.values());
+        all.addAll(lateByHoldEnd.values());
+        return all;
+    }
+
     /** The customer's requests that can still meet their objective. */
     CustomerBacklog of(CustomerId customer) {
         return inTime.getOrDefault(customer, CustomerBacklog.EMPTY);
--- a/kernel/src/main/java/org/marjoramswitch/kernel/placement/WaitingRequest.java
+++ b/kernel/src/main/java/org/marjoramswitch/kernel/placement/WaitingRequest.java
@@ -16,6 +16,7 @@
  * @param objectiveAtMs when its first byte is late
  * @param deadlineMs when its entry instance rejects it, because its caller times out
  * @param size class by the part of the objective that remains after its prefill
+ * @param softwareVersion the only version that can serve the request, which continues a stream; empty if any will do
  * @param prefillTokens tokens that the engine with most of the prompt cached would have to prefill
  */
 record WaitingRequest(
@@ -31,6 +32,7 @@
         long objectiveAtMs,
         long deadlineMs,
         Set<TargetId> excluded,
+        String softwareVersion,
         SizeClass size,
         long prefillTokens) {
     /**
@@ -54,6 +56,7 @@
                 nowMs + message.objectiveLeftMs(),
                 nowMs + message.waitLeftMs(),
                 Set.copyOf(message.excluded()),
+                message.softwareVersion(),
                 SizeClass.NOT_COUNTED,
                 0);
     }
@@ -72,10 +75,22 @@
                 objectiveAtMs,
                 deadlineMs,
                 excluded,
+                softwareVersion,
                 newSize,
                 newPrefillTokens);
     }
 
+    /** Whether the request continues a stream, which only targets of one software version can do. */
+    boolean continuesStream() {
+        return !softwareVersion.isEmpty();
+    }
+
+    /** Whether the target's software version can serve the request. */
+    boolean isServedBy(TargetLoad target) {
+        return softwareVersion.isEmpty()
+                || softwareVersion.equals(target.settings().softwareVersion());
+    }
+
     /** Tokens that the customer is charged. */
     long costTokens() {
         return cost(promptTokens, outputTokens);
--- /dev/null
+++ b/kernel/src/main/java/org/marjoramswitch/kernel/stream/ServedVersions.java
@@ -0,0 +1,90 @@
+package org.marjoramswitch.kernel.stream;
+
+import java.util.ArrayList;
+import java.util.Collection;
+import java.util.List;
+import java.util.Map;
+import java.util.Set;
+import java.util.TreeMap;
+import java.util.TreeSet;
+import org.jspecify.annotations.Nullable;
+import org.marjoramswitch.kernel.message.PeerMessage.ServedVersion;
+import org.marjoramswitch.kernel.message.PeerMessage.VersionHistory;
+import org.marjoramswitch.kernel.model.PoolId;
+import org.marjoramswitch.kernel.settings.TargetSettings;
+
+/**
+ * Tracks which software versions have served each pool recently. A stream whose beginning is not known can be continued
+ * only if a single version has served its pool for as long as a stream can last: the version that began it may have left
+ * a moment ago.
+ *
+ * <p>An instance that has just started has not seen which versions served before. It takes over the history of peers
+ * that have been running for longer. Not thread-safe.
+ */
+public final class ServedVersions {
+    /** How long ago a stream may have begun that is resumed now. */
+    static final long STREAM_LIFETIME_MS = StreamDirectory.MIN_KEPT_MS;
+
+    private final Map<PoolId, Map<String, Long>> lastServedMs = new TreeMap<>();
+    private final Map<PoolId, Set<String>> listed = new TreeMap<>();
+    private long knownSinceMs = Long.MAX_VALUE;
+
+    private ServedVersions() {}
+
+    public static ServedVersions create() {
+        return new ServedVersions();
+    }
+
+    /** Sets the targets that serve from now on. */
+    public void listed(Collection<TargetSettings> targets, long nowMs) {
+        listed.forEach((pool, versions) -> versions.forEach(version -> served(pool, version, nowMs)));
+        listed.clear();
+        targets.forEach(target -> listed.computeIfAbsent(target.pool(), missing -> new TreeSet<>())
+                .add(target.softwareVersion()));
+        if (!targets.isEmpty()) {
+            knownSinceMs = Math.min(knownSinceMs, nowMs);
+        }
+    }
+
+    /** Records that a version served a pool. */
+    public void served(PoolId pool, String softwareVersion, long atMs) {
+        lastServedMs.computeIfAbsent(pool, missing -> new TreeMap<>()).merge(softwareVersion, atMs, Math::max);
+    }
+
+    /** Adds the history of a peer. */
+    public void add(VersionHistory history, long nowMs) {
+        history.versions()
+                .forEach(version -> served(version.pool(), version.softwareVersion(), nowMs - version.ageMs()));
+        knownSinceMs = Math.min(knownSinceMs, nowMs - history.knownForMs());
+    }
+
+    /** The history for a peer; null before the first list of targets. */
+    public @Nullable VersionHistory history(long nowMs) {
+        if (knownSinceMs == Long.MAX_VALUE) {
+            return null;
+        }
+        List<ServedVersion> versions = new ArrayList<>();
+        Set<PoolId> pools = new TreeSet<>(listed.keySet());
+        pools.addAll(lastServedMs.keySet());
+        for (PoolId pool : pools) {
+            recent(pool, nowMs)
+                    .forEach((version, atMs) -> versions.add(new ServedVersion(pool, version, nowMs - atMs)));
+        }
+        return new VersionHistory(Math.max(0, nowMs - knownSinceMs), versions);
+    }
+
+    /** The version that alone has served the pool for as long as a stream lasts; null if this is not certain. */
+    public @Nullable String onlyVersion(PoolId pool, long nowMs) {
+        Set<String> recent = recent(pool, nowMs).keySet();
+        boolean isKnown = knownSinceMs <= nowMs - STREAM_LIFETIME_MS;
+        return isKnown && recent.size() == 1 ? recent.iterator().next() : null;
+    }
+
+    /** The versions that have served the pool within a stream's lifetime, each with the time when it last did. */
+    private Map<String, Long> recent(PoolId pool, long nowMs) {
+        Map<String, Long> recent = new TreeMap<>(lastServedMs.getOrDefault(pool, Map.of()));
+        recent.values().removeIf(atMs -> nowMs - atMs >= STREAM_LIFETIME_MS);
+        listed.getOrDefault(pool, Set.of()).forEach(version -> recent.put(version, nowMs));
+        return recent;
+    }
+}
--- a/kernel/src/main/java/org/marjoramswitch/kernel/wire/FieldWriter.java
+++ b/kernel/src/main/java/org/marjoramswitch/kernel/wire/FieldWriter.java
@@ -57,6 +57,16 @@
         return requireField();
     }
 
+    /** Writes a text that is omitted if it and all fields after it have their defaults. */
+    FieldWriter text(String text, String defaultText) {
+        putText(text);
+        if (text.equals(defaultText)) {
+            fields++;
+            return this;
+        }
+        return requireField();
+    }
+
     /** Starts a list field of {@code items} items, which the put methods write. */
     FieldWriter list(int items) {
         putArray(items);
--- a/kernel/src/main/java/org/marjoramswitch/kernel/wire/MessageCodec.java
+++ b/kernel/src/main/java/org/marjoramswitch/kernel/wire/MessageCodec.java
@@ -38,12 +38,16 @@
 import org.marjoramswitch.kernel.message.PeerMessage.Progress;
 import org.marjoramswitch.kernel.message.PeerMessage.Register;
 import org.marjoramswitch.kernel.message.PeerMessage.RequestCrash;
+import org.marjoramswitch.kernel.message.PeerMessage.ServedVersion;
 import org.marjoramswitch.kernel.message.PeerMessage.SettingsBodies;
 import org.marjoramswitch.kernel.message.PeerMessage.SettingsHead;
 import org.marjoramswitch.kernel.message.PeerMessage.SettingsQuery;
 import org.marjoramswitch.kernel.message.PeerMessage.Standing;
+import org.marjoramswitch.kernel.message.PeerMessage.StreamBeginning;
+import org.marjoramswitch.kernel.message.PeerMessage.StreamsBegan;
 import org.marjoramswitch.kernel.message.PeerMessage.TargetLeaving;
 import org.marjoramswitch.kernel.message.PeerMessage.Unregister;
+import org.marjoramswitch.kernel.message.PeerMessage.VersionHistory;
 import org.marjoramswitch.kernel.message.PeerMessage.WatchBeat;
 import org.marjoramswitch.kernel.message.PeerMessage.WatchCopy;
 import org.marjoramswitch.kernel.message.PeerMessage.WatchNews;
@@ -55,6 +59,7 @@
 import org.marjoramswitch.kernel.message.PeerMessage.WitnessState;
 import org.marjoramswitch.kernel.model.DataCentreId;
 import org.marjoramswitch.kernel.model.Evacuations;
+import org.marjoramswitch.kernel.model.PoolId;
 import org.marjoramswitch.kernel.model.PromptPart;
 import org.marjoramswitch.kernel.model.RequestSpec;
 import org.marjoramswitch.kernel.model.TargetId;
@@ -176,6 +181,7 @@
                 (out, message) -> out.number(message.number()),
                 in -> new ProbeReply(in.number()));
         putPlacements();
+        putStreams();
         putWatches();
         put(
                 MessageType.DATA_CENTRES_EVACUATED,
@@ -197,8 +203,9 @@
                 (out, message) -> out.cell(message.cell())
                         .number(message.placementId())
                         .number(message.retryAfterMs())
-                        .number(message.heldMs(), 0),
-                in -> new NotPlaced(in.cell(), in.number(), in.number(), in.number(0)));
+                        .number(message.heldMs(), 0)
+                        .number(message.streamLost() ? 1 : 0, 0),
+                in -> new NotPlaced(in.cell(), in.number(), in.number(), in.number(0), in.number(0) != 0));
         put(
                 MessageType.PLACE_WITHDRAWN,
                 PlaceWithdrawn.class,
@@ -228,6 +235,36 @@
                 MessageCodec::readPlacementsHeld);
     }
 
+    private static void putStreams() {
+        put(
+                MessageType.STREAMS_BEGAN,
+                StreamsBegan.class,
+                (out, message) -> out.pool(message.pool())
+                        .list(
+                                message.beginnings(),
+                                beginning -> out.item(3)
+                                        .put(beginning.streamKey())
+                                        .put(beginning.softwareVersion())
+                                        .put(beginning.leftMs()))
+                        .number(message.replicated() ? 1 : 0, 0),
+                in -> new StreamsBegan(
+                        in.pool(),
+                        in.list(() -> new StreamBeginning(in.number(), in.text(), in.number())),
+                        in.number(0) != 0));
+        put(
+                MessageType.VERSION_HISTORY,
+                VersionHistory.class,
+                (out, message) -> out.number(message.knownForMs())
+                        .list(
+                                message.versions(),
+                                version -> out.item(3)
+                                        .put(version.pool().name())
+                                        .put(version.softwareVersion())
+                                        .put(version.ageMs())),
+                in -> new VersionHistory(
+                        in.number(), in.list(() -> new ServedVersion(PoolId.of(in.text()), in.text(), in.number()))));
+    }
+
     private static void putWatches() {
         put(
                 MessageType.WATCH_BEAT,
@@ -396,7 +433,9 @@
                 .list(message.parts(), part -> out.item(2).put(part.id()).put(part.tokens()))
                 .list(message.excluded(), target -> out.item(1).put(target))
                 .number(message.outputTokens(), 0)
-                .number(message.urgency(), RequestSpec.DEFAULT_URGENCY);
+                .number(message.urgency(), RequestSpec.DEFAULT_URGENCY)
+                .number(message.resumedStream(), Place.NO_STREAM)
+                .text(message.softwareVersion(), "");
     }
 
     private static Place readPlace(MessageReader in) throws IOException {
@@ -409,8 +448,20 @@
         var excluded = in.list(in::target);
         long outputTokens = in.number(0);
         int urgency = in.intNumber(RequestSpec.DEFAULT_URGENCY);
+        long resumedStream = in.number(Place.NO_STREAM);
+        String softwareVersion = in.text("");
         return new Place(
-                cell, placementId, customer, urgency, prompt, outputTokens, objectiveLeftMs, waitLeftMs, excluded);
+                cell,
+                placementId,
+                customer,
+                urgency,
+                prompt,
+                outputTokens,
+                objectiveLeftMs,
+                waitLeftMs,
+                excluded,
+                softwareVersion,
+                resumedStream);
     }
 
     private static DataCentresEvacuated readEvacuations(MessageReader in) throws IOException {
--- a/kernel/src/main/java/org/marjoramswitch/kernel/wire/MessageReader.java
+++ b/kernel/src/main/java/org/marjoramswitch/kernel/wire/MessageReader.java
@@ -91,6 +91,10 @@
         return fields.text();
     }
 
+    String text(String defaultText) throws IOException {
+        return fields.hasField() ? fields.text() : defaultText;
+    }
+
     /** Reads a text whose length is limited only by the frame. */
     String longText() throws IOException {
         return fields.longText();
--- a/kernel/src/main/java/org/marjoramswitch/kernel/wire/MessageType.java
+++ b/kernel/src/main/java/org/marjoramswitch/kernel/wire/MessageType.java
@@ -42,7 +42,9 @@
     WATCH_QUERY(30, PeerMessage.WatchQuery.class),
     WATCH_COPY(31, PeerMessage.WatchCopy.class),
     CRASH_NEWS(32, PeerMessage.CrashNews.class),
-    DATA_CENTRES_EVACUATED(33, PeerMessage.DataCentresEvacuated.class);
+    DATA_CENTRES_EVACUATED(33, PeerMessage.DataCentresEvacuated.class),
+    STREAMS_BEGAN(34, PeerMessage.StreamsBegan.class),
+    VERSION_HISTORY(35, PeerMessage.VersionHistory.class);
 
     private static final Map<Class<?>, MessageType> BY_CLASS =
             Arrays.stream(values()).collect(Collectors.toMap(type -> type.messageClass, Function.identity()));
--- a/kernel/src/main/java/org/marjoramswitch/kernel/wire/MessageWriter.java
+++ b/kernel/src/main/java/org/marjoramswitch/kernel/wire/MessageWriter.java
@@ -92,6 +92,12 @@
         return this;
     }
 
+    /** Writes a text; one that equals {@code defaultText} is omitted if only defaults follow. */
+    MessageWriter text(String text, String defaultText) {
+        fields.text(text, defaultText);
+        return this;
+    }
+
     /** Writes a list of texts, two for each entry. */
     MessageWriter texts(Map<String, String> entries) {
         fields.list(entries.size() * 2);
--- a/kernel/src/test/java/org/marjoramswitch/kernel/PlacementFleet.java
+++ b/kernel/src/test/java/org/marjoramswitch/kernel/PlacementFleet.java
@@ -9,6 +9,7 @@
 import java.util.Objects;
 import java.util.Set;
 import java.util.TreeMap;
+import org.jspecify.annotations.Nullable;
 import org.junit.jupiter.api.BeforeEach;
 import org.marjoramswitch.kernel.action.Action;
 import org.marjoramswitch.kernel.capacity.WindowedRetryBudget;
@@ -24,6 +25,7 @@
 import org.marjoramswitch.kernel.model.PoolId;
 import org.marjoramswitch.kernel.model.PromptPart;
 import org.marjoramswitch.kernel.model.RequestSpec;
+import org.marjoramswitch.kernel.model.StreamSpec;
 import org.marjoramswitch.kernel.model.TargetId;
 import org.marjoramswitch.kernel.model.TargetOutcome;
 import org.marjoramswitch.kernel.model.Usage;
@@ -81,12 +83,16 @@
 
     /** Restarts the instance's process without its state and notifies the others of its exit and its start. */
     void restart(InstanceId id, String... targetNames) {
+        restart(id, settings(targetNames));
+    }
+
+    void restart(InstanceId id, FleetSettings settings) {
         loseLink(id);
         wire.clear();
         incarnations.merge(id, 1L, Long::sum);
         boot(member(id));
         frozen.remove(id);
-        apply(id, new Event.SettingsAccepted(settings(targetNames)));
+        apply(id, new Event.SettingsAccepted(settings));
         shareView();
         INSTANCES.stream().filter(other -> !other.equals(id)).forEach(other -> {
             apply(other, new Event.PeerLinkChanged(id, true));
@@ -128,9 +134,18 @@
     }
 
     long arrive(boolean repeatable, int attempts, boolean resumable, long digest) {
+        return arrive(repeatable, attempts, resumable, digest, null);
+    }
+
+    long arrive(boolean repeatable, int attempts, boolean resumable, long digest, @Nullable StreamSpec stream) {
         requests++;
         PlacementSpec placement = new PlacementSpec(
-                List.of(PromptPart.of(1, 10), PromptPart.of(100 + requests, 10)), 5, nowMs + 400, attempts, resumable);
+                        List.of(PromptPart.of(1, 10), PromptPart.of(100 + requests, 10)),
+                        5,
+                        nowMs + 400,
+                        attempts,
+                        resumable)
+                .withStream(stream);
         RequestSpec spec = new RequestSpec(
                 requests, CUSTOMER, POOL, 1, repeatable, 20, 5, 0, nowMs + CALLER_TIMEOUT_MS, placement, digest);
         apply(entry, new Event.RequestArrived(spec));
@@ -160,6 +175,16 @@
                 1, Map.of(), Map.of(POOL, PoolSettings.modelEngines(POOL).withCellTargets(100)), targets);
     }
 
+    /** Settings with targets of different software versions. */
+    static FleetSettings settings(Map<String, String> versionByTarget) {
+        FleetSettings settings = settings(versionByTarget.keySet().toArray(String[]::new));
+        Map<TargetId, TargetSettings> targets = new TreeMap<>();
+        settings.targets()
+                .forEach((id, target) -> targets.put(
+                        id, target.withSoftwareVersion(Objects.requireNonNull(versionByTarget.get(id.name())))));
+        return FleetSettings.of(settings.generation(), settings.customers(), settings.pools(), targets);
+    }
+
     /** Settings with one target in each data centre, named after it. */
     static FleetSettings settingsOf(DataCentreId... dataCentres) {
         Map<TargetId, TargetSettings> targets = new TreeMap<>();
--- /dev/null
+++ b/kernel/src/test/java/org/marjoramswitch/kernel/StreamVersionFleetTest.java
@@ -0,0 +1,209 @@
+package org.marjoramswitch.kernel;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertNotEquals;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import java.util.Map;
+import java.util.Objects;
+import java.util.TreeMap;
+import org.junit.jupiter.api.BeforeEach;
+import org.junit.jupiter.api.Test;
+import org.marjoramswitch.kernel.action.Action;
+import org.marjoramswitch.kernel.error.ErrorType;
+import org.marjoramswitch.kernel.event.Event;
+import org.marjoramswitch.kernel.model.InstanceId;
+import org.marjoramswitch.kernel.model.RunState;
+import org.marjoramswitch.kernel.model.StreamSpec;
+import org.marjoramswitch.kernel.model.TargetOutcome;
+
+/** Tests at which targets streams continue in a fleet of three kernels whose targets have two software versions. */
+class StreamVersionFleetTest extends PlacementFleet {
+    private static final Map<String, String> MIXED = Map.of("t1", "v1", "t2", "v1", "t3", "v2", "t4", "v2");
+    private static final Map<String, String> OLD_ONLY = Map.of("t1", "v1", "t2", "v1");
+    private static final Map<String, String> NEW_ONLY = Map.of("t3", "v2", "t4", "v2");
+    private static final int STREAMS = 8;
+    private static final long REPLICATION_MS = 200;
+    /** Longer than any stream. */
+    private static final long HISTORY_MS = 35_000;
+
+    private Map<String, String> current = MIXED;
+    private InstanceId third = INSTANCES.get(0);
+
+    @BeforeEach
+    void startWithTwoVersions() {
+        third = INSTANCES.stream()
+                .filter(id -> !id.equals(arbiter) && !id.equals(entry))
+                .findFirst()
+                .orElseThrow();
+        list(MIXED);
+    }
+
+    @Test
+    void brokenStreamContinuesAtItsVersion() {
+        for (long key = 1; key <= STREAMS; key++) {
+            long request = begin(key);
+            String version = versionOf(request);
+            end(request, TargetOutcome.BROKEN_IN_ANSWER);
+            assertEquals(version, versionOf(request));
+            end(request, TargetOutcome.COMPLETED);
+        }
+    }
+
+    /** Guards against confining a request to the version of a target that delivered nothing. */
+    @Test
+    void requestWithoutDeliveredEventMayUseAnotherVersion() {
+        list(Map.of("t1", "v1", "t3", "v2"));
+        long request = arrive(true, 2, true, 0, StreamSpec.beginning(1));
+        String version = versionOf(request);
+        end(request, TargetOutcome.BROKEN_BEFORE_ANSWER);
+        assertNotEquals(version, versionOf(request));
+    }
+
+    /** Guards against confining a request to the version of a target whose error response is held back. */
+    @Test
+    void requestWithServerErrorMayUseAnotherVersion() {
+        list(Map.of("t1", "v1", "t3", "v2"));
+        long request = begin(1);
+        String version = versionOf(request);
+        end(request, TargetOutcome.SERVER_ERROR);
+        assertNotEquals(version, versionOf(request));
+    }
+
+    /** Guards against losing a stream's version when its entry and the arbiter crash together. */
+    @Test
+    void versionSurvivesCrashOfEntryAndArbiter() {
+        Map<Long, String> begun = beginAll();
+        advance(REPLICATION_MS);
+        loseLink(entry);
+        loseLink(arbiter);
+        entry = third;
+        assertResumed(begun);
+    }
+
+    /** Guards against an arbiter that restarts, loses its records, and is used again. */
+    @Test
+    void restartedArbiterKnowsVersions() {
+        Map<Long, String> begun = beginAll();
+        advance(REPLICATION_MS);
+        restartInstance(arbiter);
+        restartInstance(third);
+        loseLink(entry);
+        entry = third;
+        assertResumed(begun);
+    }
+
+    /** Guards against a chain of crashes after which no instance has seen the streams begin. */
+    @Test
+    void versionSurvivesRestartOfEachInstanceInTurn() {
+        Map<Long, String> begun = beginAll();
+        for (InstanceId instance : INSTANCES) {
+            advance(REPLICATION_MS);
+            restartInstance(instance);
+        }
+        advance(REPLICATION_MS);
+        assertResumed(begun);
+    }
+
+    /** Guards against joining two versions when the beginning is not known. */
+    @Test
+    void unknownStreamIsRejected() {
+        for (StreamSpec stream : new StreamSpec[] {StreamSpec.resuming(1, 99), StreamSpec.resuming(2, 0)}) {
+            assertRejected(arrive(true, 2, true, 0, stream));
+        }
+    }
+
+    /** Guards against taking the version that serves now for the one that began the stream: another has just left. */
+    @Test
+    void unknownStreamIsRejectedAfterAVersionHasLeft() {
+        advance(HISTORY_MS);
+        list(NEW_ONLY);
+        advance(1_000);
+        assertRejected(arrive(true, 2, true, 0, StreamSpec.resuming(1, 99)));
+        advance(HISTORY_MS);
+        assertTrue(isRunning(arrive(true, 2, true, 0, StreamSpec.resuming(2, 99))));
+    }
+
+    /** Guards against rejecting streams in a fleet with one version because an instance has just started. */
+    @Test
+    void restartedInstanceContinuesUnknownStreamOfTheOnlyVersion() {
+        list(OLD_ONLY);
+        advance(HISTORY_MS);
+        restartInstance(arbiter);
+        restartInstance(third);
+        entry = third;
+        assertTrue(isRunning(arrive(true, 2, true, 0, StreamSpec.resuming(1, 0))));
+    }
+
+    /** Guards against continuing a stream at the only version that a disconnected instance knows. */
+    @Test
+    void disconnectedInstanceRejectsStreamThatItHasMissed() {
+        list(OLD_ONLY);
+        advance(HISTORY_MS);
+        INSTANCES.stream().filter(id -> !id.equals(third)).forEach(id -> cutLink(third, id));
+        entry = third;
+        assertRejected(arrive(true, 2, true, 0, StreamSpec.resuming(1, 99)));
+    }
+
+    /** Guards against holding a request until its deadline after the last target of its version has left. */
+    @Test
+    void waitingStreamIsRejectedWhenItsVersionLeaves() {
+        list(OLD_ONLY);
+        for (int i = 0; i < 2 * SLOTS; i++) {
+            begin(10 + i);
+        }
+        list(MIXED);
+        long waiting = arrive(true, 2, true, 0, StreamSpec.resuming(1, 10));
+        assertTrue(!isRunning(waiting) && !ends.containsKey(waiting));
+        list(NEW_ONLY);
+        assertRejected(waiting);
+    }
+
+    private void list(Map<String, String> versionByTarget) {
+        current = versionByTarget;
+        INSTANCES.forEach(id -> apply(id, new Event.SettingsAccepted(settings(versionByTarget))));
+    }
+
+    private void restartInstance(InstanceId id) {
+        restart(id, settings(current));
+    }
+
+    /** Begins a stream whose first event reaches the caller. */
+    private long begin(long key) {
+        long request = arrive(true, 2, true, 0, StreamSpec.beginning(key));
+        apply(entry, new Event.TargetAnswering(request));
+        return request;
+    }
+
+    private Map<Long, String> beginAll() {
+        Map<Long, String> begun = new TreeMap<>();
+        for (long key = 1; key <= STREAMS; key++) {
+            begun.put(key, versionOf(begin(key)));
+        }
+        assertEquals(2, begun.values().stream().distinct().count());
+        return begun;
+    }
+
+    private void assertResumed(Map<Long, String> begun) {
+        begun.forEach((key, version) -> {
+            long request = arrive(true, 2, true, 0, StreamSpec.resuming(100 + key, key));
+            advance(1_000);
+            assertEquals(version, versionOf(request), "stream " + key);
+            end(request, TargetOutcome.COMPLETED);
+        });
+    }
+
+    private void assertRejected(long request) {
+        assertEquals(ErrorType.STREAM_NOT_RESUMABLE, failure(request).failure().type());
+        assertEquals(RunState.NOT_RUN, failure(request).failure().run());
+    }
+
+    /** The version of the target to which the request was dispatched last. */
+    private String versionOf(long request) {
+        Action.Dispatch last = dispatched.stream()
+                .filter(start -> start.requestId() == request)
+                .reduce((first, second) -> second)
+                .orElseThrow();
+        return Objects.requireNonNull(MIXED.get(last.target().name()));
+    }
+}
--- a/kernel/src/test/java/org/marjoramswitch/kernel/entry/EntryTest.java
+++ b/kernel/src/test/java/org/marjoramswitch/kernel/entry/EntryTest.java
@@ -30,6 +30,7 @@
 import org.marjoramswitch.kernel.settings.FleetSettings;
 import org.marjoramswitch.kernel.settings.PoolSettings;
 import org.marjoramswitch.kernel.settings.TargetSettings;
+import org.marjoramswitch.kernel.stream.StreamDirectory;
 
 class EntryTest {
     private static final PoolId POOL = PoolId.of("pool");
@@ -46,7 +47,7 @@
     private static final int REFUSED_REQUESTS = 20;
 
     private final FleetState fleet = FleetState.of(view(ARBITER));
-    private final Entry entry = Entry.create(SELF, KernelOptions.defaults(), fleet);
+    private final Entry entry = Entry.create(SELF, KernelOptions.defaults(), fleet, StreamDirectory.create());
     private final List<Action> actions = new ArrayList<>();
     private long nowMs = 1_000;
     private long sequence = 1;
--- a/kernel/src/test/java/org/marjoramswitch/kernel/placement/TargetChoiceTest.java
+++ b/kernel/src/test/java/org/marjoramswitch/kernel/placement/TargetChoiceTest.java
@@ -12,7 +12,7 @@
 import java.util.Set;
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.params.ParameterizedTest;
-import org.junit.jupiter.params.provider.ValueSource;
+import org.junit.jupiter.params.provider.CsvSource;
 import org.marjoramswitch.kernel.model.CustomerId;
 import org.marjoramswitch.kernel.model.DataCentreId;
 import org.marjoramswitch.kernel.model.InstanceId;
@@ -37,18 +37,22 @@
 
     private final TargetPool pool = TargetPool.create();
     private final FirstByteModel model = new FirstByteModel();
+    private int versionCount = 1;
 
     @ParameterizedTest
-    @ValueSource(longs = {1, 2, 3, 4, 5, 6, 7, 8})
-    void theChoiceEqualsAnExhaustiveSearch(long seed) {
+    @CsvSource({"1, 1", "2, 1", "3, 1", "4, 1", "5, 1", "6, 1", "7, 1", "8, 1", "9, 2", "10, 2", "11, 3", "12, 3"})
+    void theChoiceEqualsAnExhaustiveSearch(long seed, int versions) {
         Random random = new Random(seed);
+        versionCount = versions;
         engines(random, seed % 2 == 0 ? EngineMemory.of(MEMORY_TOKENS) : EngineMemory.fetching(MEMORY_TOKENS, 0.0004));
         TargetChoice choice = TargetChoice.at(PlacementPolicy.full(), model, 50, pool, NOW_MS);
         int placed = 0;
         for (int i = 0; i < REQUESTS; i++) {
-            WaitingRequest request = request(i, prompt(random, i), excluded(random));
+            String version = versions > 1 && random.nextBoolean() ? version(random.nextInt(versions)) : "";
+            WaitingRequest request = request(i, prompt(random, i), excluded(random), version);
             TargetChoice.Chosen expected = choice.chooseInTimeExhaustively(request);
             assertEquals(expected, choice.chooseInTime(request), "request " + i);
+            assertTrue(expected == null || isSameVersion(request, expected), "request " + i);
             if (expected != null && placed < ENGINES) {
                 placed++;
                 expected.target().started(request.prompt(), expected.prefillTokens(), request.memoryTokens(), NOW_MS);
@@ -115,16 +119,29 @@
         }
     }
 
-    private static TargetSettings settings(int number, int slots, EngineMemory memory) {
+    private TargetSettings settings(int number, int slots, EngineMemory memory) {
         return new TargetSettings(
-                TargetId.of("t" + number),
-                POOL,
-                "10.0.0.1",
-                80,
-                DataCentreId.of("dc-" + number % 5),
-                slots,
-                false,
-                memory);
+                        TargetId.of("t" + number),
+                        POOL,
+                        "10.0.0.1",
+                        80,
+                        DataCentreId.of("dc-" + number % 5),
+                        slots,
+                        false,
+                        memory)
+                .withSoftwareVersion(version(number % versionCount));
+    }
+
+    private static String version(int number) {
+        return "v" + number;
+    }
+
+    /** Whether target and request have the same version, if the request has one, and source and target always. */
+    private boolean isSameVersion(WaitingRequest request, TargetChoice.Chosen chosen) {
+        String version = chosen.target().settings().softwareVersion();
+        TargetLoad source = chosen.fetchFrom() == null ? null : pool.get(chosen.fetchFrom());
+        return (request.softwareVersion().isEmpty() || request.softwareVersion().equals(version))
+                && (source == null || source.settings().softwareVersion().equals(version));
     }
 
     private static Set<TargetId> excluded(Random random) {
@@ -144,6 +161,11 @@
     }
 
     private static WaitingRequest request(int number, List<PromptPart> prompt, Set<TargetId> excluded) {
+        return request(number, prompt, excluded, "");
+    }
+
+    private static WaitingRequest request(
+            int number, List<PromptPart> prompt, Set<TargetId> excluded, String softwareVersion) {
         long tokens = prompt.stream().mapToLong(PromptPart::tokens).sum();
         return new WaitingRequest(
                 InstanceId.of("entry"),
@@ -158,6 +180,7 @@
                 NOW_MS + 100 + number,
                 NOW_MS + 8_000,
                 excluded,
+                softwareVersion,
                 SizeClass.USUAL,
                 tokens);
     }
--- a/kernel/src/test/java/org/marjoramswitch/kernel/wire/RandomMessages.java
+++ b/kernel/src/test/java/org/marjoramswitch/kernel/wire/RandomMessages.java
@@ -29,7 +29,7 @@
     }
 
     PeerMessage next() {
-        return switch (random.nextInt(33)) {
+        return switch (random.nextInt(35)) {
             case 0 -> new PeerMessage.Register(cell(), offers(), holdings(), standings(), number());
             case 1 -> new PeerMessage.Unregister(cell());
             case 2 -> new PeerMessage.Demand(cell(), customer(), random.nextInt(4) - 1, random.nextInt(8));
@@ -51,11 +51,21 @@
             case 18 -> new PeerMessage.ProbeReply(number());
             case 19 ->
                 new PeerMessage.Place(
-                        cell(), number(), customer(), 3, parts(), number(), number(), number(), List.of(target()));
+                        cell(),
+                        number(),
+                        customer(),
+                        3,
+                        parts(),
+                        number(),
+                        number(),
+                        number(),
+                        List.of(target()),
+                        version(),
+                        random.nextBoolean() ? PeerMessage.Place.NO_STREAM : number());
             case 20 ->
                 new PeerMessage.Placed(
                         cell(), number(), target(), random.nextBoolean() ? target() : null, number(), number());
-            case 21 -> new PeerMessage.NotPlaced(cell(), number(), number(), number());
+            case 21 -> new PeerMessage.NotPlaced(cell(), number(), number(), number(), random.nextBoolean());
             case 22 -> new PeerMessage.PlaceWithdrawn(cell(), number());
             case 23 -> new PeerMessage.PlacementAnswering(cell(), number());
             case 24 ->
@@ -69,6 +79,8 @@
             case 31 ->
                 new PeerMessage.DataCentresEvacuated(
                         Evacuations.of(number(), Set.of(DataCentreId.of("dc-" + random.nextInt(3)))));
+            case 32 -> new PeerMessage.StreamsBegan(cell().pool(), beginnings(), random.nextBoolean());
+            case 33 -> new PeerMessage.VersionHistory(number(), servedVersions());
             default -> new PeerMessage.Heartbeat();
         };
     }
@@ -110,6 +122,18 @@
                                 "list/a", "x".repeat(random.nextInt(3_000)), number(), number()));
     }
 
+    private List<PeerMessage.StreamBeginning> beginnings() {
+        return list(random.nextInt(4), () -> new PeerMessage.StreamBeginning(random.nextLong(), version(), number()));
+    }
+
+    private List<PeerMessage.ServedVersion> servedVersions() {
+        return list(random.nextInt(4), () -> new PeerMessage.ServedVersion(cell().pool(), version(), number()));
+    }
+
+    private String version() {
+        return random.nextBoolean() ? "" : "v1." + random.nextInt(3);
+    }
+
     private List<PeerMessage.Standing> standings() {
         return list(random.nextInt(4), () -> new PeerMessage.Standing(customer(), number()));
     }
