Let streams that continue wait for their turn instead of rejecting them as late

A request that continues a stream was late on arrival, since its objective is that of the first event, and the arbiter rejects late requests at once while others wait. Such a request now waits among those in time for up to a quarter of its remaining time, and the estimate of the wait, which counts the queue of all versions, does not reject it.

--- a/kernel/src/main/java/org/marjoramswitch/kernel/placement/PlacementArbiter.java
+++ b/kernel/src/main/java/org/marjoramswitch/kernel/placement/PlacementArbiter.java
@@ -298,9 +298,7 @@
             long queueWaitMs = SizeClass.expectedQueueWaitMs(request.objectiveAtMs() - nowMs);
             lateAtMs = Math.max(lateAtMs, nowMs + queueWaitMs);
         }
-        if (policy.has(Mechanism.LATE_SHARE)
-                && lateAtMs <= nowMs
-                && fairShare.isUnderserved(request.customer(), nowMs)) {
+        if (lateAtMs <= nowMs && takesTurnWhenLate(request, nowMs)) {
             lateAtMs = nowMs + LateRequestHold.holdMs(request.deadlineMs(), nowMs);
         }
         if (lateAtMs <= nowMs) {
@@ -313,7 +311,9 @@
         }
         updateWaitingCount(request.customer());
         arrived.add(request);
+        // The estimate covers the queue of all versions, of which a stream can use one.
         if (policy.has(Mechanism.EARLY_REFUSAL)
+                && !request.continuesStream()
                 && model.hasEnoughObservations()
                 && nowMs + estimatedWaitMs(request) > lateAtMs) {
             removeWaiting(request.entry(), request.placementId());
@@ -321,6 +321,15 @@
         }
     }
 
+    /**
+     * Whether a late request waits among those in time. A stream is always late, since its first event was due long ago;
+     * its caller has received a part and loses it if the request is rejected.
+     */
+    private boolean takesTurnWhenLate(WaitingRequest request, long nowMs) {
+        return request.continuesStream()
+                || (policy.has(Mechanism.LATE_SHARE) && fairShare.isUnderserved(request.customer(), nowMs));
+    }
+
     private double estimatedWaitMs(WaitingRequest request) {
         int healthy = lastPass == null ? targets.size() : lastPass.healthyTargets();
         return QueueWaitEstimate.waitMs(request, waiting, shares, model.msPerToken(), healthy);
