Do not count waiting streams in the lookahead of a customer's requests

An arbiter examines eight requests of a customer in a pass. Streams that wait for a full version used these up, and the customer's new requests waited beside idle targets of another version. ContinuedStreamTest#newRequestPassesStreamsThatWaitForAnotherVersion failed before.

--- a/kernel/src/main/java/org/marjoramswitch/kernel/placement/PlacementArbiter.java
+++ b/kernel/src/main/java/org/marjoramswitch/kernel/placement/PlacementArbiter.java
@@ -418,7 +418,8 @@
                 start(request, choice, chosen, reason(request, nowMs), nowMs, sink);
                 return true;
             }
-            examined++;
+            // Streams that wait for one version must not keep new requests from targets of another.
+            examined += request.continuesStream() ? 0 : 1;
             if (examined == LOOKAHEAD) {
                 return false;
             }
--- a/kernel/src/test/java/org/marjoramswitch/kernel/placement/ContinuedStreamTest.java
+++ b/kernel/src/test/java/org/marjoramswitch/kernel/placement/ContinuedStreamTest.java
@@ -81,6 +81,17 @@
         assertFalse(rejected.contains(send("v1", OBJECTIVE_MS)));
     }
 
+    /** Guards against idle targets while a customer's streams wait for the other version. */
+    @Test
+    void newRequestPassesStreamsThatWaitForAnotherVersion() {
+        fillVersion("v1");
+        for (int i = 0; i < MANY; i++) {
+            send("v1", OBJECTIVE_MS);
+        }
+        nowMs += 50;
+        assertEquals(TargetId.of("new"), placed.get(send("", OBJECTIVE_MS)));
+    }
+
     /** Guards against holding a request to its deadline: a stream whose targets stay full is rejected in time. */
     @Test
     void streamIsRejectedBeforeItsDeadline() {
