Reject a waiting stream by the time at which its entry expects the answer

A stream that found no target in its turn was held a second time as a late request while targets of another version had capacity. Its entry then closed the request as overdue and put the arbiter in backoff. ContinuedStreamTest#streamIsRejectedBeforeItsEntryExpectsIt failed before.

--- a/kernel/src/main/java/org/marjoramswitch/kernel/placement/PlacementArbiter.java
+++ b/kernel/src/main/java/org/marjoramswitch/kernel/placement/PlacementArbiter.java
@@ -337,7 +337,9 @@
 
     private void addLate(WaitingRequest request, long nowMs) {
         long holdMs = LateRequestHold.holdMs(request.deadlineMs(), nowMs);
+        // A stream has waited for the time of a hold already.
         boolean mayHold = policy.has(Mechanism.LATE_HOLDING)
+                && !request.continuesStream()
                 && waiting.inTimeCount() == 0
                 && waiting.lateCount() < maxLate()
                 && hasSpareCapacity();
--- a/kernel/src/test/java/org/marjoramswitch/kernel/placement/ContinuedStreamTest.java
+++ b/kernel/src/test/java/org/marjoramswitch/kernel/placement/ContinuedStreamTest.java
@@ -92,12 +92,13 @@
         assertEquals(TargetId.of("new"), placed.get(send("", OBJECTIVE_MS)));
     }
 
-    /** Guards against holding a request to its deadline: a stream whose targets stay full is rejected in time. */
+    /** Guards against an entry that takes its arbiter for late because this one holds a stream for too long. */
     @Test
-    void streamIsRejectedBeforeItsDeadline() {
-        fill();
+    void streamIsRejectedBeforeItsEntryExpectsIt() {
+        fillVersion("v1");
         long stream = send("v1", PAST_OBJECTIVE_MS);
-        for (int i = 0; i < TIMEOUT_MS / 20; i++) {
+        long responseDueAtMs = LateRequestHold.responseDueAtMs(nowMs + PAST_OBJECTIVE_MS, nowMs + TIMEOUT_MS, nowMs);
+        while (nowMs < responseDueAtMs) {
             nowMs += 10;
             decide();
         }
