Confine resumed streams of plain services to their software version

The same cause elsewhere: the system itself does not continue a stream of a plain service, but its caller may resume it, and any target of the pool served it. StreamVersionFleetTest#resumedStreamOfPlainServiceContinuesAtItsVersion failed before (its request was not recorded).

--- a/daemon/src/main/java/org/marjoramswitch/daemon/caller/RoutedCall.java
+++ b/daemon/src/main/java/org/marjoramswitch/daemon/caller/RoutedCall.java
@@ -6,6 +6,7 @@
 import org.marjoramswitch.daemon.exchange.CallDecoder.CallMetadata;
 import org.marjoramswitch.daemon.exchange.TargetCall;
 import org.marjoramswitch.daemon.route.Route;
+import org.marjoramswitch.daemon.route.RouteKind;
 import org.marjoramswitch.daemon.route.RoutedSettings;
 import org.marjoramswitch.kernel.model.CustomerId;
 import org.marjoramswitch.kernel.model.PlacementSpec;
@@ -69,12 +70,12 @@
     }
 
     private PlacementSpec placement(long objectiveAtMs) {
-        if (pool.kind() != TargetKind.MODEL_ENGINE) {
-            return PlacementSpec.plain(objectiveAtMs, route.attempts());
-        }
-        boolean resumable = route.kind().isRepeatable() && route.kind().isStreaming();
-        return new PlacementSpec(metadata.prompt(), outputTokens(), objectiveAtMs, route.attempts(), resumable)
-                .withStream(resumable ? stream() : null);
+        boolean resumable = route.kind() == RouteKind.RESUMABLE_STREAM;
+        boolean isEngine = pool.kind() == TargetKind.MODEL_ENGINE;
+        PlacementSpec placement = isEngine
+                ? new PlacementSpec(metadata.prompt(), outputTokens(), objectiveAtMs, route.attempts(), resumable)
+                : PlacementSpec.plain(objectiveAtMs, route.attempts());
+        return resumable ? placement.withStream(stream()) : placement;
     }
 
     private StreamSpec stream() {
--- a/kernel/src/main/java/org/marjoramswitch/kernel/entry/Entry.java
+++ b/kernel/src/main/java/org/marjoramswitch/kernel/entry/Entry.java
@@ -161,7 +161,7 @@
             return;
         }
         PlacementSpec placement = request.spec().placement();
-        if (placement != null && placement.resumable()) {
+        if (placement != null && (placement.resumable() || placement.stream() != null)) {
             request.streamStarted();
         }
         placements.responseStarted(request, nowMs, sink);
--- a/kernel/src/test/java/org/marjoramswitch/kernel/PlacementFleet.java
+++ b/kernel/src/test/java/org/marjoramswitch/kernel/PlacementFleet.java
@@ -138,14 +138,17 @@
     }
 
     long arrive(boolean repeatable, int attempts, boolean resumable, long digest, @Nullable StreamSpec stream) {
+        List<PromptPart> prompt = List.of(PromptPart.of(1, 10), PromptPart.of(101 + requests, 10));
+        return arrive(
+                new PlacementSpec(prompt, 5, nowMs + 400, attempts, resumable).withStream(stream), repeatable, digest);
+    }
+
+    long arrive(PlacementSpec placement) {
+        return arrive(placement, true, 0);
+    }
+
+    private long arrive(PlacementSpec placement, boolean repeatable, long digest) {
         requests++;
-        PlacementSpec placement = new PlacementSpec(
-                        List.of(PromptPart.of(1, 10), PromptPart.of(100 + requests, 10)),
-                        5,
-                        nowMs + 400,
-                        attempts,
-                        resumable)
-                .withStream(stream);
         RequestSpec spec = new RequestSpec(
                 requests, CUSTOMER, POOL, 1, repeatable, 20, 5, 0, nowMs + CALLER_TIMEOUT_MS, placement, digest);
         apply(entry, new Event.RequestArrived(spec));
--- a/kernel/src/test/java/org/marjoramswitch/kernel/StreamVersionFleetTest.java
+++ b/kernel/src/test/java/org/marjoramswitch/kernel/StreamVersionFleetTest.java
@@ -13,6 +13,7 @@
 import org.marjoramswitch.kernel.error.ErrorType;
 import org.marjoramswitch.kernel.event.Event;
 import org.marjoramswitch.kernel.model.InstanceId;
+import org.marjoramswitch.kernel.model.PlacementSpec;
 import org.marjoramswitch.kernel.model.RunState;
 import org.marjoramswitch.kernel.model.StreamSpec;
 import org.marjoramswitch.kernel.model.TargetOutcome;
@@ -70,6 +71,19 @@
         assertNotEquals(version, versionOf(request));
     }
 
+    /** Guards against joining two versions of a plain service, whose streams only callers resume. */
+    @Test
+    void resumedStreamOfPlainServiceContinuesAtItsVersion() {
+        for (long key = 1; key <= STREAMS; key++) {
+            long first = arrivePlain(StreamSpec.beginning(key));
+            apply(entry, new Event.TargetAnswering(first));
+            long second = arrivePlain(StreamSpec.resuming(100 + key, key));
+            assertEquals(versionOf(first), versionOf(second));
+            end(second, TargetOutcome.COMPLETED);
+            end(first, TargetOutcome.BROKEN_IN_ANSWER);
+        }
+    }
+
     /** Guards against losing a stream's version when its entry and the arbiter crash together. */
     @Test
     void versionSurvivesCrashOfEntryAndArbiter() {
@@ -175,6 +189,10 @@
         return request;
     }
 
+    private long arrivePlain(StreamSpec stream) {
+        return arrive(PlacementSpec.plain(nowMs + 400, 2).withStream(stream));
+    }
+
     private Map<Long, String> beginAll() {
         Map<Long, String> begun = new TreeMap<>();
         for (long key = 1; key <= STREAMS; key++) {
