Pause before asking an arbiter again whose list of targets is behind

Found by a random test of streams: an entry whose list is newer than its arbiter's returned each placement and asked again at once. With all of the arbiter's targets excluded the arbiter ignores the list of exclusions, so the two exchanged messages without a pause until the list arrived; a request confined to one version gets there soon. The request now asks again after 50 ms, and is rejected as not run after ten times. PlacementFleetTest#requestWaitsForAnArbiterWhoseListIsBehind and #requestIsRejectedIfTheArbitersListStaysBehind did not end before.

--- a/kernel/src/main/java/org/marjoramswitch/kernel/entry/Entry.java
+++ b/kernel/src/main/java/org/marjoramswitch/kernel/entry/Entry.java
@@ -1,6 +1,8 @@
 package org.marjoramswitch.kernel.entry;
 
+import java.util.ArrayDeque;
 import java.util.Comparator;
+import java.util.Deque;
 import java.util.List;
 import java.util.Map;
 import java.util.PriorityQueue;
@@ -62,6 +64,10 @@
 
     /** A longer interval between ticks means that the process was paused or lacked processor time. */
     private static final long PAUSE_MS = 300;
+    /** Pause before an arbiter whose list of targets is behind is asked again; lists differ by tens of milliseconds. */
+    private static final long LIST_WAIT_MS = 50;
+
+    private static final int MAX_LIST_WAITS = 10;
 
     private final KernelOptions options;
     private final FleetState fleet;
@@ -78,6 +84,9 @@
     private final PoisonRequestGossip poisonGossip = PoisonRequestGossip.create();
     private final TargetBackoffs targetBackoffs = new TargetBackoffs();
     private final SendAdmission admission;
+    /** Requests whose arbiter knows no usable target yet, in the order in which it is asked again. */
+    private final Deque<ListWait> listWaits = new ArrayDeque<>();
+
     private int totalWaiting;
     private boolean draining;
     private long lastTickMs;
@@ -187,14 +196,13 @@
             // One of the two lists is out of date; the arbiter adopts this one or replies with a newer one.
             sink.accept(new Action.SendPeer(from, new PeerMessage.DataCentresEvacuated(fleet.evacuations())));
         }
-        boolean onlyTarget =
-                verdict == SendAdmission.Verdict.TARGET_IN_BACKOFF && placements.wasExcluded(request, placed.target());
+        boolean onlyTarget = placements.wasExcluded(request, placed.target());
         placements.attemptEnded(request, PlacementEnd.NOT_RUN, sink);
         if (verdict.endsRequest()) {
             endUnsent(request, verdict, nowMs, sink);
             return;
         }
-        if (onlyTarget) {
+        if (onlyTarget && verdict == SendAdmission.Verdict.TARGET_IN_BACKOFF) {
             // The arbiter selected an excluded target for lack of another one. It would do so again until the backoff
             // has elapsed.
             refuseForBackoff(request, targetBackoffs.remainingMs(List.of(placed.target()), nowMs), sink);
@@ -203,9 +211,39 @@
         if (verdict.excludesTarget()) {
             request.excludeUnusable(placed.target());
         }
+        if (onlyTarget && verdict.excludesTarget()) {
+            // The arbiter's list of targets is behind this one's; it would select the same targets until it has caught
+            // up.
+            waitForArbiter(request, nowMs, sink);
+            return;
+        }
         requestPlacement(request, nowMs, sink);
     }
 
+    /** Asks the arbiter again after a pause, or rejects the request if it was asked too often already. */
+    private void waitForArbiter(EntryRequest request, long nowMs, ActionSink sink) {
+        if (request.listWaits() < MAX_LIST_WAITS) {
+            request.countListWait();
+            listWaits.add(new ListWait(nowMs + LIST_WAIT_MS, request));
+            return;
+        }
+        totalWaiting--;
+        ErrorType type = request.streamVersion() == null ? ErrorType.NO_TARGET_IN_TIME : ErrorType.STREAM_NOT_RESUMABLE;
+        fail(request, type, RETRY_AFTER_MS, request.spec().pool().name(), sink);
+    }
+
+    private void endListWaits(long nowMs, ActionSink sink) {
+        while (!listWaits.isEmpty() && listWaits.peek().untilMs() <= nowMs) {
+            EntryRequest request = listWaits.remove().request();
+            // The request may have ended meanwhile.
+            if (requests.get(request.spec().requestId()) == request) {
+                requestPlacement(request, nowMs, sink);
+            }
+        }
+    }
+
+    private record ListWait(long untilMs, EntryRequest request) {}
+
     /** Ends a request that may not be sent to any target. */
     private void endUnsent(EntryRequest request, SendAdmission.Verdict verdict, long nowMs, ActionSink sink) {
         totalWaiting--;
@@ -378,6 +416,7 @@
         lastTickMs = nowMs;
         expire(nowMs, sink);
         registrations.tick(nowMs, sink);
+        endListWaits(nowMs, sink);
         replaceSilentPlacementArbiters(nowMs, sink);
         refuseOverdue(nowMs, sink);
         publishCrashes(sink);
--- a/kernel/src/main/java/org/marjoramswitch/kernel/entry/EntryRequest.java
+++ b/kernel/src/main/java/org/marjoramswitch/kernel/entry/EntryRequest.java
@@ -23,6 +23,7 @@
     private long reportedTokens;
     private boolean callerGone;
     private int executions;
+    private int listWaits;
     /** The software version of the target of the running attempt; empty if unknown. */
     private String targetVersion = "";
     /** The software version at which the request's stream must continue; null if any will do. */
@@ -169,6 +170,15 @@
         return executions;
     }
 
+    /** How often the request has waited for an arbiter whose list of targets is behind. */
+    int listWaits() {
+        return listWaits;
+    }
+
+    void countListWait() {
+        listWaits++;
+    }
+
     /** Excludes a target that was selected but cannot be used; nothing was sent to it. */
     void excludeUnusable(TargetId unused) {
         failedAt.add(unused);
--- a/kernel/src/test/java/org/marjoramswitch/kernel/PlacementFleetTest.java
+++ b/kernel/src/test/java/org/marjoramswitch/kernel/PlacementFleetTest.java
@@ -1,6 +1,7 @@
 package org.marjoramswitch.kernel;
 
 import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertFalse;
 import static org.junit.jupiter.api.Assertions.assertNotEquals;
 import static org.junit.jupiter.api.Assertions.assertNull;
 import static org.junit.jupiter.api.Assertions.assertTrue;
@@ -102,6 +103,33 @@
         assertEquals(2 * SLOTS + 1, dispatched.size());
     }
 
+    /**
+     * Guards against an endless exchange of messages: the arbiter's list is behind and has only targets that the entry
+     * knows to be gone.
+     */
+    @Test
+    @Timeout(value = 20, threadMode = Timeout.ThreadMode.SEPARATE_THREAD)
+    void requestWaitsForAnArbiterWhoseListIsBehind() {
+        apply(entry, new Event.SettingsAccepted(settings("t3")));
+        long served = arrive(true, 2, false);
+        advance(100);
+        assertFalse(isRunning(served));
+        targets("t3");
+        advance(100);
+        assertTrue(isRunning(served));
+    }
+
+    /** Guards against holding a request to its deadline while the arbiter's list stays behind. */
+    @Test
+    @Timeout(value = 20, threadMode = Timeout.ThreadMode.SEPARATE_THREAD)
+    void requestIsRejectedIfTheArbitersListStaysBehind() {
+        apply(entry, new Event.SettingsAccepted(settings("t3")));
+        long request = arrive(true, 2, false);
+        advance(1_000);
+        assertEquals(RunState.NOT_RUN, failure(request).failure().run());
+        assertTrue(failure(request).failure().retryAfterMs() > 0);
+    }
+
     @Test
     void repeatableRequestIsRetriedAtAnotherTarget() {
         long request = arrive(true, 2, false);
