Confine a broken stream to its version also if its first event was not reported

The report of a response's first byte passes a bounded ring, and a full ring drops it. A stream that broke off without it was free among all versions. The outcome of the attempt tells that a part was delivered as well.

--- a/kernel/src/main/java/org/marjoramswitch/kernel/entry/Entry.java
+++ b/kernel/src/main/java/org/marjoramswitch/kernel/entry/Entry.java
@@ -361,7 +361,10 @@
         if (!outcome.notRun()) {
             request.markMayHaveRun();
         }
-        if (!outcome.answerBegun()) {
+        if (outcome.answerBegun()) {
+            // The report of the response's first byte may have been lost in a full ring.
+            request.streamStarted();
+        } else {
             request.nothingDelivered();
         }
         recordCrash(request.spec().digest(), target, outcome, nowMs, sink);
--- a/kernel/src/test/java/org/marjoramswitch/kernel/StreamVersionFleetTest.java
+++ b/kernel/src/test/java/org/marjoramswitch/kernel/StreamVersionFleetTest.java
@@ -51,6 +51,18 @@
         }
     }
 
+    /** Guards against an unconfined stream whose first event the decision loop has not been told of. */
+    @Test
+    void brokenStreamContinuesAtItsVersionWithoutReportOfItsFirstEvent() {
+        for (long key = 1; key <= STREAMS; key++) {
+            long request = arrive(true, 2, true, 0, StreamSpec.beginning(key));
+            String version = versionOf(request);
+            end(request, TargetOutcome.BROKEN_IN_ANSWER);
+            assertEquals(version, versionOf(request));
+            end(request, TargetOutcome.COMPLETED);
+        }
+    }
+
     /** Guards against confining a request to the version of a target that delivered nothing. */
     @Test
     void requestWithoutDeliveredEventMayUseAnotherVersion() {
