Follow the longest timeout of callers in what a single version proves

A version counted as the only one after 30 s without another, also where callers wait longer for their streams, so a stream that began at a version that left before that could be joined. The time now follows the longest timeout reported with a stream. An entry sends no report for a stream that cannot be named.

--- a/kernel/src/main/java/org/marjoramswitch/kernel/StreamReplication.java
+++ b/kernel/src/main/java/org/marjoramswitch/kernel/StreamReplication.java
@@ -77,6 +77,7 @@
     private void record(PeerMessage.StreamsBegan message, StreamBeginning beginning, long nowMs) {
         directory.record(message.pool(), beginning, nowMs);
         versions.served(message.pool(), beginning.softwareVersion(), nowMs);
+        versions.streamMayLast(beginning.leftMs());
         if (!message.replicated()) {
             unsent.computeIfAbsent(message.pool(), missing -> new LinkedHashSet<>())
                     .add(beginning.streamKey());
--- a/kernel/src/main/java/org/marjoramswitch/kernel/entry/Placements.java
+++ b/kernel/src/main/java/org/marjoramswitch/kernel/entry/Placements.java
@@ -232,6 +232,9 @@
                 .filter(key -> key != 0)
                 .mapToObj(key -> new PeerMessage.StreamBeginning(key, version, leftMs))
                 .toList();
+        if (beginnings.isEmpty()) {
+            return;
+        }
         beginnings.forEach(beginning -> streams.record(spec.pool(), beginning, nowMs));
         send(placement, new PeerMessage.StreamsBegan(spec.pool(), beginnings, false), sink);
     }
@@ -344,7 +347,7 @@
         Set<TargetId> backedOff = targetBackoffs.backedOffTargets(nowMs);
         placement.excludesBackedOff = !backedOff.isEmpty();
         placement.excluded = excluded(placement, backedOff);
-        String version = streamVersion(request, nowMs);
+        String version = findStreamVersion(request, nowMs);
         send(
                 placement,
                 new PeerMessage.Place(
@@ -363,7 +366,7 @@
     }
 
     /** The version to which the request is confined; null if any will do or the arbiter has to find it. */
-    private @Nullable String streamVersion(EntryRequest request, long nowMs) {
+    private @Nullable String findStreamVersion(EntryRequest request, long nowMs) {
         StreamSpec stream = Objects.requireNonNull(request.spec().placement()).stream();
         if (request.streamVersion() == null && stream != null && stream.resumed()) {
             String known = streams.versionOf(request.spec().pool(), stream.beginningKey(), nowMs);
--- a/kernel/src/main/java/org/marjoramswitch/kernel/stream/ServedVersions.java
+++ b/kernel/src/main/java/org/marjoramswitch/kernel/stream/ServedVersions.java
@@ -22,12 +22,14 @@
  * that have been running for longer. Not thread-safe.
  */
 public final class ServedVersions {
-    /** How long ago a stream may have begun that is resumed now. */
-    static final long STREAM_LIFETIME_MS = StreamDirectory.MIN_KEPT_MS;
+    /** Minimum of {@link #streamLifetimeMs}. */
+    static final long MIN_STREAM_LIFETIME_MS = StreamDirectory.MIN_KEPT_MS;
 
     private final Map<PoolId, Map<String, Long>> lastServedMs = new TreeMap<>();
     private final Map<PoolId, Set<String>> listed = new TreeMap<>();
     private long knownSinceMs = Long.MAX_VALUE;
+    /** How long ago a stream may have begun that is resumed now: the longest timeout of a caller seen so far. */
+    private long streamLifetimeMs = MIN_STREAM_LIFETIME_MS;
 
     private ServedVersions() {}
 
@@ -51,6 +53,11 @@
         lastServedMs.computeIfAbsent(pool, missing -> new TreeMap<>()).merge(softwareVersion, atMs, Math::max);
     }
 
+    /** Records that a stream may last this long. */
+    public void streamMayLast(long lifetimeMs) {
+        streamLifetimeMs = Math.max(streamLifetimeMs, lifetimeMs);
+    }
+
     /** Adds the history of a peer. */
     public void add(VersionHistory history, long nowMs) {
         history.versions()
@@ -76,14 +83,14 @@
     /** The version that alone has served the pool for as long as a stream lasts; null if this is not certain. */
     public @Nullable String onlyVersion(PoolId pool, long nowMs) {
         Set<String> recent = recent(pool, nowMs).keySet();
-        boolean isKnown = knownSinceMs <= nowMs - STREAM_LIFETIME_MS;
+        boolean isKnown = knownSinceMs <= nowMs - streamLifetimeMs;
         return isKnown && recent.size() == 1 ? recent.iterator().next() : null;
     }
 
     /** The versions that have served the pool within a stream's lifetime, each with the time when it last did. */
     private Map<String, Long> recent(PoolId pool, long nowMs) {
         Map<String, Long> recent = new TreeMap<>(lastServedMs.getOrDefault(pool, Map.of()));
-        recent.values().removeIf(atMs -> nowMs - atMs >= STREAM_LIFETIME_MS);
+        recent.values().removeIf(atMs -> nowMs - atMs >= streamLifetimeMs);
         listed.getOrDefault(pool, Set.of()).forEach(version -> recent.put(version, nowMs));
         return recent;
     }
