--- a/kernel/src/main/java/org/marjoramswitch/kernel/entry/Entry.java
+++ b/kernel/src/main/java/org/marjoramswitch/kernel/entry/Entry.java
@@ -1,8 +1,6 @@
 package org.marjoramswitch.kernel.entry;
 
-import java.util.ArrayDeque;
 import java.util.Comparator;
-import java.util.Deque;
 import java.util.List;
 import java.util.Map;
 import java.util.PriorityQueue;
@@ -64,10 +62,6 @@
 
     /** A longer interval between ticks means that the process was paused or lacked processor time. */
     private static final long PAUSE_MS = 300;
-    /** Pause before an arbiter whose list of targets is behind is asked again; lists differ by tens of milliseconds. */
-    private static final long LIST_WAIT_MS = 50;
-
-    private static final int MAX_LIST_WAITS = 10;
 
     private final KernelOptions options;
     private final FleetState fleet;
@@ -84,9 +78,7 @@
     private final PoisonRequestGossip poisonGossip = PoisonRequestGossip.create();
     private final TargetBackoffs targetBackoffs = new TargetBackoffs();
     private final SendAdmission admission;
-    /** Requests whose arbiter knows no usable target yet, in the order in which it is asked again. */
-    private final Deque<ListWait> listWaits = new ArrayDeque<>();
-
+    private final ListWaits listWaits = new ListWaits();
     private int totalWaiting;
     private boolean draining;
     private long lastTickMs;
@@ -212,19 +204,15 @@
             request.excludeUnusable(placed.target());
         }
         if (onlyTarget && verdict.excludesTarget()) {
-            // The arbiter's list of targets is behind this one's; it would select the same targets until it has caught
-            // up.
-            waitForArbiter(request, nowMs, sink);
+            waitForList(request, nowMs, sink);
             return;
         }
         requestPlacement(request, nowMs, sink);
     }
 
-    /** Asks the arbiter again after a pause, or rejects the request if it was asked too often already. */
-    private void waitForArbiter(EntryRequest request, long nowMs, ActionSink sink) {
-        if (request.listWaits() < MAX_LIST_WAITS) {
-            request.countListWait();
-            listWaits.add(new ListWait(nowMs + LIST_WAIT_MS, request));
+    /** Waits until the arbiter's list of targets may have caught up, or rejects the request. */
+    private void waitForList(EntryRequest request, long nowMs, ActionSink sink) {
+        if (listWaits.add(request, nowMs)) {
             return;
         }
         totalWaiting--;
@@ -233,17 +221,13 @@
     }
 
     private void endListWaits(long nowMs, ActionSink sink) {
-        while (!listWaits.isEmpty() && listWaits.peek().untilMs() <= nowMs) {
-            EntryRequest request = listWaits.remove().request();
-            // The request may have ended meanwhile.
+        for (EntryRequest request : listWaits.takeDue(nowMs)) {
             if (requests.get(request.spec().requestId()) == request) {
                 requestPlacement(request, nowMs, sink);
             }
         }
     }
 
-    private record ListWait(long untilMs, EntryRequest request) {}
-
     /** Ends a request that may not be sent to any target. */
     private void endUnsent(EntryRequest request, SendAdmission.Verdict verdict, long nowMs, ActionSink sink) {
         totalWaiting--;
