Report running streams to an arbiter that is new to the entry

A stream that began while its arbiter was frozen or cut off was known to its entry alone: the new arbiter was sent the running request, not the stream's version, and rejected the caller that resumed the stream at another instance. A fleet of three hides it, since its entries hand their records over. The entry now reports its running streams together with the running requests. StreamVersionFleetTest#entryReportsRunningStreamsToNewArbiter failed before.

--- a/kernel/src/main/java/org/marjoramswitch/kernel/entry/Placements.java
+++ b/kernel/src/main/java/org/marjoramswitch/kernel/entry/Placements.java
@@ -74,7 +74,7 @@
         responseDue.add(placement);
         byId.put(placement.id, placement);
         byRequest.put(request.spec().requestId(), placement);
-        sendHeld(cell, arbiter, sink);
+        sendHeld(cell, arbiter, nowMs, sink);
         sendPlace(placement, nowMs, sink);
         return true;
     }
@@ -270,7 +270,7 @@
         notifiedArbiters.values().removeIf(peer::equals);
         for (PlacementRequest placement : List.copyOf(byId.values())) {
             if (peer.equals(placement.arbiter)) {
-                sendHeld(placement.cell, peer, sink);
+                sendHeld(placement.cell, peer, nowMs, sink);
                 sendPlace(placement, nowMs, sink);
             }
         }
@@ -306,12 +306,15 @@
         }
         placement.cell = cell;
         placement.arbiter = arbiter;
-        sendHeld(cell, arbiter, sink);
+        sendHeld(cell, arbiter, nowMs, sink);
         sendPlace(placement, nowMs, sink);
     }
 
-    /** Notifies an arbiter that is new to this entry of the running requests in the cell. */
-    private void sendHeld(CellId cell, InstanceId arbiter, ActionSink sink) {
+    /**
+     * Notifies an arbiter that is new to this entry of the running requests in the cell, and of their streams, since the
+     * former arbiter may have crashed before it forwarded them.
+     */
+    private void sendHeld(CellId cell, InstanceId arbiter, long nowMs, ActionSink sink) {
         if (arbiter.equals(notifiedArbiters.put(cell, arbiter))) {
             return;
         }
@@ -323,6 +326,9 @@
             }
             placement.arbiter = arbiter;
             placement.accountingArbiters.add(arbiter);
+            if (placement.responseStarted) {
+                reportStream(placement, nowMs, sink);
+            }
             PlacementSpec spec = placement.spec();
             held.add(new PeerMessage.HeldPlacement(
                     placement.id,
--- a/kernel/src/test/java/org/marjoramswitch/kernel/StreamVersionFleetTest.java
+++ b/kernel/src/test/java/org/marjoramswitch/kernel/StreamVersionFleetTest.java
@@ -4,6 +4,8 @@
 import static org.junit.jupiter.api.Assertions.assertNotEquals;
 import static org.junit.jupiter.api.Assertions.assertTrue;
 
+import java.util.ArrayList;
+import java.util.List;
 import java.util.Map;
 import java.util.Objects;
 import java.util.TreeMap;
@@ -12,6 +14,7 @@
 import org.marjoramswitch.kernel.action.Action;
 import org.marjoramswitch.kernel.error.ErrorType;
 import org.marjoramswitch.kernel.event.Event;
+import org.marjoramswitch.kernel.message.PeerMessage;
 import org.marjoramswitch.kernel.model.InstanceId;
 import org.marjoramswitch.kernel.model.PlacementSpec;
 import org.marjoramswitch.kernel.model.RunState;
@@ -29,6 +32,7 @@
     private static final long HISTORY_MS = 35_000;
 
     private Map<String, String> current = MIXED;
+    private final List<InstanceId> reportedTo = new ArrayList<>();
     private InstanceId third = INSTANCES.get(0);
 
     @BeforeEach
@@ -51,7 +55,7 @@
         }
     }
 
-    /** Guards against an unconfined stream whose first event the decision loop has not been told of. */
+    /** Guards against an unconfined stream whose first event was not reported to the decision loop. */
     @Test
     void brokenStreamContinuesAtItsVersionWithoutReportOfItsFirstEvent() {
         for (long key = 1; key <= STREAMS; key++) {
@@ -119,6 +123,34 @@
         assertResumed(begun);
     }
 
+    /** Guards against a version that only the entry knows, because the arbiter was frozen when the stream began. */
+    @Test
+    void entryReportsRunningStreamsToNewArbiter() {
+        InstanceId frozenArbiter = arbiter;
+        for (InstanceId serving : List.of(entry, third)) {
+            entry = serving;
+            long request = arrive(true, 2, true, 0, StreamSpec.beginning(1));
+            frozen.add(frozenArbiter);
+            apply(entry, new Event.TargetAnswering(request));
+            arrive(true, 2, false);
+            advance(1_000);
+            frozen.clear();
+            advance(1_000);
+        }
+        // One of the two entries is the new arbiter itself and needs no message.
+        assertTrue(reportedTo.stream().anyMatch(to -> !to.equals(frozenArbiter)), "reported to " + reportedTo);
+    }
+
+    @Override
+    void perform(InstanceId at, Action action) {
+        super.perform(at, action);
+        if (action instanceof Action.SendPeer send
+                && send.message() instanceof PeerMessage.StreamsBegan began
+                && !began.replicated()) {
+            reportedTo.add(send.to());
+        }
+    }
+
     /** Guards against a chain of crashes after which no instance has seen the streams begin. */
     @Test
     void versionSurvivesRestartOfEachInstanceInTurn() {
