--- a/kernel/src/test/java/org/marjoramswitch/kernel/StreamVersionSoakTest.java
+++ b/kernel/src/test/java/org/marjoramswitch/kernel/StreamVersionSoakTest.java
@@ -31,7 +31,7 @@
     private static final int STEPS = 1_500;
     private static final int MAX_STREAMS = 6;
     private static final int MAX_STEP_MS = 150;
-    /** The rules' time without disturbances after which resumed streams must go on. */
+    /** The rules' time without disturbances after which resumed streams must continue. */
     private static final long CALM_MS = 3_000;
     /** Fewer resumed streams show no share. */
     private static final int MIN_RESUMED = 12;
@@ -78,7 +78,7 @@
             advance(random.nextInt(MAX_STEP_MS));
         }
         assertTrue(resumed >= MIN_RESUMED, "resumed while calm: " + resumed);
-        assertTrue(2 * continued >= resumed, continued + " of " + resumed + " streams went on while calm");
+        assertTrue(2 * continued >= resumed, continued + " of " + resumed + " streams continued while calm");
     }
 
     private void step() {
@@ -131,13 +131,13 @@
                                 .count()
                         >= 2;
         stream.at = anyInstance();
-        boolean goesOn = run(stream, StreamSpec.resuming(++lastKey, stream.key));
-        if (!goesOn) {
+        boolean continues = run(stream, StreamSpec.resuming(++lastKey, stream.key));
+        if (!continues) {
             streams.remove(stream);
         }
         if (counts) {
             resumed++;
-            continued += goesOn ? 1 : 0;
+            continued += continues ? 1 : 0;
         }
     }
 
