--- a/kernel/src/test/java/org/marjoramswitch/kernel/ArbiterProcessorTest.java
+++ b/kernel/src/test/java/org/marjoramswitch/kernel/ArbiterProcessorTest.java
@@ -74,6 +74,26 @@
         assertTrue(recovered >= 0.95, () -> recovered + " in time after the burst, " + fleet);
     }
 
+    /**
+     * Guards against a pool that stays late after all its instances were slow for the first 1.5 seconds of load, because
+     * entries return to an arbiter that is seconds behind with each message that it sends.
+     */
+    @ParameterizedTest
+    @CsvSource({"0.25, 1", "0.25, 2", "0.25, 3", "0.42, 1", "0.42, 2", "0.42, 3"})
+    void poolRecoversFromASlowStart(double eventCoreMs, long seed) {
+        List<Integer> millicores = new ArrayList<>(Collections.nCopies(SMALL, SMALL_MILLICORES));
+        millicores.addAll(Collections.nCopies(LARGE, LARGE_MILLICORES / 2));
+        ProcessorBoundFleet fleet = ProcessorBoundFleet.of(PoolId.of("pool-0"), millicores, eventCoreMs, seed);
+        fleet.targets(TARGETS);
+        fleet.slowAll(8, 100, 1_600);
+        for (int i = 1; i <= CUSTOMERS; i++) {
+            fleet.load(CustomerId.of("c" + i), 450 * share(i), 100, 10_000);
+        }
+        fleet.run(16_000);
+        double recovered = fleet.inTimeShare(3_000, 10_000);
+        assertTrue(recovered >= 0.95, () -> recovered + " in time after the slow start, " + fleet);
+    }
+
     /** The share of a customer's requests in all, which falls with its rank. */
     private static double share(int rank) {
         double sum = 0;
--- a/kernel/src/test/java/org/marjoramswitch/kernel/ProcessorBoundFleet.java
+++ b/kernel/src/test/java/org/marjoramswitch/kernel/ProcessorBoundFleet.java
@@ -140,6 +140,15 @@
         });
     }
 
+    /** Divides the processor of every instance for a time. */
+    void slowAll(int divisor, double fromMs, double untilMs) {
+        for (Server server : servers.values()) {
+            int millicores = server.millicores;
+            at(fromMs, () -> server.millicores = millicores / divisor);
+            at(untilMs, () -> server.millicores = millicores);
+        }
+    }
+
     void run(double untilMs) {
         for (double tickMs = InstanceKernel.BUSY_TICK_MS; tickMs < untilMs; tickMs += InstanceKernel.BUSY_TICK_MS) {
             at(tickMs, () -> servers.keySet().forEach(id -> apply(id, new Event.Tick())));
