Use an arbiter that was silent again only once it replies to a probe in time

What callers see: after all instances were slow for a moment, as in the first seconds of traffic, nearly all requests of a pool stay late or are rejected for as long as there is load, although the load was served before and targets are idle.

Cause: an entry leaves an arbiter that sends nothing for 400 ms, and returned with the arbiter's next message, whatever that replied to. An arbiter that is seconds behind sends such messages all the time. Entries thus alternate between arbiters; each time all that waits is withdrawn at one and asked for at another.

Class: liveness judged by any message of a peer with a backlog; metastable overload.

Change: a peer marked unreachable for its silence is used again after a reply to the latest probe within 200 ms of its sending, less what the reply waited here. A new link marks it as reachable as before. Both the granted and the placed path use the same set.

--- a/kernel/src/main/java/org/marjoramswitch/kernel/InstanceKernel.java
+++ b/kernel/src/main/java/org/marjoramswitch/kernel/InstanceKernel.java
@@ -240,7 +240,7 @@
             return;
         }
         if (message instanceof PeerMessage.ProbeReply reply) {
-            entry.registrations().probeAnswered(from, reply.number());
+            entry.registrations().probeAnswered(from, reply.number(), received.delayMs(), nowMs, sink);
             return;
         }
         if (message instanceof PeerMessage.Grant grant) {
@@ -309,7 +309,7 @@
     }
 
     private void peerMessageReceived(InstanceId from, PeerMessage message, long nowMs, ActionSink sink) {
-        entry.messageReceived(from, nowMs, sink);
+        entry.messageReceived(from, nowMs);
         silentEntryDetector.messageReceived(from, nowMs);
         for (Arbiter arbiter : arbiters.values()) {
             arbiter.messageReceived(from);
@@ -332,7 +332,7 @@
         arbiters.values().forEach(arbiter -> awaited.addAll(arbiter.entriesToProbe()));
         awaited.remove(self.id());
         for (InstanceId silent : silentEntryDetector.silentPeers(
-                awaited, nowMs, peer -> entry.registrations().probe(peer, sink))) {
+                awaited, nowMs, peer -> entry.registrations().probe(peer, nowMs, sink))) {
             arbiters.values().forEach(arbiter -> arbiter.disconnected(silent));
             changedCells.addAll(arbiters.keySet());
         }
@@ -551,7 +551,7 @@
         arbiters.values().forEach(arbiter -> sendCharges(arbiter, nowMs, sink));
         if (nowMs >= nextUnreachableProbeMs) {
             nextUnreachableProbeMs = nowMs + UNREACHABLE_PROBE_INTERVAL_MS;
-            entry.registrations().probeUnreachable(sink);
+            entry.registrations().probeUnreachable(nowMs, sink);
         }
     }
 
--- a/kernel/src/main/java/org/marjoramswitch/kernel/entry/Entry.java
+++ b/kernel/src/main/java/org/marjoramswitch/kernel/entry/Entry.java
@@ -307,9 +307,9 @@
     }
 
     /** Records that a message arrived from a peer. */
-    public void messageReceived(InstanceId peer, long nowMs, ActionSink sink) {
+    public void messageReceived(InstanceId peer, long nowMs) {
         silentArbiterDetector.messageReceived(peer, nowMs);
-        registrations.messageReceived(peer, nowMs, sink);
+        registrations.messageReceived(peer, nowMs);
     }
 
     /**
@@ -422,7 +422,7 @@
         Set<InstanceId> awaited = placements.awaitedArbiters();
         awaited.removeAll(fleet.unreachable());
         for (InstanceId silent :
-                silentArbiterDetector.silentPeers(awaited, nowMs, peer -> registrations.probe(peer, sink))) {
+                silentArbiterDetector.silentPeers(awaited, nowMs, peer -> registrations.probe(peer, nowMs, sink))) {
             fleet.reachable(silent, false);
             placements.arbiterSilent(silent, nowMs, sink);
         }
--- a/kernel/src/main/java/org/marjoramswitch/kernel/entry/Registrations.java
+++ b/kernel/src/main/java/org/marjoramswitch/kernel/entry/Registrations.java
@@ -10,6 +10,7 @@
 import org.marjoramswitch.kernel.action.Action;
 import org.marjoramswitch.kernel.action.ActionSink;
 import org.marjoramswitch.kernel.action.Decision;
+import org.marjoramswitch.kernel.liveness.ProbeRoundTrips;
 import org.marjoramswitch.kernel.liveness.SilentPeerDetector;
 import org.marjoramswitch.kernel.message.PeerMessage;
 import org.marjoramswitch.kernel.model.CellId;
@@ -23,11 +24,13 @@
  * <p>The current arbiter is the first in the cell's rank that is reachable from this instance. Whenever it changes, a
  * new link to it comes up or it reports that it has no registration of this entry, the entry registers its complete
  * state again, so messages under way need not be tracked. An arbiter that is silent while requests wait for its grants
- * is replaced without waiting for the membership, and used again after its next message.
+ * is replaced without waiting for the membership, and used again once it replies to a probe in time. If any message
+ * were enough, entries would return to an arbiter that is seconds behind each time that it sends a late reply, leave it
+ * again after 400 ms and ask anew for all that waits, which keeps it behind for as long as there is load.
  *
  * <p>Example: arbiter b is paused. After 400 ms the entry registers with c, which grants. Then b resumes, processes its
- * queued messages and grants from outdated state. Its first message shows that it is reachable; the entry sends a probe
- * and registers with b. Grants that arrive before the reply to the probe are based on the outdated state and are
+ * queued messages and grants from outdated state. Its reply to the next probe shows that it is on time; the entry sends
+ * another probe and registers with b. Grants that arrive before the reply to the probe are based on the outdated state and are
  * declined, later ones are bound.
  */
 public final class Registrations {
@@ -41,7 +44,7 @@
     private final Function<PoolId, PoolQueues> pools;
     private final Collection<EntryRequest> requests;
     private final SilentPeerDetector silentArbiterDetector = SilentPeerDetector.create();
-    private long lastProbe;
+    private final ProbeRoundTrips probes = ProbeRoundTrips.create();
 
     /** @param requests the entry's open requests, a live view */
     Registrations(
@@ -69,13 +72,9 @@
         }
     }
 
-    /** Marks a peer as reachable, since a message arrived from it. */
-    public void messageReceived(InstanceId peer, long nowMs, ActionSink sink) {
+    /** Records that a message arrived from a peer. */
+    public void messageReceived(InstanceId peer, long nowMs) {
         silentArbiterDetector.messageReceived(peer, nowMs);
-        if (fleet.unreachable().contains(peer)) {
-            fleet.reachable(peer, true);
-            fleetChanged(nowMs, sink);
-        }
     }
 
     /** Registers over a new link to a peer: messages on the old one are lost, so the complete state is sent. */
@@ -100,8 +99,16 @@
         }
     }
 
-    /** Handles the reply to a probe. */
-    public void probeAnswered(InstanceId peer, long probe) {
+    /**
+     * Handles the reply to a probe; a peer that replies in time is reachable.
+     *
+     * @param delayMs how long the reply waited at this instance
+     */
+    public void probeAnswered(InstanceId peer, long probe, long delayMs, long nowMs, ActionSink sink) {
+        if (fleet.unreachable().contains(peer) && probes.isTimely(peer, probe, nowMs - delayMs)) {
+            fleet.reachable(peer, true);
+            fleetChanged(nowMs, sink);
+        }
         for (CellLink link : demand.links()) {
             if (peer.equals(link.arbiter())) {
                 link.probeAnswered(probe);
@@ -110,15 +117,15 @@
     }
 
     /** Sends a probe to a peer and returns the probe's number. */
-    public long probe(InstanceId peer, ActionSink sink) {
-        lastProbe++;
-        sink.accept(new Action.SendPeer(peer, new PeerMessage.Probe(lastProbe)));
-        return lastProbe;
+    public long probe(InstanceId peer, long nowMs, ActionSink sink) {
+        long number = probes.sent(peer, nowMs);
+        sink.accept(new Action.SendPeer(peer, new PeerMessage.Probe(number)));
+        return number;
     }
 
-    /** Probes unreachable peers; a reply marks the peer as reachable. */
-    public void probeUnreachable(ActionSink sink) {
-        fleet.unreachable().forEach(peer -> probe(peer, sink));
+    /** Probes unreachable peers; a timely reply marks the peer as reachable. */
+    public void probeUnreachable(long nowMs, ActionSink sink) {
+        fleet.unreachable().forEach(peer -> probe(peer, nowMs, sink));
     }
 
     /**
@@ -150,7 +157,8 @@
             }
         }
         awaited.removeAll(fleet.unreachable());
-        List<InstanceId> silent = silentArbiterDetector.silentPeers(awaited, nowMs, arbiter -> probe(arbiter, sink));
+        List<InstanceId> silent =
+                silentArbiterDetector.silentPeers(awaited, nowMs, arbiter -> probe(arbiter, nowMs, sink));
         if (silent.isEmpty()) {
             return;
         }
@@ -191,7 +199,7 @@
                 "former",
                 former == null ? "none" : former)));
         if (arbiter != null && (wasRegistered || inUse(link))) {
-            link.setBarrier(arbiter.equals(self) ? 0 : probe(arbiter, sink));
+            link.setBarrier(arbiter.equals(self) ? 0 : probe(arbiter, nowMs, sink));
             reregister(link, nowMs, sink);
         }
     }
--- a/kernel/src/main/java/org/marjoramswitch/kernel/liveness/package-info.java
+++ b/kernel/src/main/java/org/marjoramswitch/kernel/liveness/package-info.java
@@ -1,4 +1,4 @@
-/** Detection of silent peers. */
+/** Detection of silent peers, and of peers that respond again in time. */
 @NullMarked
 package org.marjoramswitch.kernel.liveness;
 
