Examine late requests once in 20 ms instead of on each event

What callers see: at a load that the pool serves in time, all requests become late within a second and stay so until the load falls.

Cause: an arbiter looked for a target for up to eight late requests on each event, among all targets each time; requests in time are examined 2.6 times, and only at targets that can win. Once requests are late, after a lag or a burst, each costs the arbiter several times what it cost before, the arbiter falls behind at the same load, and the lag makes all of them late. Class: metastable overload, work that grows with the overload.

Ruled out: first bytes learned from reports that waited at the arbiter as the only cause (a simulation in which reports wait 0.3 to 1.2 s for two seconds serves all in time afterwards, with and without the wait left out): late requests are placed at once while targets are spare, which is where the arbiter's time goes.

Change: between two passes only requests that have become late since are examined, and none while no target is spare. A target that becomes spare meanwhile is found by the next pass.

PlacementLoadTest#lateRequestsTakeAsFewChoicesAsOthers failed in all three cases before.

--- a/kernel/src/main/java/org/marjoramswitch/kernel/placement/PlacementArbiter.java
+++ b/kernel/src/main/java/org/marjoramswitch/kernel/placement/PlacementArbiter.java
@@ -57,6 +57,11 @@
     private static final double FIRST_BYTE_P75_FACTOR = 1.3;
     /** Shorter than {@link TargetChoice#MIN_PREFILL_QUEUE_MS}, so that no engine runs idle between passes. */
     private static final long PASS_MS = 4;
+    /**
+     * Interval at which late requests are examined. An engine that becomes spare meanwhile is idle for a part of the time
+     * that it takes to prefill a prompt.
+     */
+    private static final long LATE_PASS_MS = 20;
     /** Up to this many waiting requests, every event triggers a pass, so that a freed target is used immediately. */
     private static final int MAX_WAITING_FOR_FULL_PASS = 16;
 
@@ -89,7 +94,11 @@
     /** Requests that were rejected since the last call of {@link #decide}. */
     private final List<Rejection> rejected = new ArrayList<>();
 
+    /** Requests that have become late since late requests were last examined. */
+    private final List<WaitingRequest> newlyLate = new ArrayList<>();
+
     private @Nullable TargetChoice lastPass;
+    private long lastLatePassMs;
     private double meanServiceMs = INITIAL_SERVICE_MS;
     private long arrivals;
     private long choices;
@@ -344,6 +353,7 @@
                 && waiting.lateCount() < maxLate()
                 && hasSpareCapacity();
         waiting.addLate(request, mayHold ? nowMs + holdMs : nowMs);
+        newlyLate.add(request);
     }
 
     /** Whether any target has capacity for late requests; otherwise holding one only delays its rejection. */
@@ -448,11 +458,24 @@
         return choice.chooseInTime(request);
     }
 
+    /**
+     * Starts late requests at targets with spare capacity. Between two passes only those are examined that have become
+     * late since: their choice examines all targets, so that an arbiter whose requests are all late, as after a lag, would
+     * fall behind at a load that it can bear otherwise.
+     */
     private void placeLate(TargetChoice choice, long nowMs, ActionSink sink) {
-        for (WaitingRequest request : waiting.firstLate(LOOKAHEAD)) {
-            if (waiting.inTimeCount() > 0) {
+        boolean isPassDue = nowMs - lastLatePassMs >= LATE_PASS_MS;
+        lastLatePassMs = isPassDue ? nowMs : lastLatePassMs;
+        List<WaitingRequest> examined = isPassDue ? waiting.firstLate(LOOKAHEAD) : List.copyOf(newlyLate);
+        newlyLate.clear();
+        for (WaitingRequest request : examined) {
+            if (waiting.inTimeCount() > 0 || !choice.hasSpare()) {
                 return;
             }
+            if (!waiting.isLate(request)) {
+                continue;
+            }
+            choices++;
             TargetChoice.Chosen chosen = choice.chooseLate(request);
             if (chosen != null) {
                 start(request, choice, chosen, "late", nowMs, sink);
--- a/kernel/src/main/java/org/marjoramswitch/kernel/placement/TargetChoice.java
+++ b/kernel/src/main/java/org/marjoramswitch/kernel/placement/TargetChoice.java
@@ -126,6 +126,15 @@
         return pool.order().hasFree();
     }
 
+    /** Whether any target that can take a request now has spare capacity for late ones. */
+    boolean hasSpare() {
+        return pool.order().ranking().stream().anyMatch(ranked -> ranked.isFree() && isSpare(ranked.target()));
+    }
+
+    private static boolean isSpare(TargetLoad target) {
+        return target.load() <= SPARE_LOAD;
+    }
+
     /** Updates the order after a request was started at the target, for the next choice. */
     void started(TargetLoad target) {
         pool.order().update(target, this::waitMs, TargetChoice::loadMs);
@@ -274,7 +283,7 @@
         Candidate bestSpare = null;
         for (TargetLoad target : candidates(request)) {
             Candidate candidate = candidate(request, target, context);
-            boolean spare = candidate.waitMs() == 0 && target.load() <= SPARE_LOAD;
+            boolean spare = candidate.waitMs() == 0 && isSpare(target);
             best = best == null || candidate.workMs() < best.workMs() ? candidate : best;
             bestSpare = spare ? cheaper(bestSpare, candidate) : bestSpare;
         }
--- a/kernel/src/main/java/org/marjoramswitch/kernel/placement/WaitingQueues.java
+++ b/kernel/src/main/java/org/marjoramswitch/kernel/placement/WaitingQueues.java
@@ -96,8 +96,19 @@
 
     /** Whether this request is waiting and can still meet its objective. */
     boolean isInTime(WaitingRequest request) {
+        Queued queued = queued(request);
+        return queued != null && !queued.late();
+    }
+
+    /** Whether this request is waiting and can no longer meet its objective. */
+    boolean isLate(WaitingRequest request) {
+        Queued queued = queued(request);
+        return queued != null && queued.late();
+    }
+
+    private @Nullable Queued queued(WaitingRequest request) {
         Queued queued = byEntry.getOrDefault(request.entry(), Map.of()).get(request.placementId());
-        return queued != null && !queued.late() && queued.request().arrival() == request.arrival();
+        return queued != null && queued.request().arrival() == request.arrival() ? queued : null;
     }
 
     /** The late requests whose hold expires first, at most {@code maxCount}. */
--- a/kernel/src/test/java/org/marjoramswitch/kernel/placement/PlacementLoadTest.java
+++ b/kernel/src/test/java/org/marjoramswitch/kernel/placement/PlacementLoadTest.java
@@ -178,6 +178,25 @@
         assertTrue(simulation.valueShareBySize() > minValueShare, simulation::toString);
     }
 
+    /**
+     * Guards against an arbiter that spends several times as much on late requests as on others: once all are late, as
+     * after a lag, it falls behind at a load that it served before, and stays late.
+     */
+    @ParameterizedTest
+    @ValueSource(doubles = {350, 700, 1_400})
+    void lateRequestsTakeAsFewChoicesAsOthers(double perSecond) {
+        PlacementSimulation simulation =
+                new PlacementSimulation(LARGE_ENGINES, LARGE_ENGINE, PlacementSimulation.Sizes.UNEVEN, 5);
+        for (int i = 0; i < LARGE_CUSTOMERS; i++) {
+            simulation.delay(customer(i), 500);
+            simulation.load(customer(i), perSecond / LARGE_CUSTOMERS, 0, LOAD_UNTIL_MS / 2);
+        }
+        simulation.run(RUN_UNTIL_MS / 2);
+        assertTrue(
+                simulation.choices() < 5L * simulation.requestCount(),
+                simulation.choices() + " choices, " + simulation);
+    }
+
     /**
      * Guards against a customer that gets nothing because its requests reach the arbiter after their objective, as at an
      * entry that lags, while those of others are in time. The load is 1.8 times the capacity.
