Learn times to first byte without the wait of the reports at the arbiter

What callers see: after an arbiter has lagged, requests with time left are taken for late and get only spare capacity.

Cause: the arbiter takes the time to first byte up to when it processes the report. With 1.3 times that a request of 300 ms is late on arrival.

Change: the wait of the report here, which the event states, is subtracted.

EarlyRefusalTest#reportsThatWaitedHereAreNotTakenForSlowFirstBytes failed before ("late" in place of "in_time").

--- a/kernel/src/main/java/org/marjoramswitch/kernel/PlacementArbiters.java
+++ b/kernel/src/main/java/org/marjoramswitch/kernel/PlacementArbiters.java
@@ -75,7 +75,7 @@
             return withdrawn.cell();
         }
         if (message instanceof PeerMessage.PlacementAnswering answering) {
-            arbiter(answering.cell(), nowMs).responseStarted(from, answering.placementId(), nowMs);
+            arbiter(answering.cell(), nowMs).responseStarted(from, answering.placementId(), received.delayMs(), nowMs);
             return answering.cell();
         }
         if (message instanceof PeerMessage.PlacementEnded ended) {
--- a/kernel/src/main/java/org/marjoramswitch/kernel/placement/PlacementArbiter.java
+++ b/kernel/src/main/java/org/marjoramswitch/kernel/placement/PlacementArbiter.java
@@ -204,8 +204,12 @@
         removeWaiting(entry, placementId);
     }
 
-    /** Records that the first byte of a request's response has arrived. */
-    public void responseStarted(InstanceId entry, long placementId, long nowMs) {
+    /**
+     * Records that the first byte of a request's response has arrived.
+     *
+     * @param delayMs how long the message waited at this instance
+     */
+    public void responseStarted(InstanceId entry, long placementId, long delayMs, long nowMs) {
         RunningRequest request = running.getOrDefault(entry, Map.of()).get(placementId);
         if (request == null || request.responseStarted()) {
             return;
@@ -216,12 +220,13 @@
             target.prefilled(request.prompt(), request.prefillTokens(), nowMs);
         }
         if (request.tokensAhead() > 0) {
-            observeFirstByte(entry, request, nowMs);
+            observeFirstByte(entry, request, delayMs, nowMs);
         }
     }
 
-    private void observeFirstByte(InstanceId entry, RunningRequest request, long nowMs) {
-        long elapsedMs = nowMs - request.startedAtMs();
+    private void observeFirstByte(InstanceId entry, RunningRequest request, long delayMs, long nowMs) {
+        // A lag of this instance delays the reports of all entries alike, so that none of them seems late.
+        long elapsedMs = nowMs - delayMs - request.startedAtMs();
         double excessMs = elapsedMs - model.expectedMs(request.tokensAhead());
         boolean onTime = entryDelays.record(entry, excessMs, nowMs);
         if (onTime || !policy.has(Mechanism.ENTRY_DELAYS)) {
--- a/kernel/src/test/java/org/marjoramswitch/kernel/placement/ContinuedStreamTest.java
+++ b/kernel/src/test/java/org/marjoramswitch/kernel/placement/ContinuedStreamTest.java
@@ -116,7 +116,7 @@
         for (int i = 0; i < SLOTS; i++) {
             long id = send(version, OBJECTIVE_MS);
             nowMs += 30;
-            arbiter.responseStarted(ENTRY, id, nowMs);
+            arbiter.responseStarted(ENTRY, id, 0, nowMs);
             running.add(id);
         }
         assertEquals(SLOTS, running.stream().filter(placed::containsKey).count());
@@ -127,7 +127,7 @@
         for (int i = 0; i < MANY; i++) {
             long id = send("", OBJECTIVE_MS);
             nowMs += 100;
-            arbiter.responseStarted(ENTRY, id, nowMs);
+            arbiter.responseStarted(ENTRY, id, 0, nowMs);
             end(id);
         }
     }
--- a/kernel/src/test/java/org/marjoramswitch/kernel/placement/EarlyRefusalTest.java
+++ b/kernel/src/test/java/org/marjoramswitch/kernel/placement/EarlyRefusalTest.java
@@ -1,5 +1,6 @@
 package org.marjoramswitch.kernel.placement;
 
+import static org.junit.jupiter.api.Assertions.assertEquals;
 import static org.junit.jupiter.api.Assertions.assertFalse;
 import static org.junit.jupiter.api.Assertions.assertTrue;
 
@@ -43,6 +44,7 @@
             PlacementArbiter.create(CELL, PoolSettings.modelEngines(POOL), customer -> 1);
     private final Set<Long> placed = new HashSet<>();
     private final Set<Long> rejected = new HashSet<>();
+    private final Set<String> reasons = new HashSet<>();
     private long nowMs = 10_000;
     private long lastId;
     private long firstId;
@@ -68,7 +70,7 @@
         for (int i = 0; i < 30; i++) {
             send(LIGHT);
             nowMs += FIXED_MS + PROMPT_TOKENS / PREFILL_TOKENS_PER_MS;
-            arbiter.responseStarted(ENTRY, lastId, nowMs);
+            arbiter.responseStarted(ENTRY, lastId, 0, nowMs);
             arbiter.attemptEnded(ENTRY, new PeerMessage.PlacementEnded(CELL, lastId, 10, PlacementEnd.SERVED), nowMs);
             nowMs += 1_000;
         }
@@ -98,17 +100,42 @@
         assertFalse(rejected.contains(lastId), "rejected " + rejected);
     }
 
+    /**
+     * Guards against taking every request for late once this instance has lagged for a while: reports of first bytes wait in
+     * its queue, and their wait was learned as the time that the engine takes.
+     */
+    @Test
+    void reportsThatWaitedHereAreNotTakenForSlowFirstBytes() {
+        long lagMs = 500;
+        for (int i = 0; i < 300; i++) {
+            send(LIGHT);
+            nowMs += FIXED_MS + PROMPT_TOKENS / PREFILL_TOKENS_PER_MS + lagMs;
+            arbiter.responseStarted(ENTRY, lastId, lagMs, nowMs);
+            arbiter.attemptEnded(ENTRY, new PeerMessage.PlacementEnded(CELL, lastId, 10, PlacementEnd.SERVED), nowMs);
+        }
+        reasons.clear();
+        send(LIGHT, OBJECTIVE_MS / 2);
+        assertEquals(Set.of("in_time"), reasons);
+    }
+
     private void send(CustomerId customer) {
+        send(customer, OBJECTIVE_MS);
+    }
+
+    private void send(CustomerId customer, long objectiveMs) {
         lastId++;
         List<PromptPart> prompt = List.of(PromptPart.of(100 + lastId, PROMPT_TOKENS));
         arbiter.place(
                 ENTRY,
-                new PeerMessage.Place(CELL, lastId, customer, 1, prompt, 10, OBJECTIVE_MS, 8_000, List.of()),
+                new PeerMessage.Place(CELL, lastId, customer, 1, prompt, 10, objectiveMs, 8_000, List.of()),
                 0,
                 nowMs);
         List<Action> actions = new ArrayList<>();
         arbiter.decide(nowMs, actions::add);
         for (Action action : actions) {
+            if (action instanceof Action.Decided decided) {
+                reasons.add(String.valueOf(decided.decision().fields().get("reason")));
+            }
             if (!(action instanceof Action.SendPeer send)) {
                 continue;
             }
--- a/kernel/src/test/java/org/marjoramswitch/kernel/placement/FetchingTest.java
+++ b/kernel/src/test/java/org/marjoramswitch/kernel/placement/FetchingTest.java
@@ -190,7 +190,7 @@
 
     private void responseStarted() {
         nowMs += 60;
-        arbiter.responseStarted(ENTRY, lastId, nowMs);
+        arbiter.responseStarted(ENTRY, lastId, 0, nowMs);
     }
 
     private void end(long id, PlacementEnd end) {
--- a/kernel/src/test/java/org/marjoramswitch/kernel/placement/PlacementSimulation.java
+++ b/kernel/src/test/java/org/marjoramswitch/kernel/placement/PlacementSimulation.java
@@ -397,7 +397,7 @@
                                 report(
                                         atMs + delayMs(request),
                                         () -> arbiter.responseStarted(
-                                                entryOf(request), placed.placementId(), Math.round(nowMs)));
+                                                entryOf(request), placed.placementId(), 0, Math.round(nowMs)));
                             }
 
                             @Override
