--- a/kernel/src/test/java/org/marjoramswitch/kernel/PlacementFleet.java
+++ b/kernel/src/test/java/org/marjoramswitch/kernel/PlacementFleet.java
@@ -144,7 +144,11 @@
     }
 
     long arrive(PlacementSpec placement) {
-        return arrive(placement, true, 0);
+        return arrive(placement, 0);
+    }
+
+    long arrive(PlacementSpec placement, long digest) {
+        return arrive(placement, true, digest);
     }
 
     private long arrive(PlacementSpec placement, boolean repeatable, long digest) {
