Block prompt parts under which targets crash

What callers see: each request with a certain part in its prompt crashes the target that begins a response to it, with all that runs there. No two of these requests are alike and they arrive at any instance, so that none of them is blocked.

Cause: crashes are counted by a digest of customer, path and body. The parts of the prompt reach neither the crash records nor the check before each send. Class: a fault that travels with a piece of the request is looked for in the whole of it.

Ruled out: crashes that are known too late (none was counted twice), targets that end by themselves (these attempts had begun and delivered nothing, those beside them had delivered or had no status).

Change: a crash accuses, beside the request, each part of its prompt but the last, which is the request's own. Only requests whose responses had not begun, or less than 0.3 s ago, are accused. A response that goes on for 0.3 s or ends complete clears all its parts of the crashes until it began; popular parts are cleared many times a second, a poison part never. As that takes a moment, crashes within 0.5 s count once for a part, and targets that crash together block nothing. Three counted crashes block the part for a minute; what waits with it is rejected as not run, whatever path it came (arriving, queued, placed, retried). Records, exchange between instances and the copy in the key-value store are those of poison requests; a record on the wire has one more field, which older instances ignore.

Why this is enough: a sound part that is in every accused request is in requests that are served, too; one that is not, is not in three crashes.

Considered: blocking by the number of accusations alone (the first part of a route is in every crash); a list of suspects for each crash and its intersection (instances see only their own requests of a crash).

The handling of crashes moves from Entry into CrashReports.

--- a/kernel/src/main/java/org/marjoramswitch/kernel/crash/PoisonRequestGossip.java
+++ b/kernel/src/main/java/org/marjoramswitch/kernel/crash/PoisonRequestGossip.java
@@ -50,6 +50,16 @@
         }
     }
 
+    /** Clears the parts of a prompt to which a response began and went on. */
+    public void responseWentOn(List<Long> promptParts, long begunAtMs) {
+        for (long digest : promptParts) {
+            if (poisonRequests.clearUntil(digest, begunAtMs)) {
+                unsentCrashes.removeIf(crash -> crash.digest() == digest);
+                unsentServed.add(digest);
+            }
+        }
+    }
+
     /**
      * Applies a peer's update. Served requests are cleared first: crashes after the service are part of the same
      * update.
--- a/kernel/src/main/java/org/marjoramswitch/kernel/crash/PoisonRequests.java
+++ b/kernel/src/main/java/org/marjoramswitch/kernel/crash/PoisonRequests.java
@@ -1,6 +1,7 @@
 package org.marjoramswitch.kernel.crash;
 
 import java.util.ArrayList;
+import java.util.Comparator;
 import java.util.Iterator;
 import java.util.LinkedHashMap;
 import java.util.List;
@@ -9,14 +10,19 @@
 import org.marjoramswitch.kernel.model.TargetId;
 
 /**
- * Records under which requests targets have crashed, and blocks poison requests for a limited time. Requests are
- * identified by their digest, since a repeated request has a new id each time.
+ * Records under which requests and prompt parts targets have crashed, and blocks poison ones for a limited time. Both
+ * are identified by a digest, since a repeated request has a new id each time ({@link CrashSuspects}).
  *
  * <p>Algorithm: when a target crashes, every request that runs there becomes suspect. A request that ran on {@value
  * #CRASHES_TO_BLOCK} targets when they crashed is blocked; one that is served is cleared, whatever crashed while it
  * ran. A request that crashes every target is thus found after as many crashes, and a request that many callers send in
  * identical form is not blocked as long as any of them is served.
  *
+ * <p>A poison prompt part crashes each target that begins a response to it, and other parts of the same prompts are
+ * accused with it. A response that begins and goes on clears each part of its prompt of all crashes before. Popular parts
+ * are thus cleared many times a second, while a poison part never is. As a clearance takes a moment, crashes within
+ * {@value #SAME_MOMENT_MS} ms of one another count once for a part; targets that crash together have another reason.
+ *
  * <p>A block expires, because it may be wrong: the targets of a service may all have crashed for another reason. The
  * first block is short; after it one request at a time is admitted as a trial, and each further crash makes the next
  * block {@value #BLOCK_GROWTH} times as long.
@@ -39,6 +45,9 @@
     /** Reports about one target within this interval are one crash, observed by several instances or requests. */
     private static final long SAME_CRASH_MS = 1_000;
 
+    /** Longer than it takes until a response shows that it goes on, and until all instances know. */
+    private static final long SAME_MOMENT_MS = 500;
+
     private static final int MAX_RECORDS = 1_024;
 
     /** Records by digest; the most recently changed is last. */
@@ -55,7 +64,7 @@
         removeExpired(nowMs);
         CrashRecord record = records.remove(crash.digest());
         if (record == null) {
-            record = new CrashRecord();
+            record = new CrashRecord(crash.promptPart());
         }
         boolean isNew = record.add(new Crash(crash.target(), nowMs - crash.ageMs()));
         if (record.expiresAtMs() <= nowMs) {
@@ -73,30 +82,71 @@
         return records.remove(digest) != null;
     }
 
-    /** Remaining time for which the request is blocked; 0 if it may run. */
+    /**
+     * Clears a prompt part of the crashes until a response to it began, for which it cannot be the reason; false if
+     * there is none.
+     */
+    public boolean clearUntil(long digest, long begunAtMs) {
+        CrashRecord record = records.get(digest);
+        if (record == null || !record.clearUntil(begunAtMs)) {
+            return false;
+        }
+        if (record.crashes.isEmpty()) {
+            records.remove(digest);
+        }
+        return true;
+    }
+
+    /** Remaining time for which the request is blocked, itself or for a part of its prompt; 0 if it may run. */
+    public long blockedForMs(CrashSuspects suspects, long nowMs) {
+        return suspects.digests()
+                .map(digest -> blockedForMs(digest, nowMs))
+                .max()
+                .orElse(0);
+    }
+
+    /** The blocked digest among those of the request; 0 if none is. */
+    public long blockedDigest(CrashSuspects suspects, long nowMs) {
+        return suspects.digests()
+                .filter(digest -> blockedForMs(digest, nowMs) > 0)
+                .findFirst()
+                .orElse(0);
+    }
+
+    /** Remaining time for which the request or prompt part is blocked; 0 if it may run. */
     public long blockedForMs(long digest, long nowMs) {
         CrashRecord record = records.get(digest);
         return record == null ? 0 : Math.max(0, record.blockedUntilMs() - nowMs);
     }
 
     /**
-     * Records that the request was admitted. After a block this starts a trial, during which identical requests are
-     * blocked.
+     * Records that the request was admitted. After a block this starts a trial, during which identical requests, or
+     * others with the same prompt part, are blocked.
      */
-    public void admitted(long digest, long nowMs) {
+    public void admitted(CrashSuspects suspects, long nowMs) {
+        suspects.digests().forEach(digest -> admitted(digest, nowMs));
+    }
+
+    void admitted(long digest, long nowMs) {
         CrashRecord record = records.get(digest);
         if (record != null && record.isPoison()) {
             record.trialUntilMs = nowMs + TRIAL_INTERVAL_MS;
         }
     }
 
-    /** The number of target crashes recorded for the request. */
+    /** Whether the digest is that of a prompt part under which targets have crashed. */
+    public boolean isPromptPart(long digest) {
+        CrashRecord record = records.get(digest);
+        return record != null && record.promptPart;
+    }
+
+    /** The number of target crashes recorded for the request or prompt part. */
     public int crashCount(long digest) {
         CrashRecord record = records.get(digest);
         return record == null ? 0 : record.crashes.size();
     }
 
-    /** The crashes recorded for one request. */
+    /** The crashes recorded for one request or prompt part. */
     public List<RequestCrash> of(long digest, long nowMs) {
         CrashRecord record = records.get(digest);
         return record == null ? List.of() : record.crashes(digest, nowMs);
@@ -131,12 +181,17 @@
         }
     }
 
-    /** The crashes recorded for one request. */
+    /** The crashes recorded for one request or prompt part. */
     private static final class CrashRecord {
+        private final boolean promptPart;
         private final List<Crash> crashes = new ArrayList<>(CRASHES_TO_BLOCK);
         private long lastCrashMs;
         private long trialUntilMs;
 
+        private CrashRecord(boolean promptPart) {
+            this.promptPart = promptPart;
+        }
+
         private boolean add(Crash crash) {
             if (crashes.stream().anyMatch(crash::isSame)) {
                 return false;
@@ -145,14 +200,36 @@
             return crashes.add(crash);
         }
 
+        private boolean clearUntil(long begunAtMs) {
+            return crashes.removeIf(crash -> crash.atMs() <= begunAtMs);
+        }
+
         private List<RequestCrash> crashes(long digest, long nowMs) {
             return crashes.stream()
-                    .map(crash -> new RequestCrash(digest, crash.target(), nowMs - crash.atMs()))
+                    .map(crash -> new RequestCrash(digest, crash.target(), nowMs - crash.atMs(), promptPart))
                     .toList();
         }
 
         private boolean isPoison() {
-            return crashes.size() >= CRASHES_TO_BLOCK;
+            return countedCrashes() >= CRASHES_TO_BLOCK;
+        }
+
+        private int countedCrashes() {
+            return promptPart ? countMoments() : crashes.size();
+        }
+
+        private int countMoments() {
+            int moments = 0;
+            long countedAtMs = 0;
+            for (Crash crash : crashes.stream()
+                    .sorted(Comparator.comparingLong(Crash::atMs))
+                    .toList()) {
+                if (moments == 0 || crash.atMs() - countedAtMs >= SAME_MOMENT_MS) {
+                    moments++;
+                    countedAtMs = crash.atMs();
+                }
+            }
+            return moments;
         }
 
         private long blockedUntilMs() {
@@ -160,7 +237,7 @@
                 return 0;
             }
             long blockMs = FIRST_BLOCK_MS;
-            for (int i = CRASHES_TO_BLOCK; i < crashes.size() && blockMs < MAX_BLOCK_MS; i++) {
+            for (int i = CRASHES_TO_BLOCK; i < countedCrashes() && blockMs < MAX_BLOCK_MS; i++) {
                 blockMs *= BLOCK_GROWTH;
             }
             return Math.max(lastCrashMs + Math.min(blockMs, MAX_BLOCK_MS), trialUntilMs);
--- /dev/null
+++ b/kernel/src/main/java/org/marjoramswitch/kernel/entry/CrashReports.java
@@ -0,0 +1,129 @@
+package org.marjoramswitch.kernel.entry;
+
+import java.util.ArrayDeque;
+import java.util.ArrayList;
+import java.util.Collection;
+import java.util.Deque;
+import java.util.List;
+import java.util.Set;
+import org.marjoramswitch.kernel.action.Action;
+import org.marjoramswitch.kernel.action.ActionSink;
+import org.marjoramswitch.kernel.crash.PoisonRequestGossip;
+import org.marjoramswitch.kernel.crash.PoisonRequests;
+import org.marjoramswitch.kernel.message.PeerMessage.CrashNews;
+import org.marjoramswitch.kernel.message.PeerMessage.RequestCrash;
+import org.marjoramswitch.kernel.model.InstanceId;
+import org.marjoramswitch.kernel.model.TargetId;
+import org.marjoramswitch.kernel.model.TargetOutcome;
+
+/**
+ * Derives from how an entry's attempts end which requests and prompt parts targets crash under, and exchanges this with
+ * the other instances.
+ *
+ * <p>A target that crashes breaks off all that runs there. Of these requests only those are accused whose responses had
+ * not begun, or only just: the others' prompts had been processed long before.
+ */
+final class CrashReports {
+    /** A response that goes on for this long after its first byte did not crash its target. */
+    private static final long WENT_ON_MS = 300;
+
+    private final PoisonRequestGossip gossip = PoisonRequestGossip.create();
+    /** Responses that may not have gone on for long enough yet, in the order in which they began. */
+    private final Deque<BegunResponse> begun = new ArrayDeque<>();
+
+    private record BegunResponse(EntryRequest request, int attempt, long atMs) {
+        private boolean isRunning() {
+            return request.target() != null && request.attempts() == attempt;
+        }
+    }
+
+    PoisonRequests poisonRequests() {
+        return gossip.poisonRequests();
+    }
+
+    /** Records that the response of the request's running attempt has begun. */
+    void responseBegan(EntryRequest request, long nowMs) {
+        if (request.responseBeganAtMs() != EntryRequest.NOT_BEGUN) {
+            return;
+        }
+        request.responseBegan(nowMs);
+        if (!request.suspects().promptParts().isEmpty()) {
+            begun.add(new BegunResponse(request, request.attempts(), nowMs));
+        }
+    }
+
+    /**
+     * Records the end of an attempt.
+     *
+     * @return the digests for which a crash was recorded that was not known
+     */
+    List<Long> attemptEnded(EntryRequest request, TargetId target, TargetOutcome outcome, long nowMs) {
+        if (outcome == TargetOutcome.COMPLETED || outcome == TargetOutcome.SERVER_ERROR) {
+            gossip.requestServed(request.suspects().request());
+        }
+        if (outcome == TargetOutcome.COMPLETED) {
+            // The report of the response's first byte may have been lost in a full ring.
+            long begunAtMs = Math.min(request.responseBeganAtMs(), nowMs);
+            gossip.responseWentOn(request.suspects().promptParts(), begunAtMs);
+        }
+        return outcome.brokeOff() ? targetCrashed(request, target, nowMs) : List.of();
+    }
+
+    private List<Long> targetCrashed(EntryRequest request, TargetId target, long nowMs) {
+        List<Long> accused = new ArrayList<>();
+        long digest = request.suspects().request();
+        if (digest != 0 && gossip.targetCrashed(new RequestCrash(digest, target, 0), nowMs)) {
+            accused.add(digest);
+        }
+        if (hasGoneOn(request.responseBeganAtMs(), nowMs)) {
+            return accused;
+        }
+        for (long part : request.suspects().promptParts()) {
+            if (gossip.targetCrashed(new RequestCrash(part, target, 0, true), nowMs)) {
+                accused.add(part);
+            }
+        }
+        return accused;
+    }
+
+    private static boolean hasGoneOn(long begunAtMs, long nowMs) {
+        return begunAtMs <= nowMs - WENT_ON_MS;
+    }
+
+    /** Clears the prompt parts of responses that have gone on for long enough. */
+    void tick(long nowMs) {
+        while (!begun.isEmpty() && hasGoneOn(begun.peek().atMs(), nowMs)) {
+            BegunResponse response = begun.poll();
+            if (response.isRunning()) {
+                gossip.responseWentOn(response.request().suspects().promptParts(), response.atMs());
+            }
+        }
+    }
+
+    /** Applies a peer's update; returns the digests with new crashes. */
+    Set<Long> received(CrashNews update, long nowMs) {
+        return gossip.received(update, nowMs);
+    }
+
+    /** Whether there are reports that have not been sent to the peers. */
+    boolean hasUpdates() {
+        return gossip.hasUpdates();
+    }
+
+    /** Sends unsent reports to the peers. */
+    void publish(Collection<InstanceId> peers, ActionSink sink) {
+        gossip.publish(peers, sink);
+    }
+
+    /** Sends all reports over a new link. */
+    void connected(InstanceId peer, long nowMs, ActionSink sink) {
+        gossip.connected(peer, nowMs, sink);
+    }
+
+    /** Persists the crashes under a blocked request or prompt part. */
+    void persist(long digest, long nowMs, ActionSink sink) {
+        if (poisonRequests().blockedForMs(digest, nowMs) > 0) {
+            sink.accept(new Action.KeepCrashes(digest, poisonRequests().of(digest, nowMs)));
+        }
+    }
+}
--- a/kernel/src/main/java/org/marjoramswitch/kernel/entry/Entry.java
+++ b/kernel/src/main/java/org/marjoramswitch/kernel/entry/Entry.java
@@ -12,7 +12,8 @@
 import org.marjoramswitch.kernel.action.Action;
 import org.marjoramswitch.kernel.action.ActionSink;
 import org.marjoramswitch.kernel.action.Decision;
-import org.marjoramswitch.kernel.crash.PoisonRequestGossip;
+import org.marjoramswitch.kernel.crash.CrashSuspects;
+import org.marjoramswitch.kernel.crash.PoisonRequests;
 import org.marjoramswitch.kernel.error.ErrorType;
 import org.marjoramswitch.kernel.error.Failure;
 import org.marjoramswitch.kernel.liveness.SilentPeerDetector;
@@ -51,8 +52,8 @@
  * slot to the next request waiting here, in the order of the customers' leads last received. Capacity is thus not idle
  * during a change of arbiter; the entry registers again afterwards and the arbiter accounts for the slot.
  *
- * <p>A request under which several targets have crashed is not retried, whichever instance observed the crashes ({@link
- * PoisonRequestGossip}). A target that requested a backoff from this instance is not used until the backoff has elapsed
+ * <p>A request under which several targets have crashed, or under a part of whose prompt they have, is not retried,
+ * whichever instance observed the crashes ({@link CrashReports}). A target that requested a backoff from this instance is not used until the backoff has elapsed
  * ({@link TargetBackoffs}).
  */
 public final class Entry {
@@ -75,7 +76,7 @@
     private final Registrations registrations;
     private final Placements placements;
     private final SilentPeerDetector silentArbiterDetector = SilentPeerDetector.create();
-    private final PoisonRequestGossip poisonGossip = PoisonRequestGossip.create();
+    private final CrashReports crashReports = new CrashReports();
     private final TargetBackoffs targetBackoffs = new TargetBackoffs();
     private final SendAdmission admission;
     private final ListWaits listWaits = new ListWaits();
@@ -90,7 +91,7 @@
         this.demand = new DemandPublisher(options, fleet);
         this.registrations = new Registrations(self, options, fleet, demand, this::pool, requests.values());
         this.placements = new Placements(self, fleet, targetBackoffs, streams);
-        this.admission = SendAdmission.of(fleet, targetBackoffs, poisonGossip.poisonRequests());
+        this.admission = SendAdmission.of(fleet, targetBackoffs, crashReports.poisonRequests());
     }
 
     public static Entry create(InstanceId self, KernelOptions options, FleetState fleet, StreamDirectory streams) {
@@ -120,17 +121,18 @@
     /** Queues a new request of a caller, or fails it immediately if it cannot be accepted. */
     public void arrived(RequestSpec spec, long nowMs, ActionSink sink) {
         PoolSettings settings = fleet.settings().pools().get(spec.pool());
+        CrashSuspects suspects = CrashSuspects.of(spec);
         // The request was routed by other settings than these, which do not show whether its route still exists.
         Failure refusal = settings == null
                 ? Failure.notRun(
                         ErrorType.NO_TARGET_IN_TIME, RETRY_AFTER_MS, spec.pool().name())
-                : refusal(spec, nowMs);
+                : refusal(spec, suspects, nowMs);
         if (refusal != null) {
             refuse(spec, refusal, sink);
             return;
         }
-        poisonGossip.poisonRequests().admitted(spec.digest(), nowMs);
-        EntryRequest request = new EntryRequest(spec, nowMs);
+        crashReports.poisonRequests().admitted(suspects, nowMs);
+        EntryRequest request = new EntryRequest(spec, suspects, nowMs);
         requests.put(spec.requestId(), request);
         deadlines.add(request);
         if (spec.placement() != null) {
@@ -161,6 +163,7 @@
         if (request == null || request.target() == null) {
             return;
         }
+        crashReports.responseBegan(request, nowMs);
         PlacementSpec placement = request.spec().placement();
         if (placement != null && (placement.resumable() || placement.stream() != null)) {
             request.streamStarted();
@@ -231,16 +234,9 @@
     /** Ends a request that may not be sent to any target. */
     private void endUnsent(EntryRequest request, SendAdmission.Verdict verdict, long nowMs, ActionSink sink) {
         totalWaiting--;
-        RequestSpec spec = request.spec();
         switch (verdict) {
             case CALLER_GONE -> fail(request, ErrorType.CALLER_GONE, 0, "", sink);
-            case REQUEST_BLOCKED ->
-                fail(
-                        request,
-                        ErrorType.REQUEST_BLOCKED,
-                        poisonGossip.poisonRequests().blockedForMs(spec.digest(), nowMs),
-                        Long.toHexString(spec.digest()),
-                        sink);
+            case REQUEST_BLOCKED -> failBlocked(request, nowMs, sink);
             default -> fail(request, ErrorType.WAIT_TIMEOUT, RETRY_AFTER_MS, "", sink);
         }
     }
@@ -291,7 +287,7 @@
     public void connected(InstanceId peer, long nowMs, ActionSink sink) {
         registrations.connected(peer, nowMs, sink);
         placements.connected(peer, nowMs, sink);
-        poisonGossip.connected(peer, nowMs, sink);
+        crashReports.connected(peer, nowMs, sink);
     }
 
     /** Starts a backoff of a target that rejected a request with a Retry-After. */
@@ -303,7 +299,7 @@
 
     /** Applies crash reports of a peer: crashed targets, and requests that have since been served. */
     public void crashesReported(PeerMessage.CrashNews update, long nowMs, ActionSink sink) {
-        poisonGossip.received(update, nowMs).forEach(digest -> refuseBlocked(digest, nowMs, sink));
+        crashReports.received(update, nowMs).forEach(digest -> refuseBlocked(digest, nowMs, sink));
     }
 
     /** Records that a message arrived from a peer. */
@@ -351,7 +347,7 @@
         } else {
             request.nothingDelivered();
         }
-        recordCrash(request.spec().digest(), target, outcome, nowMs, sink);
+        recordCrash(request, target, outcome, nowMs, sink);
         finishOrRetry(request, outcome, pool, nowMs, sink);
         if (link != null && !outcome.targetFault()) {
             reuseSlot(link, pool, target, nowMs, sink);
@@ -406,6 +402,7 @@
         endListWaits(nowMs, sink);
         replaceSilentPlacementArbiters(nowMs, sink);
         refuseOverdue(nowMs, sink);
+        crashReports.tick(nowMs);
         publishCrashes(sink);
         placements.fleetChanged(nowMs, sink);
         if (targetBackoffs.expire(nowMs)) {
@@ -439,39 +436,32 @@
     }
 
     private void publishCrashes(ActionSink sink) {
-        if (!poisonGossip.hasUpdates()) {
+        if (!crashReports.hasUpdates()) {
             return;
         }
         Set<InstanceId> peers = new TreeSet<>(fleet.view().members().keySet());
         peers.remove(self);
-        poisonGossip.publish(peers, sink);
+        crashReports.publish(peers, sink);
     }
 
     /** Clears a request that got a complete response; records a crash if the target broke off. */
-    private void recordCrash(long digest, TargetId target, TargetOutcome outcome, long nowMs, ActionSink sink) {
-        if (outcome == TargetOutcome.COMPLETED || outcome == TargetOutcome.SERVER_ERROR) {
-            poisonGossip.requestServed(digest);
-            return;
-        }
-        if (digest == 0 || !outcome.brokeOff()) {
-            return;
-        }
-        if (!poisonGossip.targetCrashed(new PeerMessage.RequestCrash(digest, target, 0), nowMs)) {
-            return;
+    private void recordCrash(
+            EntryRequest request, TargetId target, TargetOutcome outcome, long nowMs, ActionSink sink) {
+        for (long digest : crashReports.attemptEnded(request, target, outcome, nowMs)) {
+            crashReports.persist(digest, nowMs, sink);
+            refuseBlocked(digest, nowMs, sink);
         }
-        if (poisonGossip.poisonRequests().blockedForMs(digest, nowMs) > 0) {
-            sink.accept(
-                    new Action.KeepCrashes(digest, poisonGossip.poisonRequests().of(digest, nowMs)));
-        }
-        refuseBlocked(digest, nowMs, sink);
     }
 
     /**
-     * Rejects waiting copies of a poison request immediately, since they would crash the next target together with
+     * Rejects waiting requests that are blocked immediately, since they would crash the next target together with
      * everything that runs there.
+     *
+     * @param digest of a request or prompt part
      */
     private void refuseBlocked(long digest, long nowMs, ActionSink sink) {
-        long blockedForMs = poisonGossip.poisonRequests().blockedForMs(digest, nowMs);
+        PoisonRequests poisonRequests = crashReports.poisonRequests();
+        long blockedForMs = poisonRequests.blockedForMs(digest, nowMs);
         if (blockedForMs == 0) {
             return;
         }
@@ -479,18 +469,30 @@
                 "request_blocked",
                 "digest",
                 Long.toHexString(digest),
+                "promptPart",
+                poisonRequests.isPromptPart(digest),
                 "endedTargets",
-                poisonGossip.poisonRequests().crashCount(digest),
+                poisonRequests.crashCount(digest),
                 "blockedForMs",
                 blockedForMs)));
         for (EntryRequest request : List.copyOf(requests.values())) {
-            if (request.spec().digest() == digest && request.target() == null) {
+            if (request.suspects().contains(digest) && request.target() == null) {
                 dequeue(request, sink);
-                fail(request, ErrorType.REQUEST_BLOCKED, blockedForMs, Long.toHexString(digest), sink);
+                failBlocked(request, nowMs, sink);
             }
         }
     }
 
+    private void failBlocked(EntryRequest request, long nowMs, ActionSink sink) {
+        PoisonRequests poisonRequests = crashReports.poisonRequests();
+        fail(
+                request,
+                ErrorType.REQUEST_BLOCKED,
+                poisonRequests.blockedForMs(request.suspects(), nowMs),
+                Long.toHexString(poisonRequests.blockedDigest(request.suspects(), nowMs)),
+                sink);
+    }
+
     private void requestPlacement(EntryRequest request, long nowMs, ActionSink sink) {
         if (placements.isEvacuated(request)) {
             totalWaiting--;
@@ -527,10 +529,12 @@
                 sink);
     }
 
-    private @Nullable Failure refusal(RequestSpec spec, long nowMs) {
-        long blockedForMs = poisonGossip.poisonRequests().blockedForMs(spec.digest(), nowMs);
+    private @Nullable Failure refusal(RequestSpec spec, CrashSuspects suspects, long nowMs) {
+        PoisonRequests poisonRequests = crashReports.poisonRequests();
+        long blockedForMs = poisonRequests.blockedForMs(suspects, nowMs);
         if (blockedForMs > 0) {
-            return Failure.notRun(ErrorType.REQUEST_BLOCKED, blockedForMs, Long.toHexString(spec.digest()));
+            String blocked = Long.toHexString(poisonRequests.blockedDigest(suspects, nowMs));
+            return Failure.notRun(ErrorType.REQUEST_BLOCKED, blockedForMs, blocked);
         }
         if (draining) {
             return Failure.notRun(ErrorType.INSTANCE_LEAVING, LEAVING_RETRY_AFTER_MS, self.name());
@@ -696,8 +700,7 @@
             fail(request, ErrorType.CALLER_GONE, 0, "", sink);
             return;
         }
-        boolean blocked =
-                poisonGossip.poisonRequests().blockedForMs(request.spec().digest(), nowMs) > 0;
+        boolean blocked = crashReports.poisonRequests().blockedForMs(request.suspects(), nowMs) > 0;
         boolean mayRetry = !blocked && AttemptRules.mayRetry(request, outcome, nowMs);
         if (mayRetry && outcome == TargetOutcome.NOT_SENT) {
             request.attemptNotSent();
--- a/kernel/src/main/java/org/marjoramswitch/kernel/entry/EntryRequest.java
+++ b/kernel/src/main/java/org/marjoramswitch/kernel/entry/EntryRequest.java
@@ -3,6 +3,7 @@
 import java.util.HashSet;
 import java.util.Set;
 import org.jspecify.annotations.Nullable;
+import org.marjoramswitch.kernel.crash.CrashSuspects;
 import org.marjoramswitch.kernel.message.PeerMessage;
 import org.marjoramswitch.kernel.model.CellId;
 import org.marjoramswitch.kernel.model.RequestSpec;
@@ -10,7 +11,10 @@
 
 /** State of a request at its entry instance, from arrival to end. */
 final class EntryRequest {
+    static final long NOT_BEGUN = Long.MAX_VALUE;
+
     private final RequestSpec spec;
+    private final CrashSuspects suspects;
     private final long arrivedAtMs;
     private final Set<TargetId> failedAt = new HashSet<>();
     private int attempts;
@@ -22,6 +26,9 @@
     private long costTokens;
     private long reportedTokens;
     private boolean callerGone;
+    /** When the running attempt's response began; {@link #NOT_BEGUN} before. */
+    private long responseBeganAtMs = NOT_BEGUN;
+
     private int executions;
     private int listWaits;
     /** The software version of the target of the running attempt; empty if unknown. */
@@ -31,8 +38,9 @@
     /** The number of the attempt that set {@link #streamVersion}; 0 if the stream began in an earlier request. */
     private int streamAttempt;
 
-    EntryRequest(RequestSpec spec, long arrivedAtMs) {
+    EntryRequest(RequestSpec spec, CrashSuspects suspects, long arrivedAtMs) {
         this.spec = spec;
+        this.suspects = suspects;
         this.arrivedAtMs = arrivedAtMs;
     }
 
@@ -40,6 +48,10 @@
         return spec;
     }
 
+    CrashSuspects suspects() {
+        return suspects;
+    }
+
     long arrivedAtMs() {
         return arrivedAtMs;
     }
@@ -143,9 +155,19 @@
         }
     }
 
+    /** When the running attempt's response began; {@link #NOT_BEGUN} before. */
+    long responseBeganAtMs() {
+        return responseBeganAtMs;
+    }
+
+    void responseBegan(long nowMs) {
+        responseBeganAtMs = nowMs;
+    }
+
     void attemptStarted(TargetId atTarget, String softwareVersion, CellId inCell, long grantSequence) {
         attempts++;
         target = atTarget;
+        responseBeganAtMs = NOT_BEGUN;
         targetVersion = softwareVersion;
         cell = inCell;
         sequence = grantSequence;
--- a/kernel/src/main/java/org/marjoramswitch/kernel/entry/SendAdmission.java
+++ b/kernel/src/main/java/org/marjoramswitch/kernel/entry/SendAdmission.java
@@ -76,7 +76,7 @@
         if (nowMs >= request.spec().deadlineMs()) {
             return Verdict.DEADLINE_PASSED;
         }
-        if (poisonRequests.blockedForMs(request.spec().digest(), nowMs) > 0) {
+        if (poisonRequests.blockedForMs(request.suspects(), nowMs) > 0) {
             return Verdict.REQUEST_BLOCKED;
         }
         if (startWithinMs <= 0) {
--- a/kernel/src/main/java/org/marjoramswitch/kernel/message/PeerMessage.java
+++ b/kernel/src/main/java/org/marjoramswitch/kernel/message/PeerMessage.java
@@ -401,10 +401,16 @@
     /**
      * Part of {@link CrashNews}: a target crashed while it ran a request.
      *
-     * @param digest see {@link org.marjoramswitch.kernel.model.RequestSpec#digest}
+     * @param digest see {@link org.marjoramswitch.kernel.crash.CrashSuspects}
      * @param ageMs time since the crash
+     * @param promptPart whether the digest is that of a part of the request's prompt
      */
-    record RequestCrash(long digest, TargetId target, long ageMs) {}
+    record RequestCrash(long digest, TargetId target, long ageMs, boolean promptPart) {
+        /** Creates the crash of a whole request. */
+        public RequestCrash(long digest, TargetId target, long ageMs) {
+            this(digest, target, ageMs, false);
+        }
+    }
 
     /** Shows that the link still works while no other message is sent. */
     record Heartbeat() implements PeerMessage {}
--- a/kernel/src/main/java/org/marjoramswitch/kernel/wire/MessageCodec.java
+++ b/kernel/src/main/java/org/marjoramswitch/kernel/wire/MessageCodec.java
@@ -519,16 +519,18 @@
     private static void writeCrashNews(MessageWriter out, CrashNews message) {
         out.list(
                         message.crashes(),
-                        crash -> out.item(3)
+                        crash -> out.item(4)
                                 .put(crash.digest())
                                 .put(crash.target())
-                                .put(crash.ageMs()))
+                                .put(crash.ageMs())
+                                .put(crash.promptPart() ? 1 : 0))
                 .list(message.served(), digest -> out.item(1).put(digest));
     }
 
     private static CrashNews readCrashNews(MessageReader in) throws IOException {
         return new CrashNews(
-                in.list(() -> new RequestCrash(in.number(), in.target(), in.number())), in.list(in::number));
+                in.list(() -> new RequestCrash(in.number(), in.target(), in.number(), in.number() != 0)),
+                in.list(in::number));
     }
 
     private static void writeWitnessQuery(MessageWriter out, WitnessQuery message) {
--- a/kernel/src/test/java/org/marjoramswitch/kernel/wire/RandomMessages.java
+++ b/kernel/src/test/java/org/marjoramswitch/kernel/wire/RandomMessages.java
@@ -106,7 +106,9 @@
     }
 
     private List<PeerMessage.RequestCrash> crashes() {
-        return list(random.nextInt(4), () -> new PeerMessage.RequestCrash(number(), target(), number()));
+        return list(
+                random.nextInt(4),
+                () -> new PeerMessage.RequestCrash(number(), target(), number(), random.nextBoolean()));
     }
 
     private List<PeerMessage.WatchPosition> positions() {
