Take a stream without framing that ends before its first event for broken off

What callers see: 200 with an empty stream where a target crashed after the head of its response; and a prompt part that crashes targets is never blocked if they respond so, since the empty response counts as a complete one and clears the part.

Cause: a response with neither a length nor chunks ends with its connection. That it stopped within an event was checked, that it had none was not. A stream with framing and no event is complete as before.

PoisonPromptPartPathTest with AFTER_UNFRAMED_HEAD failed before ("condition not met within 15000 ms"); the two other kinds of crash passed.

--- a/daemon/src/main/java/org/marjoramswitch/daemon/target/ResponseReader.java
+++ b/daemon/src/main/java/org/marjoramswitch/daemon/target/ResponseReader.java
@@ -162,12 +162,18 @@
                 && delivery.bufferedBytes().length == 0;
     }
 
-    /** A stream that stops within an event is incomplete, even if its connection was closed properly. */
+    /**
+     * A stream that stops within an event is incomplete, even if its connection was closed properly. So is one without
+     * framing that stops before its first event, as it does when its target crashes.
+     */
     private boolean isStreamComplete() {
         if (deliveryMode != DeliveryMode.STREAMED) {
             return true;
         }
-        return protocol.forwarding() ? delivery.bufferedBytes().length == 0 : delivery.hasEndMark();
+        if (!protocol.forwarding()) {
+            return delivery.hasEndMark();
+        }
+        return delivery.bufferedBytes().length == 0 && (framed || delivery.hasDelivered());
     }
 
     /** Whether the response carries another request's id, or none where the protocol requires one. */
