--- a/kernel/src/main/java/org/marjoramswitch/kernel/crash/PoisonRequests.java
+++ b/kernel/src/main/java/org/marjoramswitch/kernel/crash/PoisonRequests.java
@@ -185,6 +185,9 @@
     private static final class CrashRecord {
         private final boolean promptPart;
         private final List<Crash> crashes = new ArrayList<>(CRASHES_TO_BLOCK);
+        /** Crashes that count, see {@link #SAME_MOMENT_MS}; kept, since every new crash checks all records for expiry. */
+        private int countedCrashes;
+
         private long lastCrashMs;
         private long trialUntilMs;
 
@@ -197,11 +200,15 @@
                 return false;
             }
             lastCrashMs = Math.max(lastCrashMs, crash.atMs());
-            return crashes.add(crash);
+            crashes.add(crash);
+            countedCrashes = promptPart ? countMoments() : crashes.size();
+            return true;
         }
 
         private boolean clearUntil(long begunAtMs) {
-            return crashes.removeIf(crash -> crash.atMs() <= begunAtMs);
+            boolean cleared = crashes.removeIf(crash -> crash.atMs() <= begunAtMs);
+            countedCrashes = countMoments();
+            return cleared;
         }
 
         private List<RequestCrash> crashes(long digest, long nowMs) {
@@ -211,11 +218,7 @@
         }
 
         private boolean isPoison() {
-            return countedCrashes() >= CRASHES_TO_BLOCK;
-        }
-
-        private int countedCrashes() {
-            return promptPart ? countMoments() : crashes.size();
+            return countedCrashes >= CRASHES_TO_BLOCK;
         }
 
         private int countMoments() {
@@ -237,7 +240,7 @@
                 return 0;
             }
             long blockMs = FIRST_BLOCK_MS;
-            for (int i = CRASHES_TO_BLOCK; i < countedCrashes() && blockMs < MAX_BLOCK_MS; i++) {
+            for (int i = CRASHES_TO_BLOCK; i < countedCrashes && blockMs < MAX_BLOCK_MS; i++) {
                 blockMs *= BLOCK_GROWTH;
             }
             return Math.max(lastCrashMs + Math.min(blockMs, MAX_BLOCK_MS), trialUntilMs);
