--- a/kernel/src/test/java/org/marjoramswitch/kernel/PlacementFleetTest.java
+++ b/kernel/src/test/java/org/marjoramswitch/kernel/PlacementFleetTest.java
@@ -6,6 +6,7 @@
 import static org.junit.jupiter.api.Assertions.assertNull;
 import static org.junit.jupiter.api.Assertions.assertTrue;
 
+import java.util.Objects;
 import java.util.Set;
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.api.Timeout;
@@ -47,6 +48,24 @@
         assertTrue(ends.get(request) instanceof Action.Complete);
     }
 
+    /** Guards against an entry that leaves its arbiter for half a second after each pause of its own. */
+    @Test
+    void entryThatWasPausedReturnsToItsArbiterAtOnce() {
+        frozen.add(arbiter);
+        arrive(true, 2, false);
+        advance(20);
+        frozen.clear();
+        frozen.add(entry);
+        advance(1_000);
+        frozen.clear();
+        // A process that wakes up evaluates its timers before the messages that have arrived meanwhile.
+        Objects.requireNonNull(kernels.get(entry))
+                .apply(new Event.Tick(), nowMs)
+                .forEach(action -> perform(entry, action));
+        advance(20);
+        assertEquals(arbiter, Objects.requireNonNull(kernels.get(entry)).arbiterOf(CELL));
+    }
+
     /** Guards against granting a slot twice: entries report their running requests to a new arbiter. */
     @Test
     void newArbiterCountsRunningRequests() {
