Move the log records of an entry's decisions into EntryLog

Entry decides; what its log lines hold stands apart, as PlacementLog does for the arbiter. No change of behaviour: the fields and their order are the same.

--- a/kernel/src/main/java/org/marjoramswitch/kernel/entry/Entry.java
+++ b/kernel/src/main/java/org/marjoramswitch/kernel/entry/Entry.java
@@ -11,7 +11,6 @@
 import org.marjoramswitch.kernel.KernelOptions;
 import org.marjoramswitch.kernel.action.Action;
 import org.marjoramswitch.kernel.action.ActionSink;
-import org.marjoramswitch.kernel.action.Decision;
 import org.marjoramswitch.kernel.crash.CrashSuspects;
 import org.marjoramswitch.kernel.crash.PoisonRequests;
 import org.marjoramswitch.kernel.error.ErrorType;
@@ -27,7 +26,6 @@
 import org.marjoramswitch.kernel.model.PoolId;
 import org.marjoramswitch.kernel.model.RequestSpec;
 import org.marjoramswitch.kernel.model.RunState;
-import org.marjoramswitch.kernel.model.StreamSpec;
 import org.marjoramswitch.kernel.model.TargetId;
 import org.marjoramswitch.kernel.model.TargetOutcome;
 import org.marjoramswitch.kernel.model.Usage;
@@ -186,7 +184,7 @@
             start(request, placed.target(), placed.cell(), placed.placementId(), "placed", nowMs, sink);
             return;
         }
-        logRejected(request, placed.target(), verdict, sink);
+        sink.accept(EntryLog.sendRejected(request, placed.target(), verdict));
         if (verdict == SendAdmission.Verdict.DATA_CENTRE_EVACUATED && !from.equals(self)) {
             // One of the two lists is out of date; the arbiter adopts this one or replies with a newer one.
             sink.accept(new Action.SendPeer(from, new PeerMessage.DataCentresEvacuated(fleet.evacuations())));
@@ -241,20 +239,6 @@
         }
     }
 
-    private static void logRejected(
-            EntryRequest request, TargetId target, SendAdmission.Verdict verdict, ActionSink sink) {
-        sink.accept(new Action.Decided(Decision.of(
-                "send_rejected",
-                "request",
-                request.spec().requestId(),
-                "customer",
-                request.spec().customer(),
-                "target",
-                target,
-                "reason",
-                verdict)));
-    }
-
     /**
      * The source if it can be used, otherwise null: one that is gone would not respond, or its address may belong to
      * another service now. Without a source the target computes the whole prompt itself.
@@ -293,7 +277,7 @@
     /** Starts a backoff of a target that rejected a request with a Retry-After. */
     public void backoffRequested(TargetId target, long backoffMs, long nowMs, ActionSink sink) {
         if (targetBackoffs.add(target, nowMs + backoffMs, nowMs)) {
-            sink.accept(new Action.Decided(Decision.of("target_rests", "target", target, "restMs", backoffMs)));
+            sink.accept(EntryLog.targetInBackoff(target, backoffMs));
         }
     }
 
@@ -465,16 +449,7 @@
         if (blockedForMs == 0) {
             return;
         }
-        sink.accept(new Action.Decided(Decision.of(
-                "request_blocked",
-                "digest",
-                Long.toHexString(digest),
-                "promptPart",
-                poisonRequests.isPromptPart(digest),
-                "endedTargets",
-                poisonRequests.crashCount(digest),
-                "blockedForMs",
-                blockedForMs)));
+        sink.accept(EntryLog.blocked(digest, poisonRequests, blockedForMs));
         for (EntryRequest request : List.copyOf(requests.values())) {
             if (request.suspects().contains(digest) && request.target() == null) {
                 dequeue(request, sink);
@@ -554,18 +529,7 @@
 
     private void refuse(RequestSpec spec, Failure refusal, ActionSink sink) {
         sink.accept(new Action.Fail(spec.requestId(), refusal));
-        sink.accept(new Action.Decided(Decision.of(
-                "refuse",
-                "request",
-                spec.requestId(),
-                "customer",
-                spec.customer(),
-                "pool",
-                spec.pool(),
-                "reason",
-                refusal.type(),
-                "retryAfterMs",
-                refusal.retryAfterMs())));
+        sink.accept(EntryLog.refused(spec, refusal));
     }
 
     private void enqueue(EntryRequest request, long nowMs, ActionSink sink) {
@@ -627,32 +591,7 @@
         pool.drainRate(spec.customer()).requestStarted(nowMs);
         sink.accept(new Action.Dispatch(
                 spec.requestId(), target, request.attempts(), request.fetchFrom(), request.startWithinMs()));
-        sink.accept(new Action.Decided(Decision.of(
-                "dispatch",
-                "request",
-                spec.requestId(),
-                "customer",
-                spec.customer(),
-                "cell",
-                cell,
-                "target",
-                target,
-                "attempt",
-                request.attempts(),
-                "sequence",
-                sequence,
-                "reason",
-                reason,
-                "softwareVersion",
-                softwareVersion,
-                "resumes",
-                resumes(spec),
-                "prefixHeld",
-                prefixHeld,
-                "fetchFrom",
-                request.fetchFrom() == null ? "-" : request.fetchFrom(),
-                "waitedMs",
-                nowMs - request.arrivedAtMs())));
+        sink.accept(EntryLog.dispatched(request, target, cell, reason, softwareVersion, prefixHeld, nowMs));
     }
 
     private String softwareVersion(TargetId target) {
@@ -660,15 +599,6 @@
         return settings == null ? "" : settings.softwareVersion();
     }
 
-    /** The key of the stream's beginning if the caller resumes one, "unnamed" if it does not name the beginning. */
-    private static String resumes(RequestSpec spec) {
-        StreamSpec stream = spec.placement() == null ? null : spec.placement().stream();
-        if (stream == null || !stream.resumed()) {
-            return "-";
-        }
-        return stream.beginningKey() == 0 ? "unnamed" : Long.toHexString(stream.beginningKey());
-    }
-
     private void settle(
             EntryRequest request, TargetOutcome outcome, Usage usage, @Nullable CellLink link, ActionSink sink) {
         PoolSettings pool = poolSettings(request);
@@ -812,18 +742,7 @@
 
     private void sendDecline(InstanceId from, PeerMessage.Grant grant, DeclineReason reason, ActionSink sink) {
         sink.accept(new Action.SendPeer(from, new PeerMessage.Decline(grant.cell(), grant.sequence(), reason)));
-        sink.accept(new Action.Decided(Decision.of(
-                "decline",
-                "cell",
-                grant.cell(),
-                "sequence",
-                grant.sequence(),
-                "customer",
-                grant.customer(),
-                "target",
-                grant.target(),
-                "reason",
-                reason)));
+        sink.accept(EntryLog.declined(grant, reason));
     }
 
     private void reuseSlot(CellLink link, PoolQueues pool, TargetId target, long nowMs, ActionSink sink) {
