--- a/kernel/src/main/java/org/marjoramswitch/kernel/crash/package-info.java
+++ b/kernel/src/main/java/org/marjoramswitch/kernel/crash/package-info.java
@@ -1,4 +1,4 @@
-/** Detects poison requests, which crash the targets that run them, and shares the reports between instances. */
+/** Detects requests and prompt parts that crash the targets that run them, and shares the reports between instances. */
 @NullMarked
 package org.marjoramswitch.kernel.crash;
 
--- a/kernel/src/main/java/org/marjoramswitch/kernel/entry/Registrations.java
+++ b/kernel/src/main/java/org/marjoramswitch/kernel/entry/Registrations.java
@@ -64,6 +64,7 @@
 
     /** Adapts the registrations to changed arbiters, cells or links. */
     public void fleetChanged(long nowMs, ActionSink sink) {
+        probes.retainAll(fleet.view().members().keySet());
         for (EntryRequest request : requests) {
             updateCell(request, nowMs);
         }
--- a/kernel/src/main/java/org/marjoramswitch/kernel/liveness/ProbeRoundTrips.java
+++ b/kernel/src/main/java/org/marjoramswitch/kernel/liveness/ProbeRoundTrips.java
@@ -1,5 +1,6 @@
 package org.marjoramswitch.kernel.liveness;
 
+import java.util.Collection;
 import java.util.Map;
 import java.util.TreeMap;
 import org.marjoramswitch.kernel.model.InstanceId;
@@ -41,5 +42,10 @@
         return latest != null && latest.number == number && receivedAtMs - latest.sentAtMs <= MAX_TIMELY_MS;
     }
 
+    /** Discards what is known of all other peers. */
+    public void retainAll(Collection<InstanceId> peers) {
+        latestProbes.keySet().retainAll(peers);
+    }
+
     private record SentProbe(long number, long sentAtMs) {}
 }
--- a/kernel/src/main/java/org/marjoramswitch/kernel/message/PeerMessage.java
+++ b/kernel/src/main/java/org/marjoramswitch/kernel/message/PeerMessage.java
@@ -393,8 +393,10 @@
     }
 
     /**
-     * Any to all: crashes of targets while running requests, and requests that were served although targets had crashed
-     * while running them. The served ones are older than the crashes in the same message.
+     * Any to all: crashes of targets while running requests, and requests and prompt parts that were served although
+     * targets had crashed while running them. The served ones are older than the crashes in the same message.
+     *
+     * @param served see {@link org.marjoramswitch.kernel.crash.CrashSuspects}
      */
     record CrashNews(List<RequestCrash> crashes, List<Long> served) implements PeerMessage {}
 
--- a/kernel/src/test/java/org/marjoramswitch/kernel/PoisonPromptPartTest.java
+++ b/kernel/src/test/java/org/marjoramswitch/kernel/PoisonPromptPartTest.java
@@ -73,14 +73,14 @@
     void poisonPartIsBlockedAtAllInstances() {
         run(20_000, List.of(FIRST_PART, POISON_PART));
         assertAlmostNeverSentOnceKnown();
-        assertTrue(soundShareInTime() > 0.9, "sound requests begun: " + soundShareInTime());
+        assertTrue(soundShareBegun() > 0.9, "sound requests begun: " + soundShareBegun());
     }
 
     @Test
     void poisonPartThatIsTheFirstOneIsBlocked() {
         run(20_000, List.of(POISON_PART, FIRST_PART));
         assertAlmostNeverSentOnceKnown();
-        assertTrue(soundShareInTime() > 0.9, "sound requests begun: " + soundShareInTime());
+        assertTrue(soundShareBegun() > 0.9, "sound requests begun: " + soundShareBegun());
     }
 
     /** Each instance is restarted in turn, and has to get the crashes from its peers. */
@@ -112,7 +112,7 @@
             send(id, List.of(FIRST_PART, 300L), false);
         }
         advanceSteps(FIRST_BYTE_MS);
-        assertTrue(soundShareInTime() == 1, "begun: " + soundShareInTime());
+        assertTrue(soundShareBegun() == 1, "begun: " + soundShareBegun());
     }
 
     /** Instances that are paused for a second while poison requests arrive have the usual time to catch up. */
@@ -136,7 +136,7 @@
             run(1_000, List.of(FIRST_PART, POISON_PART));
         }
         assertAlmostNeverSentOnceKnown();
-        assertTrue(soundShareInTime() > 0.8, "seed " + seed + ", sound requests begun: " + soundShareInTime());
+        assertTrue(soundShareBegun() > 0.8, "seed " + seed + ", sound requests begun: " + soundShareBegun());
     }
 
     static LongStream seeds() {
@@ -242,7 +242,7 @@
     }
 
     /** The share of the sound requests, sent once the poison part may be known, that began at the first attempt. */
-    private double soundShareInTime() {
+    private double soundShareBegun() {
         long fromMs = crashedAtMs.isEmpty()
                 ? 0
                 : crashedAtMs.get(Math.min(CRASHES_UNTIL_KNOWN, crashedAtMs.size()) - 1) + 2 * PROPAGATION_MS;
