Persist the crashes of a prompt part only once it has been blocked for two seconds

What callers would see: a sound, popular part that was blocked by mistake and cleared a moment later is blocked again for a minute at all instances that read its crashes from the key-value store afterwards, where nothing clears it, since no request with it is sent any more.

Cause: the crashes were written at the moment of the block, as those of requests are, and stay in the store when the part is cleared. Read in the code; not seen in play.

Change: a part's crashes are written if it is still blocked two seconds later. Requests that were sent before the block, and begin, clear a sound part within less than one.

CrashReportsTest#partThatIsClearedSoonIsNotPersisted fails with the write at the block; PoisonPromptPartPathTest restarts all instances.

--- a/kernel/src/main/java/org/marjoramswitch/kernel/entry/CrashReports.java
+++ b/kernel/src/main/java/org/marjoramswitch/kernel/entry/CrashReports.java
@@ -4,7 +4,10 @@
 import java.util.ArrayList;
 import java.util.Collection;
 import java.util.Deque;
+import java.util.Iterator;
+import java.util.LinkedHashMap;
 import java.util.List;
+import java.util.Map;
 import java.util.Set;
 import org.marjoramswitch.kernel.action.Action;
 import org.marjoramswitch.kernel.action.ActionSink;
@@ -24,6 +27,13 @@
  * not begun, or only just: the others' prompts had been processed long before.
  */
 final class CrashReports {
+    /**
+     * How long a prompt part is blocked before its crashes are persisted. A sound part that was blocked by mistake is
+     * cleared well within it by requests that had been sent before; its copy would block it again at every instance that
+     * reads it later.
+     */
+    private static final long PERSIST_AFTER_MS = 2_000;
+
     /** A response that goes on for this long after its first byte did not crash its target. */
     private static final long WENT_ON_MS = 300;
 
@@ -31,6 +41,9 @@
     /** Responses that may not have gone on for long enough yet, in the order in which they began. */
     private final Deque<BegunResponse> begun = new ArrayDeque<>();
 
+    /** Blocked prompt parts whose crashes have not been persisted, in the order in which they were blocked. */
+    private final Map<Long, Long> blockedSinceMs = new LinkedHashMap<>();
+
     private record BegunResponse(EntryRequest request, int attempt, long atMs) {
         private boolean isRunning() {
             return request.target() != null && request.attempts() == attempt;
@@ -90,8 +103,13 @@
         return begunAtMs <= nowMs - WENT_ON_MS;
     }
 
-    /** Clears the prompt parts of responses that have gone on for long enough. */
-    void tick(long nowMs) {
+    /** Clears the prompt parts of responses that have gone on for long enough, and persists blocked ones. */
+    void tick(long nowMs, ActionSink sink) {
+        clearPartsOfResponses(nowMs);
+        persistBlockedParts(nowMs, sink);
+    }
+
+    private void clearPartsOfResponses(long nowMs) {
         while (!begun.isEmpty() && hasGoneOn(begun.peek().atMs(), nowMs)) {
             BegunResponse response = begun.poll();
             if (response.isRunning()) {
@@ -120,10 +138,30 @@
         gossip.connected(peer, nowMs, sink);
     }
 
-    /** Persists the crashes under a blocked request or prompt part. */
+    /** Persists the crashes under a blocked request, and later those under a prompt part that is still blocked then. */
     void persist(long digest, long nowMs, ActionSink sink) {
-        if (poisonRequests().blockedForMs(digest, nowMs) > 0) {
-            sink.accept(new Action.KeepCrashes(digest, poisonRequests().of(digest, nowMs)));
+        if (poisonRequests().blockedForMs(digest, nowMs) == 0) {
+            return;
+        }
+        if (poisonRequests().isPromptPart(digest)) {
+            blockedSinceMs.putIfAbsent(digest, nowMs);
+            return;
+        }
+        sink.accept(new Action.KeepCrashes(digest, poisonRequests().of(digest, nowMs)));
+    }
+
+    private void persistBlockedParts(long nowMs, ActionSink sink) {
+        Iterator<Map.Entry<Long, Long>> oldestFirst = blockedSinceMs.entrySet().iterator();
+        while (oldestFirst.hasNext()) {
+            Map.Entry<Long, Long> blocked = oldestFirst.next();
+            if (nowMs - blocked.getValue() < PERSIST_AFTER_MS) {
+                return;
+            }
+            oldestFirst.remove();
+            if (poisonRequests().blockedForMs(blocked.getKey(), nowMs) > 0) {
+                sink.accept(new Action.KeepCrashes(
+                        blocked.getKey(), poisonRequests().of(blocked.getKey(), nowMs)));
+            }
         }
     }
 }
--- a/kernel/src/main/java/org/marjoramswitch/kernel/entry/Entry.java
+++ b/kernel/src/main/java/org/marjoramswitch/kernel/entry/Entry.java
@@ -386,7 +386,7 @@
         endListWaits(nowMs, sink);
         replaceSilentPlacementArbiters(nowMs, sink);
         refuseOverdue(nowMs, sink);
-        crashReports.tick(nowMs);
+        crashReports.tick(nowMs, sink);
         publishCrashes(sink);
         placements.fleetChanged(nowMs, sink);
         if (targetBackoffs.expire(nowMs)) {
