--- a/kernel/src/main/java/org/marjoramswitch/kernel/placement/PlacementArbiter.java
+++ b/kernel/src/main/java/org/marjoramswitch/kernel/placement/PlacementArbiter.java
@@ -471,7 +471,9 @@
     private void placeLate(TargetChoice choice, long nowMs, ActionSink sink) {
         boolean isPassDue = nowMs - lastLatePassMs >= LATE_PASS_MS;
         lastLatePassMs = isPassDue ? nowMs : lastLatePassMs;
-        List<WaitingRequest> examined = isPassDue ? waiting.firstLate(LOOKAHEAD) : List.copyOf(newlyLate);
+        List<WaitingRequest> examined = isPassDue
+                ? waiting.firstLate(LOOKAHEAD)
+                : newlyLate.stream().limit(LOOKAHEAD).toList();
         newlyLate.clear();
         for (WaitingRequest request : examined) {
             if (waiting.inTimeCount() > 0 || !choice.hasSpare()) {
