Judge a target's silence after its sockets have been read

What callers see: on an instance that is behind, a response that its target has long finished is taken for silence, and the request is sent to another target, also for a caller that has left meanwhile (GONE).

Cause: an I/O thread runs its timers before it reads its sockets. The progress deadline of an attempt is such a timer; a thread that is behind fires it while the response's bytes wait unread.

Change: a deadline found to have passed is checked again in the thread's next turn, with the sockets read between, and reported only if there was no progress.

--- a/daemon/src/main/java/org/marjoramswitch/daemon/target/ProgressDeadline.java
+++ b/daemon/src/main/java/org/marjoramswitch/daemon/target/ProgressDeadline.java
@@ -9,14 +9,23 @@
 /**
  * Notifies a listener when there was no progress for the timeout. A single timer checks the time of the last progress
  * and is rescheduled for the remaining time, so that progress only stores a timestamp. Confined to its I/O thread.
+ *
+ * <p>An I/O thread runs its timers before it reads its sockets. If it is behind, bytes may have arrived long before the
+ * timer fires, so the listener is called only if the sockets have been read once more without progress.
  */
 final class ProgressDeadline {
+    /** The shortest delay after which a timer fires in the next turn of its thread, behind the sockets of this one. */
+    private static final long NEXT_TURN_MS = 1;
+
     private final XnioIoThread thread;
     private final LongSupplier clockMs;
     private final long timeoutMs;
     private final Runnable listener;
     private long lastProgressMs;
     private long progressCount;
+    /** The progress count when the timeout was last found to have elapsed. */
+    private long overdueAtCount = -1;
+
     private XnioExecutor.@Nullable Key timer;
 
     private ProgressDeadline(XnioIoThread thread, LongSupplier clockMs, long timeoutMs, Runnable listener) {
@@ -67,9 +76,16 @@
     private void check() {
         long remainingMs = lastProgressMs + timeoutMs - clockMs.getAsLong();
         if (remainingMs > 0) {
+            overdueAtCount = -1;
             arm(remainingMs);
             return;
         }
+        if (overdueAtCount != progressCount) {
+            overdueAtCount = progressCount;
+            arm(NEXT_TURN_MS);
+            return;
+        }
+        overdueAtCount = -1;
         timer = null;
         listener.run();
     }
