Log how long a caller has been without progress and how late timers fire

The log could not distinguish the hypotheses about streams that are sent after their caller has given up: an attempt's end did not say whether its timer was late, nor a dispatch or a request's end how long the caller had received nothing. New fields: silent_ms and timer_late_ms in attempt_ended, sinceProgressMs in dispatch and request_ended, progressTimeoutMs in request_ended.

The callers' progress timeout of a route is computed in one place now (Route).

Measured: nothing; ForwardServerTest, ProgressDeadlineTest and PlacementFleetTest pass.

--- a/daemon/src/main/java/org/marjoramswitch/daemon/caller/CallerExchange.java
+++ b/daemon/src/main/java/org/marjoramswitch/daemon/caller/CallerExchange.java
@@ -26,6 +26,7 @@
     private @Nullable Route route;
     private final LongestPause longestPause = new LongestPause();
     private long headMs;
+    private long progressedMs;
     private int status;
     private @Nullable StreamSourceChannel requestChannel;
     private boolean bodyComplete;
@@ -35,6 +36,7 @@
         this.exchange = exchange;
         this.metrics = metrics;
         this.startedMs = nowMs;
+        this.progressedMs = nowMs;
     }
 
     static CallerExchange begin(HttpServerExchange exchange, CallerMetrics metrics, long nowMs) {
@@ -75,6 +77,11 @@
         longestPause.onChunk(nowMs);
     }
 
+    /** A part of the response was written to the caller. */
+    void progressed(long nowMs) {
+        progressedMs = nowMs;
+    }
+
     void setPool(PoolId newPool) {
         pool = newPool;
     }
@@ -164,6 +171,10 @@
                 longestPause.longestMs(),
                 "totalMs",
                 totalMs,
+                "sinceProgressMs",
+                nowMs - progressedMs,
+                "progressTimeoutMs",
+                route == null ? 0 : route.callerProgressTimeoutMs(),
                 "bytes",
                 result.bytes());
     }
--- a/daemon/src/main/java/org/marjoramswitch/daemon/caller/ForwardHandler.java
+++ b/daemon/src/main/java/org/marjoramswitch/daemon/caller/ForwardHandler.java
@@ -338,6 +338,11 @@
             caller.headWritten(status, clockMs.getAsLong());
         }
 
+        @Override
+        public void onWritten() {
+            caller.progressed(clockMs.getAsLong());
+        }
+
         @Override
         public Failure onInputEnded() {
             submitter.callerGone(requestId);
--- a/daemon/src/main/java/org/marjoramswitch/daemon/caller/ResponseWriter.java
+++ b/daemon/src/main/java/org/marjoramswitch/daemon/caller/ResponseWriter.java
@@ -80,6 +80,9 @@
         /** The head of the response or of a problem is about to be written. */
         void onHead(int status);
 
+        /** A part of the response's body was written. */
+        default void onWritten() {}
+
         /**
          * The caller's input ended, which may mean that it closed its connection.
          *
@@ -292,6 +295,7 @@
                 return false;
             }
             bytesWritten += count;
+            listener.onWritten();
         }
         return true;
     }
--- a/daemon/src/main/java/org/marjoramswitch/daemon/caller/RoutedCall.java
+++ b/daemon/src/main/java/org/marjoramswitch/daemon/caller/RoutedCall.java
@@ -31,16 +31,11 @@
     /** Part of a route's latency objective for the caller's connection setup and the network round trip. */
     private static final long CALLER_NETWORK_MS = 10;
     /**
-     * Share of the callers' progress timeout after which a repeatable request is retried on another target. Callers
-     * time out after two seconds, four latency objectives or eight pauses without progress, whichever is longest; a
-     * pause is the route's maximum time between two events of a response. The remaining share is for the other target.
+     * Share of the callers' progress timeout after which a repeatable request is retried on another target. The remaining
+     * share is for the other target.
      */
     private static final double SILENCE_SHARE = 0.6;
 
-    private static final long CALLER_PROGRESS_TIMEOUT_MS = 2_000;
-    private static final int CALLER_PROGRESS_TIMEOUT_OBJECTIVES = 4;
-    private static final int CALLER_PROGRESS_TIMEOUT_PAUSES = 8;
-
     /** @param elapsedMs time since the caller's first attempt */
     RequestSpec spec(long nowMs, long elapsedMs) {
         return new RequestSpec(
@@ -99,9 +94,7 @@
         if (!route.kind().isRepeatable()) {
             return route.timeoutMs();
         }
-        long objectivesMs = CALLER_PROGRESS_TIMEOUT_OBJECTIVES * route.objectiveMs();
-        long pausesMs = CALLER_PROGRESS_TIMEOUT_PAUSES * route.pauseMs();
-        return Math.round(SILENCE_SHARE * Math.max(CALLER_PROGRESS_TIMEOUT_MS, Math.max(objectivesMs, pausesMs)));
+        return Math.round(SILENCE_SHARE * route.progressTimeoutMs());
     }
 
     /** Path and query as the caller sent them. */
--- a/daemon/src/main/java/org/marjoramswitch/daemon/route/Route.java
+++ b/daemon/src/main/java/org/marjoramswitch/daemon/route/Route.java
@@ -28,9 +28,27 @@
         long pauseMs,
         int priority,
         boolean open) {
+    private static final long MIN_PROGRESS_TIMEOUT_MS = 2_000;
+    private static final int PROGRESS_TIMEOUT_OBJECTIVES = 4;
+    private static final int PROGRESS_TIMEOUT_PAUSES = 8;
+
     /** A pool and its weight among the pools of a route. */
     public record PoolShare(PoolId pool, int weight) {}
 
+    /**
+     * How long the callers of a stream wait for its first event and between two events; 0 for other routes, whose callers
+     * wait until their deadline.
+     */
+    public long callerProgressTimeoutMs() {
+        return kind.isStreaming() ? progressTimeoutMs() : 0;
+    }
+
+    /** The longest of two seconds, four latency objectives and eight pauses. */
+    public long progressTimeoutMs() {
+        long objectivesMs = PROGRESS_TIMEOUT_OBJECTIVES * objectiveMs;
+        return Math.max(MIN_PROGRESS_TIMEOUT_MS, Math.max(objectivesMs, PROGRESS_TIMEOUT_PAUSES * pauseMs));
+    }
+
     /**
      * Selects the pool for a request by weight.
      *
--- a/daemon/src/main/java/org/marjoramswitch/daemon/target/AttemptLog.java
+++ b/daemon/src/main/java/org/marjoramswitch/daemon/target/AttemptLog.java
@@ -85,7 +85,7 @@
                 insteadOf);
     }
 
-    void ended(TargetOutcome outcome, int status, Usage usage, boolean pooled) {
+    void ended(TargetOutcome outcome, int status, Usage usage, boolean pooled, ProgressDeadline deadline) {
         Object[] fields = {
             TARGET,
             spec.target().id(),
@@ -100,7 +100,11 @@
             "target_time_ms",
             usage.targetTimeMs(),
             "pooled",
-            pooled
+            pooled,
+            "silent_ms",
+            deadline.silentMs(),
+            "timer_late_ms",
+            deadline.firedLateMs()
         };
         if (outcome.targetFault()) {
             LOG.info(spec.purpose().endEvent(), fields);
--- a/daemon/src/main/java/org/marjoramswitch/daemon/target/HttpAttempt.java
+++ b/daemon/src/main/java/org/marjoramswitch/daemon/target/HttpAttempt.java
@@ -391,7 +391,7 @@
         Usage usage = usage();
         int status = reader == null ? 0 : reader.status();
         connector.metrics().ended(spec.purpose(), outcome);
-        log.ended(outcome, status, usage, pooled);
+        log.ended(outcome, status, usage, pooled, deadline);
         listener.onEnd(outcome, usage);
     }
 
--- a/daemon/src/main/java/org/marjoramswitch/daemon/target/ProgressDeadline.java
+++ b/daemon/src/main/java/org/marjoramswitch/daemon/target/ProgressDeadline.java
@@ -27,6 +27,8 @@
     private long overdueAtCount = -1;
 
     private XnioExecutor.@Nullable Key timer;
+    private long dueAtMs;
+    private long firedLateMs;
 
     private ProgressDeadline(XnioIoThread thread, LongSupplier clockMs, long timeoutMs, Runnable listener) {
         this.thread = thread;
@@ -62,6 +64,16 @@
         arm(shortMs);
     }
 
+    /** Time since the last progress or the start. */
+    long silentMs() {
+        return clockMs.getAsLong() - lastProgressMs;
+    }
+
+    /** How late the timer fired last, which shows how far its I/O thread is behind. */
+    long firedLateMs() {
+        return firedLateMs;
+    }
+
     void stop() {
         XnioExecutor.Key armed = timer;
         if (armed != null) {
@@ -70,11 +82,14 @@
     }
 
     private void arm(long delayMs) {
+        dueAtMs = clockMs.getAsLong() + delayMs;
         timer = thread.executeAfter(this::check, delayMs, TimeUnit.MILLISECONDS);
     }
 
     private void check() {
-        long remainingMs = lastProgressMs + timeoutMs - clockMs.getAsLong();
+        long nowMs = clockMs.getAsLong();
+        firedLateMs = nowMs - dueAtMs;
+        long remainingMs = lastProgressMs + timeoutMs - nowMs;
         if (remainingMs > 0) {
             overdueAtCount = -1;
             arm(remainingMs);
--- a/kernel/src/main/java/org/marjoramswitch/kernel/entry/Entry.java
+++ b/kernel/src/main/java/org/marjoramswitch/kernel/entry/Entry.java
@@ -165,6 +165,7 @@
         if (request == null || request.target() == null) {
             return;
         }
+        request.progressed(nowMs);
         crashReports.responseBegan(request, nowMs);
         PlacementSpec placement = request.spec().placement();
         if (placement != null && (placement.resumable() || placement.stream() != null)) {
--- a/kernel/src/main/java/org/marjoramswitch/kernel/entry/EntryLog.java
+++ b/kernel/src/main/java/org/marjoramswitch/kernel/entry/EntryLog.java
@@ -50,7 +50,9 @@
                 "fetchFrom",
                 request.fetchFrom() == null ? "-" : request.fetchFrom(),
                 "waitedMs",
-                nowMs - request.arrivedAtMs()));
+                nowMs - request.arrivedAtMs(),
+                "sinceProgressMs",
+                nowMs - request.progressedAtMs()));
     }
 
     /** The key of the stream's beginning if the caller resumes one, "unnamed" if it does not name the beginning. */
--- a/kernel/src/main/java/org/marjoramswitch/kernel/entry/EntryRequest.java
+++ b/kernel/src/main/java/org/marjoramswitch/kernel/entry/EntryRequest.java
@@ -18,6 +18,9 @@
     private final boolean isTrial;
     private final long arrivedAtMs;
     private final Set<TargetId> failedAt = new HashSet<>();
+    /** When the caller last received a part of the response, as far as reported; the arrival before. */
+    private long progressedAtMs;
+
     private int attempts;
     private @Nullable TargetId target;
     private @Nullable CellId cell;
@@ -45,6 +48,7 @@
         this.suspects = suspects;
         this.isTrial = isTrial;
         this.arrivedAtMs = arrivedAtMs;
+        this.progressedAtMs = arrivedAtMs;
     }
 
     RequestSpec spec() {
@@ -63,6 +67,15 @@
         return arrivedAtMs;
     }
 
+    /** When the caller last received a part of the response, as far as reported; the arrival before. */
+    long progressedAtMs() {
+        return progressedAtMs;
+    }
+
+    void progressed(long nowMs) {
+        progressedAtMs = nowMs;
+    }
+
     int attempts() {
         return attempts;
     }
