End streams whose callers have given up for lack of progress

Callers saw streams sent to another target after they had left (GONE): in the record a first run ended with 200, its response and the caller's close lay unread at an instance that lagged, and three seconds after the caller had left the request was sent again.

Cause: an instance knew two ends of a caller's wait, its deadline and a close that has been read. Callers of streams have a third one, published in the protocol: they give up after the longest of two seconds, four objectives and eight pauses without an event. Nothing that sends, waits or retries knew of it. The class: a decision for a client that uses one of the client's time limits and not the earliest.

Change: how long a caller waits is a value of the request (RequestSpec.progressTimeoutMs and EntryRequest.waitsUntilMs in the kernel, CallerWait in the daemon, which counts from the last part of the response that was written to the caller). It is used by the admission of each send, the retry rule, the end of waiting and of running requests, the placement request and so the arbiter's hold of late requests, and once more right before the bytes are sent. The Retry-After of arbiters still follows from the deadline, so a placement request carries both. Rejections of late requests are sent before their callers give up.

The kernel does not see what is written to callers, so at the timeout it queries the time of the last progress (QueryProgress); the end of an attempt reports it as well.

With waitsUntilMs returning the deadline, 7 of the 10 tests of CallerTimeoutTest fail. Passed besides: PlacementFleetTest, ContinuedStreamTest, TargetChoiceTest, EntryTest, LinkCodecTest, EventJsonTest, DecisionLoopTest, ForwardServerTest, PlatformPathTest, StreamVersionTest.

--- a/daemon/src/main/java/org/marjoramswitch/daemon/caller/ForwardHandler.java
+++ b/daemon/src/main/java/org/marjoramswitch/daemon/caller/ForwardHandler.java
@@ -17,6 +17,7 @@
 import org.jspecify.annotations.Nullable;
 import org.marjoramswitch.daemon.exchange.CallDecoder;
 import org.marjoramswitch.daemon.exchange.CallDecoder.CallMetadata;
+import org.marjoramswitch.daemon.exchange.CallerWait;
 import org.marjoramswitch.daemon.exchange.RequestSubmitter;
 import org.marjoramswitch.daemon.route.Route;
 import org.marjoramswitch.daemon.route.RoutedSettings;
@@ -256,17 +257,18 @@
                 (end, bytes) -> budget.release(body.length));
         ResponseWriter.Times times = new ResponseWriter.Times(
                 options.times().keepAliveMs(), options.times().idleTimeoutMs());
-        ResponseWriter writer =
-                ResponseWriter.unchanged(caller.http(), requestId, times, new CallListener(caller, requestId));
-        writer.start(buffer);
         RoutedCall call =
                 new RoutedCall(requestId, Objects.requireNonNull(caller.customer()), current, route, pool, metadata);
+        CallerWait callerWait = call.callerWait(System.nanoTime());
+        ResponseWriter writer = ResponseWriter.unchanged(
+                caller.http(), requestId, times, new CallListener(caller, requestId, callerWait));
+        writer.start(buffer);
         long digest = RequestDigest.of(call.customer(), caller.http(), body);
         caller.setDigest(digest);
         long elapsedMs = head.hasElapsed() ? head.elapsedMs() : elapsedMs(route, metadata);
         submitter.submit(
                 call.spec(clockMs.getAsLong(), elapsedMs).withDigest(digest),
-                call.toTarget(caller.http(), decoder, head.headers(), body, System.nanoTime()),
+                call.toTarget(caller.http(), decoder, head.headers(), body, callerWait),
                 new ResponseRelay(buffer, new ChunkRecorder(caller), FailureStatus::of, writer::isCallerGone));
     }
 
@@ -322,10 +324,12 @@
     private final class CallListener implements ResponseWriter.Listener {
         private final CallerExchange caller;
         private final long requestId;
+        private final CallerWait callerWait;
 
-        CallListener(CallerExchange caller, long requestId) {
+        CallListener(CallerExchange caller, long requestId, CallerWait callerWait) {
             this.caller = caller;
             this.requestId = requestId;
+            this.callerWait = callerWait;
         }
 
         @Override
@@ -341,6 +345,7 @@
         @Override
         public void onWritten() {
             caller.progressed(clockMs.getAsLong());
+            callerWait.progressed(System.nanoTime());
         }
 
         @Override
--- a/daemon/src/main/java/org/marjoramswitch/daemon/caller/RoutedCall.java
+++ b/daemon/src/main/java/org/marjoramswitch/daemon/caller/RoutedCall.java
@@ -4,6 +4,7 @@
 import java.util.Map;
 import org.marjoramswitch.daemon.exchange.CallDecoder;
 import org.marjoramswitch.daemon.exchange.CallDecoder.CallMetadata;
+import org.marjoramswitch.daemon.exchange.CallerWait;
 import org.marjoramswitch.daemon.exchange.TargetCall;
 import org.marjoramswitch.daemon.route.Route;
 import org.marjoramswitch.daemon.route.RouteKind;
@@ -27,7 +28,6 @@
     /** Shared by all requests that need no API key, which therefore share one queue. */
     static final CustomerId NO_CUSTOMER = CustomerId.of("-");
 
-    private static final long NS_PER_MS = 1_000_000;
     /** Part of a route's latency objective for the caller's connection setup and the network round trip. */
     private static final long CALLER_NETWORK_MS = 10;
     /**
@@ -39,21 +39,31 @@
     /** @param elapsedMs time since the caller's first attempt */
     RequestSpec spec(long nowMs, long elapsedMs) {
         return new RequestSpec(
-                requestId,
-                customer,
-                pool.id(),
-                settings.priorities().getOrDefault(customer, route.priority()),
-                route.kind().isRepeatable(),
-                metadata.prompt().stream().mapToLong(PromptPart::tokens).sum(),
-                metadata.expectedOutputTokens(),
-                0,
-                nowMs + Math.min(callerTimeoutMs(), route.timeoutMs()),
-                placement(nowMs - elapsedMs + route.objectiveMs() - CALLER_NETWORK_MS));
+                        requestId,
+                        customer,
+                        pool.id(),
+                        settings.priorities().getOrDefault(customer, route.priority()),
+                        route.kind().isRepeatable(),
+                        metadata.prompt().stream().mapToLong(PromptPart::tokens).sum(),
+                        metadata.expectedOutputTokens(),
+                        0,
+                        nowMs + Math.min(callerTimeoutMs(), route.timeoutMs()),
+                        placement(nowMs - elapsedMs + route.objectiveMs() - CALLER_NETWORK_MS))
+                .withProgressTimeout(route.callerProgressTimeoutMs());
+    }
+
+    /** The wait of the caller of a request that was read now. */
+    CallerWait callerWait(long nowNs) {
+        return CallerWait.starting(nowNs, callerTimeoutMs(), route.callerProgressTimeoutMs());
     }
 
     /** @param headers the caller's headers without hop-by-hop headers */
     TargetCall toTarget(
-            HttpServerExchange exchange, CallDecoder decoder, Map<String, String> headers, byte[] body, long nowNs) {
+            HttpServerExchange exchange,
+            CallDecoder decoder,
+            Map<String, String> headers,
+            byte[] body,
+            CallerWait callerWait) {
         return TargetCall.of(
                         pool.kind(),
                         exchange.getRequestMethod().toString(),
@@ -61,7 +71,7 @@
                         decoder.forTarget(headers, customer.equals(NO_CUSTOMER) ? null : customer),
                         body,
                         route.kind().isStreaming())
-                .withTimeouts(nowNs + callerTimeoutMs() * NS_PER_MS, silenceMs());
+                .withTimeouts(callerWait, silenceMs());
     }
 
     private PlacementSpec placement(long objectiveAtMs) {
--- a/daemon/src/main/java/org/marjoramswitch/daemon/core/ActionRunner.java
+++ b/daemon/src/main/java/org/marjoramswitch/daemon/core/ActionRunner.java
@@ -78,6 +78,8 @@
             dispatch(dispatch);
         } else if (action instanceof Action.CancelAttempt cancel) {
             cancel(cancel.requestId());
+        } else if (action instanceof Action.QueryProgress query) {
+            reportProgress(query.requestId());
         } else if (action instanceof Action.Complete complete) {
             complete(complete.requestId());
         } else if (action instanceof Action.Fail fail) {
@@ -143,6 +145,13 @@
         }
     }
 
+    private void reportProgress(long requestId) {
+        OpenRequest request = requests.find(requestId);
+        if (request != null) {
+            events.offer(new Event.ProgressReported(requestId, request.sinceProgressMs(System.nanoTime())));
+        }
+    }
+
     private void complete(long requestId) {
         OpenRequest request = requests.find(requestId);
         if (request == null) {
--- a/daemon/src/main/java/org/marjoramswitch/daemon/core/AttemptRelay.java
+++ b/daemon/src/main/java/org/marjoramswitch/daemon/core/AttemptRelay.java
@@ -89,7 +89,8 @@
         // wrong slot and could dispatch the request again.
         TargetOutcome reported = request.onAttemptEnd(attempt, outcome);
         if (reported != null) {
-            events.offer(new Event.TargetEnded(request.id(), reported, usage));
+            events.offer(
+                    new Event.TargetEnded(request.id(), reported, usage, request.sinceProgressMs(System.nanoTime())));
         }
     }
 }
--- a/daemon/src/main/java/org/marjoramswitch/daemon/core/OpenRequest.java
+++ b/daemon/src/main/java/org/marjoramswitch/daemon/core/OpenRequest.java
@@ -5,11 +5,13 @@
 import java.util.Map;
 import java.util.concurrent.atomic.AtomicBoolean;
 import org.jspecify.annotations.Nullable;
+import org.marjoramswitch.daemon.exchange.CallerWait;
 import org.marjoramswitch.daemon.exchange.ResponseListener;
 import org.marjoramswitch.daemon.exchange.TargetCall;
 import org.marjoramswitch.daemon.exchange.TargetClient.Attempt;
 import org.marjoramswitch.kernel.error.ErrorType;
 import org.marjoramswitch.kernel.error.Failure;
+import org.marjoramswitch.kernel.event.Event;
 import org.marjoramswitch.kernel.model.PlacementSpec;
 import org.marjoramswitch.kernel.model.RequestSpec;
 import org.marjoramswitch.kernel.model.TargetOutcome;
@@ -132,6 +134,12 @@
         return callerGone.get() || caller.isCallerGone();
     }
 
+    /** Time since the caller was last sent a part of the response; {@link Event#NO_PROGRESS} if it has received none. */
+    long sinceProgressMs(long nowNs) {
+        CallerWait wait = call.callerWait();
+        return wait.hasProgressed() ? wait.sinceProgressMs(nowNs) : Event.NO_PROGRESS;
+    }
+
     synchronized boolean wasSent() {
         return attempt > 0;
     }
--- a/daemon/src/main/java/org/marjoramswitch/daemon/target/HeadConverter.java
+++ b/daemon/src/main/java/org/marjoramswitch/daemon/target/HeadConverter.java
@@ -52,7 +52,7 @@
         }
         headers.put(HttpString.tryFromString(protocol.idHeader()), spec.requestId());
         protocol.headers()
-                .of(spec.target(), call, call.remainingMs(nowNs))
+                .of(spec.target(), call, call.callerWait().untilDeadlineMs(nowNs))
                 .forEach((name, value) -> headers.put(HttpString.tryFromString(name), value));
         if (call.body().length > 0 || !Methods.GET.equalToString(call.method())) {
             headers.put(Headers.CONTENT_LENGTH, call.body().length);
--- a/daemon/src/main/java/org/marjoramswitch/daemon/target/HttpAttempt.java
+++ b/daemon/src/main/java/org/marjoramswitch/daemon/target/HttpAttempt.java
@@ -172,11 +172,11 @@
     }
 
     /**
-     * Whether the caller has timed out or disconnected. On a busy instance the kernel's cancellation may arrive only
+     * Whether the caller has given up or disconnected. On a busy instance the kernel's cancellation may arrive only
      * after the connection is ready, and the target would process the request in vain.
      */
     private boolean isUnwanted() {
-        return sending.isExpired(System.nanoTime()) || listener.isCallerGone();
+        return sending.callerWait().isOver(System.nanoTime()) || listener.isCallerGone();
     }
 
     private void requestOpened(ClientConnection carrier, ClientExchange exchange) {
--- a/kernel/src/main/java/org/marjoramswitch/kernel/InstanceKernel.java
+++ b/kernel/src/main/java/org/marjoramswitch/kernel/InstanceKernel.java
@@ -194,7 +194,9 @@
         } else if (event instanceof Event.TargetAnswering answering) {
             entry.responseStarted(answering.requestId(), nowMs, sink);
         } else if (event instanceof Event.TargetEnded ended) {
-            entry.attemptEnded(ended.requestId(), ended.outcome(), ended.usage(), nowMs, sink);
+            entry.attemptEnded(ended, nowMs, sink);
+        } else if (event instanceof Event.ProgressReported reported) {
+            entry.progressReported(reported.requestId(), reported.sinceProgressMs(), nowMs, sink);
         } else if (event instanceof Event.PeerReceived received) {
             received(received, nowMs, sink);
         } else if (event instanceof Event.PeerLinkChanged changed) {
--- a/kernel/src/main/java/org/marjoramswitch/kernel/action/Action.java
+++ b/kernel/src/main/java/org/marjoramswitch/kernel/action/Action.java
@@ -37,6 +37,12 @@
     /** Cancels the running attempt, whose end must still be reported to the kernel. */
     record CancelAttempt(long requestId, TargetId target) implements Action {}
 
+    /**
+     * Queries when the caller was last sent a part of the response; answered by {@link
+     * org.marjoramswitch.kernel.event.Event.ProgressReported}.
+     */
+    record QueryProgress(long requestId) implements Action {}
+
     /** Ends a request successfully: the caller has received, or is receiving, the target's complete response. */
     record Complete(long requestId) implements Action {}
 
--- a/kernel/src/main/java/org/marjoramswitch/kernel/entry/AttemptRules.java
+++ b/kernel/src/main/java/org/marjoramswitch/kernel/entry/AttemptRules.java
@@ -15,13 +15,13 @@
     private AttemptRules() {}
 
     /**
-     * Whether another attempt is safe and in time: the deadline has not passed, and either no attempt may have executed
+     * Whether another attempt is safe and in time: the caller still waits, and either no attempt may have executed
      * the request or it is declared repeatable. After the response has begun, only resumable placed requests are
      * retried.
      */
     static boolean mayRetry(EntryRequest request, TargetOutcome outcome, long nowMs) {
         PlacementSpec placement = request.spec().placement();
-        if (request.attempts() >= MAX_ATTEMPTS || nowMs >= request.spec().deadlineMs()) {
+        if (request.attempts() >= MAX_ATTEMPTS || nowMs >= request.waitsUntilMs()) {
             return false;
         }
         if (placement != null && request.executions() >= placement.attempts()) {
--- a/kernel/src/main/java/org/marjoramswitch/kernel/entry/Entry.java
+++ b/kernel/src/main/java/org/marjoramswitch/kernel/entry/Entry.java
@@ -3,7 +3,6 @@
 import java.util.Comparator;
 import java.util.List;
 import java.util.Map;
-import java.util.PriorityQueue;
 import java.util.Set;
 import java.util.TreeMap;
 import java.util.TreeSet;
@@ -15,6 +14,7 @@
 import org.marjoramswitch.kernel.crash.PoisonRequests;
 import org.marjoramswitch.kernel.error.ErrorType;
 import org.marjoramswitch.kernel.error.Failure;
+import org.marjoramswitch.kernel.event.Event;
 import org.marjoramswitch.kernel.liveness.SilentPeerDetector;
 import org.marjoramswitch.kernel.message.PeerMessage;
 import org.marjoramswitch.kernel.message.PeerMessage.DeclineReason;
@@ -66,15 +66,15 @@
     /** A longer interval between ticks means that the process was paused or lacked processor time. */
     private static final long PAUSE_MS = 300;
 
+    private static final long PROGRESS_QUERY_INTERVAL_MS = 500;
+
     private final KernelOptions options;
     private final FleetState fleet;
     private final InstanceId self;
     private final DemandPublisher demand;
     private final Map<PoolId, PoolQueues> pools = new TreeMap<>();
     private final Map<Long, EntryRequest> requests = new TreeMap<>();
-    private final PriorityQueue<EntryRequest> deadlines = new PriorityQueue<>(
-            Comparator.comparingLong((EntryRequest request) -> request.spec().deadlineMs())
-                    .thenComparingLong(request -> request.spec().requestId()));
+    private final RequestTimeouts timeouts = new RequestTimeouts();
     private final Registrations registrations;
     private final Placements placements;
     private final SilentPeerDetector silentArbiterDetector = SilentPeerDetector.create();
@@ -136,7 +136,7 @@
         boolean isTrial = crashReports.poisonRequests().admitted(suspects, nowMs);
         EntryRequest request = new EntryRequest(spec, suspects, isTrial, nowMs);
         requests.put(spec.requestId(), request);
-        deadlines.add(request);
+        timeouts.set(request, request.waitsUntilMs());
         if (spec.placement() != null) {
             pool(spec.pool()).windowedRetryBudget().requested(options.resendLimits(), nowMs);
         }
@@ -165,7 +165,6 @@
         if (request == null || request.target() == null) {
             return;
         }
-        request.progressed(nowMs);
         crashReports.responseBegan(request, nowMs);
         PlacementSpec placement = request.spec().placement();
         if (placement != null && (placement.resumable() || placement.stream() != null)) {
@@ -321,15 +320,17 @@
     }
 
     /** Reports the cost of an ended attempt to its arbiter, and completes, retries or fails the request. */
-    public void attemptEnded(long requestId, TargetOutcome outcome, Usage usage, long nowMs, ActionSink sink) {
-        EntryRequest request = requests.get(requestId);
+    public void attemptEnded(Event.TargetEnded ended, long nowMs, ActionSink sink) {
+        EntryRequest request = requests.get(ended.requestId());
+        TargetOutcome outcome = ended.outcome();
         TargetId target = request == null ? null : request.target();
         if (request == null || target == null) {
             return;
         }
         PoolQueues pool = pool(request.spec().pool());
         CellLink link = linkOf(request);
-        settle(request, outcome, usage, link, sink);
+        request.progressReported(ended.sinceProgressMs(), nowMs);
+        settle(request, outcome, ended.usage(), link, sink);
         placements.attemptEnded(request, AttemptRules.placementEnd(outcome), sink);
         if (!outcome.notRun()) {
             request.markMayHaveRun();
@@ -690,7 +691,7 @@
 
     private void complete(EntryRequest request, ActionSink sink) {
         requests.remove(request.spec().requestId());
-        deadlines.remove(request);
+        timeouts.remove(request);
         sink.accept(new Action.Complete(request.spec().requestId()));
     }
 
@@ -704,32 +705,52 @@
 
     private void fail(EntryRequest request, ErrorType type, long retryAfterMs, String detail, ActionSink sink) {
         requests.remove(request.spec().requestId());
-        deadlines.remove(request);
+        timeouts.remove(request);
         RunState run = request.mayHaveRun() ? RunState.UNKNOWN : RunState.NOT_RUN;
         sink.accept(new Action.Fail(request.spec().requestId(), new Failure(type, run, retryAfterMs, detail)));
     }
 
     private void expire(long nowMs, ActionSink sink) {
-        while (!deadlines.isEmpty() && deadlines.peek().spec().deadlineMs() <= nowMs) {
-            EntryRequest request = deadlines.poll();
-            if (!requests.containsKey(request.spec().requestId())) {
+        for (EntryRequest request : timeouts.takeDue(nowMs)) {
+            if (request.spec().deadlineMs() <= nowMs) {
+                timedOut(request, sink);
                 continue;
             }
-            if (request.target() != null) {
-                cancelAtDeadline(request, sink);
-                continue;
-            }
-            long retryAfterMs = pool(request.spec().pool())
-                    .drainRate(request.spec().customer())
-                    .retryAfterMs(
-                            pool(request.spec().pool()).size(request.spec().customer()));
-            dequeue(request, sink);
-            fail(request, ErrorType.WAIT_TIMEOUT, retryAfterMs, "", sink);
+            // Parts of the response are written to the caller outside of the kernel. The query may be lost with its
+            // reply, so it is repeated.
+            timeouts.set(request, Math.min(request.spec().deadlineMs(), nowMs + PROGRESS_QUERY_INTERVAL_MS));
+            sink.accept(new Action.QueryProgress(request.spec().requestId()));
         }
     }
 
-    /** Cancels a placed request at its deadline: its caller has timed out, so the target must not spend time on it. */
-    private void cancelAtDeadline(EntryRequest request, ActionSink sink) {
+    /** Ends a request whose caller has received nothing for its progress timeout. */
+    public void progressReported(long requestId, long sinceProgressMs, long nowMs, ActionSink sink) {
+        EntryRequest request = requests.get(requestId);
+        if (request == null) {
+            return;
+        }
+        request.progressReported(sinceProgressMs, nowMs);
+        timeouts.set(request, request.waitsUntilMs());
+        if (request.waitsUntilMs() <= nowMs) {
+            sink.accept(EntryLog.callerTimedOut(request, nowMs));
+            timedOut(request, sink);
+        }
+    }
+
+    private void timedOut(EntryRequest request, ActionSink sink) {
+        if (request.target() != null) {
+            cancelTimedOut(request, sink);
+            return;
+        }
+        PoolQueues pool = pool(request.spec().pool());
+        CustomerId customer = request.spec().customer();
+        long retryAfterMs = pool.drainRate(customer).retryAfterMs(pool.size(customer));
+        dequeue(request, sink);
+        fail(request, ErrorType.WAIT_TIMEOUT, retryAfterMs, "", sink);
+    }
+
+    /** Cancels a running placed request whose caller has timed out, so that the target does not spend time on it. */
+    private void cancelTimedOut(EntryRequest request, ActionSink sink) {
         TargetId target = request.target();
         if (request.spec().placement() == null || target == null) {
             return;
--- a/kernel/src/main/java/org/marjoramswitch/kernel/entry/EntryLog.java
+++ b/kernel/src/main/java/org/marjoramswitch/kernel/entry/EntryLog.java
@@ -64,6 +64,22 @@
         return stream.beginningKey() == 0 ? "unnamed" : Long.toHexString(stream.beginningKey());
     }
 
+    /** Logs that a caller has received no part of its response for its progress timeout. */
+    static Action callerTimedOut(EntryRequest request, long nowMs) {
+        return new Action.Decided(Decision.of(
+                "caller_timed_out",
+                "request",
+                request.spec().requestId(),
+                "customer",
+                request.spec().customer(),
+                "target",
+                request.target() == null ? "-" : request.target(),
+                "attempts",
+                request.attempts(),
+                "sinceProgressMs",
+                nowMs - request.progressedAtMs()));
+    }
+
     /** Logs that a placed request is not sent to its target. */
     static Action sendRejected(EntryRequest request, TargetId target, SendAdmission.Verdict verdict) {
         return new Action.Decided(Decision.of(
--- a/kernel/src/main/java/org/marjoramswitch/kernel/entry/EntryRequest.java
+++ b/kernel/src/main/java/org/marjoramswitch/kernel/entry/EntryRequest.java
@@ -4,6 +4,7 @@
 import java.util.Set;
 import org.jspecify.annotations.Nullable;
 import org.marjoramswitch.kernel.crash.CrashSuspects;
+import org.marjoramswitch.kernel.event.Event;
 import org.marjoramswitch.kernel.message.PeerMessage;
 import org.marjoramswitch.kernel.model.CellId;
 import org.marjoramswitch.kernel.model.RequestSpec;
@@ -72,8 +73,20 @@
         return progressedAtMs;
     }
 
-    void progressed(long nowMs) {
-        progressedAtMs = nowMs;
+    /** @param sinceProgressMs see {@link Event.TargetEnded#sinceProgressMs} */
+    void progressReported(long sinceProgressMs, long nowMs) {
+        if (sinceProgressMs != Event.NO_PROGRESS) {
+            progressedAtMs = Math.max(progressedAtMs, nowMs - sinceProgressMs);
+        }
+    }
+
+    /**
+     * Until when the caller waits, as far as its progress has been reported: until its deadline, and no longer than its
+     * progress timeout without a part of the response.
+     */
+    long waitsUntilMs() {
+        long timeoutMs = spec.progressTimeoutMs();
+        return timeoutMs == 0 ? spec.deadlineMs() : Math.min(spec.deadlineMs(), progressedAtMs + timeoutMs);
     }
 
     int attempts() {
--- a/kernel/src/main/java/org/marjoramswitch/kernel/entry/Placements.java
+++ b/kernel/src/main/java/org/marjoramswitch/kernel/entry/Placements.java
@@ -376,6 +376,7 @@
                         spec.prompt(),
                         spec.outputTokens(),
                         spec.objectiveAtMs() - nowMs,
+                        request.waitsUntilMs() - nowMs,
                         request.spec().deadlineMs() - nowMs,
                         placement.excluded,
                         version == null ? "" : version,
@@ -467,7 +468,7 @@
             this.request = request;
             PlacementSpec placement = Objects.requireNonNull(request.spec().placement());
             this.responseDueAtMs = LateRequestHold.responseDueAtMs(
-                    placement.objectiveAtMs(), request.spec().deadlineMs(), nowMs);
+                    placement.objectiveAtMs(), request.spec().deadlineMs(), request.waitsUntilMs(), nowMs);
             this.cell = cell;
             this.arbiter = arbiter;
         }
--- a/kernel/src/main/java/org/marjoramswitch/kernel/entry/SendAdmission.java
+++ b/kernel/src/main/java/org/marjoramswitch/kernel/entry/SendAdmission.java
@@ -36,6 +36,8 @@
         PLACEMENT_STALE(Scope.MOMENT),
         CALLER_GONE(Scope.REQUEST),
         DEADLINE_PASSED(Scope.REQUEST),
+        /** The caller has received no part of the response for its progress timeout. */
+        CALLER_TIMED_OUT(Scope.REQUEST),
         REQUEST_BLOCKED(Scope.REQUEST);
 
         private final Scope scope;
@@ -75,6 +77,9 @@
         if (nowMs >= request.spec().deadlineMs()) {
             return Verdict.DEADLINE_PASSED;
         }
+        if (nowMs >= request.waitsUntilMs()) {
+            return Verdict.CALLER_TIMED_OUT;
+        }
         if (crashReports.blockedForMs(request, nowMs) > 0) {
             return Verdict.REQUEST_BLOCKED;
         }
--- a/kernel/src/main/java/org/marjoramswitch/kernel/event/Event.java
+++ b/kernel/src/main/java/org/marjoramswitch/kernel/event/Event.java
@@ -17,6 +17,8 @@
  * An input of {@link org.marjoramswitch.kernel.InstanceKernel}. Decisions depend only on the events and their times.
  */
 public sealed interface Event {
+    /** The caller has received no part of the response. */
+    long NO_PROGRESS = -1;
 
     /** A caller's request was read completely and may be queued. */
     record RequestArrived(RequestSpec request) implements Event {}
@@ -30,8 +32,21 @@
     /** The first byte of the running attempt's response arrived. */
     record TargetAnswering(long requestId) implements Event {}
 
-    /** The running attempt of a request ended. */
-    record TargetEnded(long requestId, TargetOutcome outcome, Usage usage) implements Event {}
+    /**
+     * The running attempt of a request ended.
+     *
+     * @param sinceProgressMs time since the caller was last sent a part of the response, {@link #NO_PROGRESS} if it has
+     *     received none
+     */
+    record TargetEnded(long requestId, TargetOutcome outcome, Usage usage, long sinceProgressMs) implements Event {
+        /** Creates an event of a request whose caller has received nothing. */
+        public TargetEnded(long requestId, TargetOutcome outcome, Usage usage) {
+            this(requestId, outcome, usage, NO_PROGRESS);
+        }
+    }
+
+    /** Responds to {@link org.marjoramswitch.kernel.action.Action.QueryProgress}; see {@link TargetEnded}. */
+    record ProgressReported(long requestId, long sinceProgressMs) implements Event {}
 
     /**
      * A message arrived from a peer.
--- a/kernel/src/main/java/org/marjoramswitch/kernel/message/PeerMessage.java
+++ b/kernel/src/main/java/org/marjoramswitch/kernel/message/PeerMessage.java
@@ -139,7 +139,8 @@
      *
      * @param placementId the placement id; unique within the entry's incarnation
      * @param objectiveLeftMs time until the first byte is late, negative if it is late already
-     * @param waitLeftMs time until the entry itself rejects the request
+     * @param waitLeftMs time until the entry itself rejects the request, because its caller gives up
+     * @param deadlineLeftMs time until the caller's deadline, from which the delay of a retry follows
      * @param excluded targets at which the request failed before
      * @param softwareVersion the version at which the request's stream began and must continue; empty if any will do
      * @param resumedStream the key of a stream that the request resumes and whose version the entry does not know, or
@@ -154,6 +155,7 @@
             long outputTokens,
             long objectiveLeftMs,
             long waitLeftMs,
+            long deadlineLeftMs,
             List<TargetId> excluded,
             String softwareVersion,
             long resumedStream)
@@ -183,6 +185,7 @@
                     outputTokens,
                     objectiveLeftMs,
                     waitLeftMs,
+                    waitLeftMs,
                     excluded,
                     "",
                     NO_STREAM);
@@ -204,6 +207,7 @@
                     outputTokens,
                     objectiveLeftMs,
                     waitLeftMs,
+                    deadlineLeftMs,
                     excluded,
                     version,
                     NO_STREAM);
@@ -220,6 +224,7 @@
                     outputTokens,
                     objectiveLeftMs - delayMs,
                     waitLeftMs - delayMs,
+                    deadlineLeftMs - delayMs,
                     excluded,
                     softwareVersion,
                     resumedStream);
--- a/kernel/src/main/java/org/marjoramswitch/kernel/model/RequestSpec.java
+++ b/kernel/src/main/java/org/marjoramswitch/kernel/model/RequestSpec.java
@@ -15,6 +15,7 @@
  *     it is running
  * @param placement properties for the placement, null for a request that is granted by counts of waiting requests
  * @param digest equal for requests with equal customer, path and body; 0 if unknown
+ * @param progressTimeoutMs how long the caller waits without receiving a part of the response; 0 if until its deadline
  */
 public record RequestSpec(
         long requestId,
@@ -27,7 +28,8 @@
         long prefixHash,
         long deadlineMs,
         @Nullable PlacementSpec placement,
-        long digest) {
+        long digest,
+        long progressTimeoutMs) {
     public static final int DEFAULT_URGENCY = 3;
     public static final int LOWEST_URGENCY = 7;
 
@@ -71,8 +73,45 @@
                 0);
     }
 
+    /** Creates a request whose caller waits until its deadline. */
+    public RequestSpec(
+            long requestId,
+            CustomerId customer,
+            PoolId pool,
+            int urgency,
+            boolean repeatable,
+            long promptTokens,
+            long hintTokens,
+            long prefixHash,
+            long deadlineMs,
+            @Nullable PlacementSpec placement,
+            long digest) {
+        this(
+                requestId,
+                customer,
+                pool,
+                urgency,
+                repeatable,
+                promptTokens,
+                hintTokens,
+                prefixHash,
+                deadlineMs,
+                placement,
+                digest,
+                0);
+    }
+
     /** Returns the request with this digest. */
     public RequestSpec withDigest(long newDigest) {
+        return with(newDigest, progressTimeoutMs);
+    }
+
+    /** Returns the request with this progress timeout of its caller. */
+    public RequestSpec withProgressTimeout(long timeoutMs) {
+        return with(digest, timeoutMs);
+    }
+
+    private RequestSpec with(long newDigest, long newProgressTimeoutMs) {
         return new RequestSpec(
                 requestId,
                 customer,
@@ -84,6 +123,7 @@
                 prefixHash,
                 deadlineMs,
                 placement,
-                newDigest);
+                newDigest,
+                newProgressTimeoutMs);
     }
 }
--- a/kernel/src/main/java/org/marjoramswitch/kernel/placement/LateRequestHold.java
+++ b/kernel/src/main/java/org/marjoramswitch/kernel/placement/LateRequestHold.java
@@ -15,18 +15,25 @@
 
     private LateRequestHold() {}
 
-    static long holdMs(long deadlineMs, long nowMs) {
-        return Math.min(MAX_HOLD_MS, (deadlineMs - nowMs) / HOLD_DIVISOR);
+    /**
+     * @param deadlineMs the caller's deadline
+     * @param waitsUntilMs when the caller gives up, which may be before its deadline
+     */
+    static long holdMs(long deadlineMs, long waitsUntilMs, long nowMs) {
+        long untilResponseMs = Math.max(0, waitsUntilMs - RESPONSE_MARGIN_MS - nowMs);
+        return Math.min(untilResponseMs, Math.min(MAX_HOLD_MS, (deadlineMs - nowMs) / HOLD_DIVISOR));
     }
 
     /**
      * The time by which an arbiter without backlog has responded to a placement request.
      *
      * @param objectiveAtMs when the request's first byte is late
-     * @param deadlineMs when its caller times out
+     * @param deadlineMs the caller's deadline
+     * @param waitsUntilMs when the caller gives up, which may be before its deadline
      */
-    public static long responseDueAtMs(long objectiveAtMs, long deadlineMs, long nowMs) {
+    public static long responseDueAtMs(long objectiveAtMs, long deadlineMs, long waitsUntilMs, long nowMs) {
         long lateAtMs = Math.max(objectiveAtMs, nowMs);
-        return Math.min(deadlineMs, lateAtMs + Math.max(0, holdMs(deadlineMs, lateAtMs)) + RESPONSE_MARGIN_MS);
+        long heldMs = Math.max(0, holdMs(deadlineMs, waitsUntilMs, lateAtMs));
+        return Math.min(waitsUntilMs, lateAtMs + heldMs + RESPONSE_MARGIN_MS);
     }
 }
--- a/kernel/src/main/java/org/marjoramswitch/kernel/placement/PlacementArbiter.java
+++ b/kernel/src/main/java/org/marjoramswitch/kernel/placement/PlacementArbiter.java
@@ -392,7 +392,7 @@
             long queueWaitMs = SizeClass.expectedQueueWaitMs(request.objectiveAtMs() - nowMs);
             lateAtMs = Math.max(lateAtMs, nowMs + queueWaitMs);
         }
-        long turnUntilMs = nowMs + LateRequestHold.holdMs(request.deadlineMs(), nowMs);
+        long turnUntilMs = nowMs + LateRequestHold.holdMs(request.deadlineMs(), request.waitsUntilMs(), nowMs);
         if (lateAtMs <= nowMs ? takesTurnWhenLate(request, nowMs) : keepsTurnWhenLate(request, nowMs)) {
             lateAtMs = Math.max(lateAtMs, turnUntilMs);
         }
@@ -445,7 +445,7 @@
     }
 
     private void addLate(WaitingRequest request, long nowMs) {
-        long holdMs = LateRequestHold.holdMs(request.deadlineMs(), nowMs);
+        long holdMs = LateRequestHold.holdMs(request.deadlineMs(), request.waitsUntilMs(), nowMs);
         // A stream has waited for the time of a hold already.
         boolean mayHold = policy.has(Mechanism.LATE_HOLDING)
                 && !request.continuesStream()
--- a/kernel/src/main/java/org/marjoramswitch/kernel/placement/WaitingRequest.java
+++ b/kernel/src/main/java/org/marjoramswitch/kernel/placement/WaitingRequest.java
@@ -14,7 +14,8 @@
  * @param placementId id chosen by the entry instance
  * @param arrival position in the order of arrival
  * @param objectiveAtMs when its first byte is late
- * @param deadlineMs when its entry instance rejects it, because its caller times out
+ * @param deadlineMs the caller's deadline
+ * @param waitsUntilMs when its entry instance rejects it, because its caller gives up
  * @param size class by the part of the objective that remains after its prefill
  * @param softwareVersion the only version that can serve the request, which continues a stream; empty if any will do
  * @param prefillTokens tokens that the engine with most of the prompt cached would have to prefill
@@ -31,6 +32,7 @@
         long arrivedAtMs,
         long objectiveAtMs,
         long deadlineMs,
+        long waitsUntilMs,
         Set<TargetId> excluded,
         String softwareVersion,
         SizeClass size,
@@ -54,6 +56,7 @@
                 message.outputTokens(),
                 nowMs,
                 nowMs + message.objectiveLeftMs(),
+                nowMs + message.deadlineLeftMs(),
                 nowMs + message.waitLeftMs(),
                 Set.copyOf(message.excluded()),
                 message.softwareVersion(),
@@ -74,6 +77,7 @@
                 arrivedAtMs,
                 objectiveAtMs,
                 deadlineMs,
+                waitsUntilMs,
                 excluded,
                 softwareVersion,
                 newSize,
--- a/kernel/src/main/java/org/marjoramswitch/kernel/wire/MessageCodec.java
+++ b/kernel/src/main/java/org/marjoramswitch/kernel/wire/MessageCodec.java
@@ -449,7 +449,8 @@
                 .number(message.outputTokens(), 0)
                 .number(message.urgency(), RequestSpec.DEFAULT_URGENCY)
                 .number(message.resumedStream(), Place.NO_STREAM)
-                .text(message.softwareVersion(), "");
+                .text(message.softwareVersion(), "")
+                .number(message.deadlineLeftMs() - message.waitLeftMs(), 0);
     }
 
     private static Place readPlace(MessageReader in) throws IOException {
@@ -464,6 +465,7 @@
         int urgency = in.intNumber(RequestSpec.DEFAULT_URGENCY);
         long resumedStream = in.number(Place.NO_STREAM);
         String softwareVersion = in.text("");
+        long deadlineLeftMs = waitLeftMs + in.number(0);
         return new Place(
                 cell,
                 placementId,
@@ -473,6 +475,7 @@
                 outputTokens,
                 objectiveLeftMs,
                 waitLeftMs,
+                deadlineLeftMs,
                 excluded,
                 softwareVersion,
                 resumedStream);
--- /dev/null
+++ b/kernel/src/test/java/org/marjoramswitch/kernel/CallerTimeoutTest.java
@@ -0,0 +1,155 @@
+package org.marjoramswitch.kernel;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertFalse;
+import static org.junit.jupiter.api.Assertions.assertNull;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import java.util.Objects;
+import org.junit.jupiter.api.BeforeEach;
+import org.junit.jupiter.api.Test;
+import org.marjoramswitch.kernel.action.Action;
+import org.marjoramswitch.kernel.error.ErrorType;
+import org.marjoramswitch.kernel.event.Event;
+import org.marjoramswitch.kernel.message.PeerMessage;
+import org.marjoramswitch.kernel.model.RunState;
+import org.marjoramswitch.kernel.model.TargetOutcome;
+import org.marjoramswitch.kernel.model.Usage;
+
+/** Requests whose callers give up for lack of progress long before their deadline. */
+class CallerTimeoutTest extends PlacementFleet {
+    private static final long PROGRESS_TIMEOUT_MS = 2_000;
+    private static final int ATTEMPTS = 3;
+
+    @BeforeEach
+    void setProgressTimeout() {
+        progressTimeoutMs = PROGRESS_TIMEOUT_MS;
+    }
+
+    /** Guards against a run that goes on after its caller has given up. */
+    @Test
+    void runIsCancelledAtTheProgressTimeout() {
+        long request = arrive(true, ATTEMPTS, true);
+        advance(PROGRESS_TIMEOUT_MS - 10);
+        assertTrue(cancelled.isEmpty());
+        advance(20);
+        assertEquals(1, cancelled.size());
+        assertEquals(ErrorType.REQUEST_TIMEOUT, failure(request).failure().type());
+        assertEquals(RunState.UNKNOWN, failure(request).failure().run());
+    }
+
+    /** Guards against ending a stream whose caller receives events. */
+    @Test
+    void runWithProgressIsNotCancelled() {
+        long request = arrive(true, ATTEMPTS, true);
+        for (long passedMs = 0; passedMs < 2 * PROGRESS_TIMEOUT_MS; passedMs += 500) {
+            advance(500);
+            callerProgress.put(request, nowMs);
+        }
+        assertTrue(cancelled.isEmpty());
+        assertNull(ends.get(request));
+        end(request, TargetOutcome.COMPLETED);
+        assertTrue(ends.get(request) instanceof Action.Complete);
+    }
+
+    /** Guards against a run that goes on after its caller has given up waiting for the next event. */
+    @Test
+    void runIsCancelledAtTheProgressTimeoutAfterTheLastEvent() {
+        long request = arrive(true, ATTEMPTS, true);
+        advance(1_500);
+        callerProgress.put(request, nowMs);
+        advance(PROGRESS_TIMEOUT_MS - 10);
+        assertTrue(cancelled.isEmpty());
+        advance(20);
+        assertEquals(1, cancelled.size());
+        assertEquals(ErrorType.REQUEST_TIMEOUT, failure(request).failure().type());
+    }
+
+    /** Guards against a second send for a caller that gave up while the first run's end lay unread. */
+    @Test
+    void lateEndOfARunIsNotFollowedByAnotherSend() {
+        long request = arrive(true, ATTEMPTS, true);
+        nowMs += PROGRESS_TIMEOUT_MS + 1_000;
+        end(request, TargetOutcome.SILENT_BEFORE_ANSWER);
+        advance(CALLER_TIMEOUT_MS);
+        assertEquals(1, dispatched.size());
+        assertFalse(ends.get(request) instanceof Action.Complete);
+    }
+
+    /** Guards against resuming a stream for a caller that gave up after the last event that it received. */
+    @Test
+    void streamThatBreaksIsNotResumedAfterTheProgressTimeout() {
+        long request = arrive(true, ATTEMPTS, true);
+        apply(entry, new Event.TargetAnswering(request));
+        nowMs += PROGRESS_TIMEOUT_MS + 1_000;
+        apply(
+                entry,
+                new Event.TargetEnded(request, TargetOutcome.BROKEN_IN_ANSWER, Usage.NONE, PROGRESS_TIMEOUT_MS + 500));
+        advance(CALLER_TIMEOUT_MS);
+        assertEquals(1, dispatched.size());
+    }
+
+    /** Guards against failing a stream whose caller has just received an event and still waits. */
+    @Test
+    void streamThatBreaksIsResumedWhileItsCallerWaits() {
+        long request = arrive(true, ATTEMPTS, true);
+        apply(entry, new Event.TargetAnswering(request));
+        for (int i = 0; i < 6; i++) {
+            advance(500);
+            callerProgress.put(request, nowMs);
+        }
+        apply(entry, new Event.TargetEnded(request, TargetOutcome.BROKEN_IN_ANSWER, Usage.NONE, 100));
+        advance(100);
+        assertEquals(2, dispatched.size());
+    }
+
+    /** Guards against a rejection that is sent only after the caller of a waiting retry has given up. */
+    @Test
+    void retryThatWaitsForASlotIsRejectedBeforeItsCallerGivesUp() {
+        progressTimeoutMs = 0;
+        for (int i = 0; i < 2 * SLOTS - 1; i++) {
+            arrive(true, ATTEMPTS, true);
+        }
+        progressTimeoutMs = PROGRESS_TIMEOUT_MS;
+        long request = arrive(true, ATTEMPTS, true);
+        advance(1_200);
+        end(request, TargetOutcome.SILENT_BEFORE_ANSWER);
+        advance(PROGRESS_TIMEOUT_MS - 1_200 - 10);
+        assertEquals(2 * SLOTS, dispatched.size());
+        assertEquals(RunState.UNKNOWN, failure(request).failure().run());
+    }
+
+    /** Guards against a send by a placement that lay unread while the process stood still. */
+    @Test
+    void placementThatIsReadAfterAPauseStartsNothing() {
+        frozen.add(entry);
+        long request = arrive(true, ATTEMPTS, true);
+        assertTrue(wire.stream().anyMatch(sent -> sent.message() instanceof PeerMessage.Placed));
+        nowMs += PROGRESS_TIMEOUT_MS + 500;
+        frozen.remove(entry);
+        deliver();
+        assertTrue(dispatched.isEmpty());
+        assertEquals(RunState.NOT_RUN, failure(request).failure().run());
+    }
+
+    /** Guards against a request that stays open because the report of its progress was lost. */
+    @Test
+    void progressIsQueriedAgainIfNoReportArrives() {
+        long request = arrive(true, ATTEMPTS, true);
+        nowMs += PROGRESS_TIMEOUT_MS;
+        Objects.requireNonNull(kernels.get(entry)).apply(new Event.Tick(), nowMs);
+        advance(1_000);
+        assertEquals(ErrorType.REQUEST_TIMEOUT, failure(request).failure().type());
+    }
+
+    /** Guards against ending plain requests, whose callers wait until their deadline. */
+    @Test
+    void requestWithoutAProgressTimeoutRunsUntilItsDeadline() {
+        progressTimeoutMs = 0;
+        long request = arrive(true, ATTEMPTS, false);
+        advance(CALLER_TIMEOUT_MS - 10);
+        assertNull(ends.get(request));
+        advance(20);
+        assertEquals(ErrorType.REQUEST_TIMEOUT, failure(request).failure().type());
+    }
+}
--- a/kernel/src/test/java/org/marjoramswitch/kernel/PlacementFleet.java
+++ b/kernel/src/test/java/org/marjoramswitch/kernel/PlacementFleet.java
@@ -53,6 +53,13 @@
     final List<Action.Dispatch> dispatched = new ArrayList<>();
     final List<Action.CancelAttempt> cancelled = new ArrayList<>();
     final Map<Long, Action> ends = new TreeMap<>();
+    /** When a request's caller was last sent a part of the response. */
+    final Map<Long, Long> callerProgress = new TreeMap<>();
+
+    /** Progress timeout of the callers of new requests; 0 if they wait until their deadline. */
+    long progressTimeoutMs;
+
+    private final Deque<Runnable> progressReports = new ArrayDeque<>();
     final Set<InstanceId> frozen = new HashSet<>();
     /** Pairs of instances between which messages are lost. */
     final Set<Set<InstanceId>> cutLinks = new HashSet<>();
@@ -155,7 +162,7 @@
         requests++;
         RequestSpec spec = new RequestSpec(
                 requests, CUSTOMER, POOL, 1, repeatable, 20, 5, 0, nowMs + CALLER_TIMEOUT_MS, placement, digest);
-        apply(entry, new Event.RequestArrived(spec));
+        apply(entry, new Event.RequestArrived(spec.withProgressTimeout(progressTimeoutMs)));
         return requests;
     }
 
@@ -215,6 +222,9 @@
         for (long untilMs = nowMs + forMs; nowMs < untilMs; ) {
             nowMs += 10;
             INSTANCES.stream().filter(id -> !frozen.contains(id)).forEach(id -> apply(id, new Event.Tick()));
+            while (!progressReports.isEmpty()) {
+                progressReports.poll().run();
+            }
         }
     }
 
@@ -248,6 +258,10 @@
             dispatched.add(dispatch);
         } else if (action instanceof Action.CancelAttempt cancel) {
             cancelled.add(cancel);
+        } else if (action instanceof Action.QueryProgress query) {
+            long progressedAtMs = callerProgress.getOrDefault(query.requestId(), Event.NO_PROGRESS);
+            long agoMs = progressedAtMs == Event.NO_PROGRESS ? Event.NO_PROGRESS : nowMs - progressedAtMs;
+            progressReports.add(() -> apply(at, new Event.ProgressReported(query.requestId(), agoMs)));
         } else if (action instanceof Action.Complete complete) {
             ends.put(complete.requestId(), action);
         } else if (action instanceof Action.Fail fail) {
--- a/kernel/src/test/java/org/marjoramswitch/kernel/entry/EntryTest.java
+++ b/kernel/src/test/java/org/marjoramswitch/kernel/entry/EntryTest.java
@@ -13,6 +13,7 @@
 import org.marjoramswitch.kernel.action.Action;
 import org.marjoramswitch.kernel.error.ErrorType;
 import org.marjoramswitch.kernel.error.Failure;
+import org.marjoramswitch.kernel.event.Event;
 import org.marjoramswitch.kernel.message.PeerMessage;
 import org.marjoramswitch.kernel.model.CellId;
 import org.marjoramswitch.kernel.model.CustomerId;
@@ -297,7 +298,7 @@
     }
 
     private void end(long id, TargetOutcome outcome) {
-        entry.attemptEnded(id, outcome, Usage.of(10, 0, 100, 50), nowMs, actions::add);
+        entry.attemptEnded(new Event.TargetEnded(id, outcome, Usage.of(10, 0, 100, 50)), nowMs, actions::add);
     }
 
     private void tick() {
--- a/kernel/src/test/java/org/marjoramswitch/kernel/placement/ContinuedStreamTest.java
+++ b/kernel/src/test/java/org/marjoramswitch/kernel/placement/ContinuedStreamTest.java
@@ -97,7 +97,8 @@
     void streamIsRejectedBeforeItsEntryExpectsIt() {
         fillVersion("v1");
         long stream = send("v1", PAST_OBJECTIVE_MS);
-        long responseDueAtMs = LateRequestHold.responseDueAtMs(nowMs + PAST_OBJECTIVE_MS, nowMs + TIMEOUT_MS, nowMs);
+        long responseDueAtMs = LateRequestHold.responseDueAtMs(
+                nowMs + PAST_OBJECTIVE_MS, nowMs + TIMEOUT_MS, nowMs + TIMEOUT_MS, nowMs);
         while (nowMs < responseDueAtMs) {
             nowMs += 10;
             decide();
@@ -146,6 +147,7 @@
                         10,
                         objectiveLeftMs,
                         TIMEOUT_MS,
+                        TIMEOUT_MS,
                         List.of(),
                         version,
                         PeerMessage.Place.NO_STREAM),
--- a/kernel/src/test/java/org/marjoramswitch/kernel/placement/TargetChoiceTest.java
+++ b/kernel/src/test/java/org/marjoramswitch/kernel/placement/TargetChoiceTest.java
@@ -212,6 +212,7 @@
                 NOW_MS,
                 NOW_MS + 100 + number,
                 NOW_MS + 8_000,
+                NOW_MS + 8_000,
                 excluded,
                 softwareVersion,
                 SizeClass.USUAL,
--- a/kernel/src/test/java/org/marjoramswitch/kernel/wire/RandomMessages.java
+++ b/kernel/src/test/java/org/marjoramswitch/kernel/wire/RandomMessages.java
@@ -59,6 +59,7 @@
                         number(),
                         number(),
                         number(),
+                        number(),
                         List.of(target()),
                         version(),
                         random.nextBoolean() ? PeerMessage.Place.NO_STREAM : number());
