Read the caller's close before a send by another I/O thread

Before a request is sent, its caller's socket was read only if the attempt ran on the I/O thread of the caller's connection. An attempt on the other thread saw a close only once Undertow had read it, so on a busy instance requests were sent for callers that had left: a plain request has no progress timeout that would show it.

The check is asynchronous now: it runs on the thread of the caller's connection, reads its input there and passes the result back, and the request is sent after that. While it waits for the check, the target is not blamed for silence.

Not measured yet: what the two hops between threads cost.

--- a/daemon/src/main/java/org/marjoramswitch/daemon/caller/CallIntake.java
+++ b/daemon/src/main/java/org/marjoramswitch/daemon/caller/CallIntake.java
@@ -7,6 +7,7 @@
 import java.util.function.LongSupplier;
 import java.util.function.UnaryOperator;
 import org.jspecify.annotations.Nullable;
+import org.marjoramswitch.daemon.exchange.CallerCheck;
 import org.marjoramswitch.daemon.exchange.RequestSubmitter;
 import org.marjoramswitch.kernel.error.ErrorType;
 import org.marjoramswitch.kernel.error.Failure;
@@ -251,7 +252,7 @@
                         buffer,
                         keyed ? recordingProgress(requestId) : ResponseRelay.Progress.NONE,
                         UnaryOperator.identity(),
-                        () -> false));
+                        CallerCheck.CONNECTED));
     }
 
     private void refuse(CallerExchange caller, Call call, Failure failure) {
--- a/daemon/src/main/java/org/marjoramswitch/daemon/caller/ForwardHandler.java
+++ b/daemon/src/main/java/org/marjoramswitch/daemon/caller/ForwardHandler.java
@@ -269,7 +269,7 @@
         submitter.submit(
                 call.spec(clockMs.getAsLong(), elapsedMs).withDigest(digest),
                 call.toTarget(caller.http(), decoder, head.headers(), body, callerWait),
-                new ResponseRelay(buffer, new ChunkRecorder(caller), FailureStatus::of, writer::isCallerGone));
+                new ResponseRelay(buffer, new ChunkRecorder(caller), FailureStatus::of, writer::checkCaller));
     }
 
     /** Estimated time since the caller's first attempt, so that a retry's latency objective counts from then. */
--- a/daemon/src/main/java/org/marjoramswitch/daemon/caller/ResponseRelay.java
+++ b/daemon/src/main/java/org/marjoramswitch/daemon/caller/ResponseRelay.java
@@ -1,8 +1,8 @@
 package org.marjoramswitch.daemon.caller;
 
 import java.util.Map;
-import java.util.function.BooleanSupplier;
 import java.util.function.UnaryOperator;
+import org.marjoramswitch.daemon.exchange.CallerCheck;
 import org.marjoramswitch.daemon.exchange.ResponseListener;
 import org.marjoramswitch.kernel.error.Failure;
 
@@ -10,10 +10,10 @@
  * Forwards a response to its buffer without the headers that are not for the caller.
  *
  * @param failureMapper maps a failure to the one reported to the caller
- * @param callerGone whether the caller has disconnected and its request is not needed any more
+ * @param callerCheck checks whether the caller has disconnected, so that its request is not needed any more
  */
 record ResponseRelay(
-        ResponseBuffer buffer, Progress progress, UnaryOperator<Failure> failureMapper, BooleanSupplier callerGone)
+        ResponseBuffer buffer, Progress progress, UnaryOperator<Failure> failureMapper, CallerCheck callerCheck)
         implements ResponseListener {
     /** Receives the progress of a request. */
     interface Progress {
@@ -27,8 +27,8 @@
     }
 
     @Override
-    public boolean isCallerGone() {
-        return callerGone.getAsBoolean();
+    public void checkCaller(CallerCheck.Result result) {
+        callerCheck.check(result);
     }
 
     @Override
--- a/daemon/src/main/java/org/marjoramswitch/daemon/caller/ResponseWriter.java
+++ b/daemon/src/main/java/org/marjoramswitch/daemon/caller/ResponseWriter.java
@@ -14,6 +14,7 @@
 import java.util.concurrent.TimeUnit;
 import java.util.concurrent.atomic.AtomicBoolean;
 import org.jspecify.annotations.Nullable;
+import org.marjoramswitch.daemon.exchange.CallerCheck;
 import org.marjoramswitch.kernel.error.ErrorType;
 import org.marjoramswitch.kernel.error.Failure;
 import org.xnio.IoUtils;
@@ -138,17 +139,14 @@
         return true;
     }
 
-    /**
-     * Whether the caller has disconnected. On the connection's I/O thread its input is read first, because on a busy
-     * thread the close may be waiting in the socket; other threads see only a connection that is closed already.
-     */
-    boolean isCallerGone() {
-        CallerWatch watching = watch;
-        if (watching != null && Thread.currentThread() == exchange.getIoThread()) {
-            watching.readInput();
-            return done;
+    /** Reads the caller's input and passes on whether the caller has disconnected; see {@link CallerCheck#check}. */
+    void checkCaller(CallerCheck.Result result) {
+        if (Thread.currentThread() != exchange.getIoThread()) {
+            exchange.getIoThread().execute(() -> checkCaller(result));
+            return;
         }
-        return !exchange.getConnection().isOpen();
+        Objects.requireNonNull(watch).readInput();
+        result.accept(done);
     }
 
     @Override
--- a/daemon/src/main/java/org/marjoramswitch/daemon/core/AttemptRelay.java
+++ b/daemon/src/main/java/org/marjoramswitch/daemon/core/AttemptRelay.java
@@ -2,6 +2,7 @@
 
 import java.util.Map;
 import java.util.concurrent.TimeUnit;
+import org.marjoramswitch.daemon.exchange.CallerCheck;
 import org.marjoramswitch.daemon.exchange.TargetClient.AttemptListener;
 import org.marjoramswitch.daemon.exchange.TargetStatusNotice;
 import org.marjoramswitch.kernel.event.Event;
@@ -41,8 +42,8 @@
     }
 
     @Override
-    public boolean isCallerGone() {
-        return request.isCallerGone();
+    public void checkCaller(CallerCheck.Result result) {
+        request.checkCaller(result);
     }
 
     @Override
--- a/daemon/src/main/java/org/marjoramswitch/daemon/core/OpenRequest.java
+++ b/daemon/src/main/java/org/marjoramswitch/daemon/core/OpenRequest.java
@@ -5,6 +5,7 @@
 import java.util.Map;
 import java.util.concurrent.atomic.AtomicBoolean;
 import org.jspecify.annotations.Nullable;
+import org.marjoramswitch.daemon.exchange.CallerCheck;
 import org.marjoramswitch.daemon.exchange.CallerWait;
 import org.marjoramswitch.daemon.exchange.ResponseListener;
 import org.marjoramswitch.daemon.exchange.TargetCall;
@@ -129,9 +130,13 @@
         }
     }
 
-    /** Whether the caller has disconnected, according to its connection or to an earlier report. */
-    boolean isCallerGone() {
-        return callerGone.get() || caller.isCallerGone();
+    /** Checks whether the caller has disconnected, according to an earlier report or to its connection. */
+    void checkCaller(CallerCheck.Result result) {
+        if (callerGone.get()) {
+            result.accept(true);
+            return;
+        }
+        caller.checkCaller(result);
     }
 
     /** Time since the caller was last sent a part of the response; {@link Event#NO_PROGRESS} if it has received none. */
--- a/daemon/src/main/java/org/marjoramswitch/daemon/exchange/ResponseListener.java
+++ b/daemon/src/main/java/org/marjoramswitch/daemon/exchange/ResponseListener.java
@@ -14,9 +14,9 @@
 
     void onHead(int status, Map<String, String> headers);
 
-    /** Whether the caller has disconnected, according to its connection. May be called on any thread. */
-    default boolean isCallerGone() {
-        return false;
+    /** Checks whether the caller has disconnected; see {@link CallerCheck#check}. */
+    default void checkCaller(CallerCheck.Result result) {
+        result.accept(false);
     }
 
     void onBytes(byte[] bytes);
--- a/daemon/src/main/java/org/marjoramswitch/daemon/exchange/TargetClient.java
+++ b/daemon/src/main/java/org/marjoramswitch/daemon/exchange/TargetClient.java
@@ -21,9 +21,9 @@
     interface AttemptListener {
         void onHead(int status, Map<String, String> headers);
 
-        /** Whether the caller has disconnected; checked on the attempt's I/O thread right before the request is sent. */
-        default boolean isCallerGone() {
-            return false;
+        /** Checks right before the request is sent whether the caller has disconnected; see {@link CallerCheck#check}. */
+        default void checkCaller(CallerCheck.Result result) {
+            result.accept(false);
         }
 
         /** The target reported its own status with the response; independent of the response's outcome. */
--- a/daemon/src/main/java/org/marjoramswitch/daemon/target/HttpAttempt.java
+++ b/daemon/src/main/java/org/marjoramswitch/daemon/target/HttpAttempt.java
@@ -79,6 +79,9 @@
     private long writtenBefore;
     private long readBefore;
     private boolean requestSent;
+    /** Whether the request waits for the check of its caller, during which the target is not responsible for progress. */
+    private boolean checkingCaller;
+
     private boolean ended;
 
     private HttpAttempt(TargetConnector connector, AttemptSpec spec, AttemptListener listener, XnioIoThread thread) {
@@ -148,8 +151,30 @@
         send(fresh);
     }
 
+    /**
+     * Checks the caller first. On a busy instance its close may lie unread, and the target would process the request in
+     * vain.
+     */
     private void send(ClientConnection usable) {
-        if (isUnwanted()) {
+        checkingCaller = true;
+        listener.checkCaller(gone -> onOwnThread(() -> callerChecked(usable, gone)));
+    }
+
+    private void onOwnThread(Runnable step) {
+        if (Thread.currentThread() == thread) {
+            step.run();
+            return;
+        }
+        thread.execute(step);
+    }
+
+    private void callerChecked(ClientConnection usable, boolean callerGone) {
+        checkingCaller = false;
+        if (ended) {
+            connector.returnConnection(address, usable);
+            return;
+        }
+        if (callerGone || sending.callerWait().isOver(System.nanoTime())) {
             connector.returnConnection(address, usable);
             end(TargetOutcome.CANCELLED);
             return;
@@ -171,14 +196,6 @@
                 HeadConverter.request(spec, sending, System.nanoTime()), callback(usable, this::requestOpened));
     }
 
-    /**
-     * Whether the caller has given up or disconnected. On a busy instance the kernel's cancellation may arrive only
-     * after the connection is ready, and the target would process the request in vain.
-     */
-    private boolean isUnwanted() {
-        return sending.callerWait().isOver(System.nanoTime()) || listener.isCallerGone();
-    }
-
     private void requestOpened(ClientConnection carrier, ClientExchange exchange) {
         exchange.setResponseListener(callback(carrier, this::responseOpened));
         BodyWriter.start(exchange.getRequestChannel(), sending.body(), new BodyWriter.Listener() {
@@ -341,7 +358,9 @@
         if (ended) {
             return;
         }
-        if (isNothingSent()) {
+        if (checkingCaller) {
+            deadline.start();
+        } else if (isNothingSent()) {
             end(TargetOutcome.REFUSED);
         } else if (spec.isQueryable()) {
             long progressCount = deadline.progressCount();
--- a/daemon/src/test/java/org/marjoramswitch/daemon/caller/ForwardServerTest.java
+++ b/daemon/src/test/java/org/marjoramswitch/daemon/caller/ForwardServerTest.java
@@ -174,7 +174,7 @@
         }
     }
 
-    private static final class PlainDecoder implements CallDecoder {
+    static final class PlainDecoder implements CallDecoder {
         @Override
         public CallMetadata read(Map<String, String> headers) {
             return new CallMetadata("", 0, List.of(), 0, 0, "", "");
--- a/daemon/src/test/java/org/marjoramswitch/daemon/core/DecisionLoopTest.java
+++ b/daemon/src/test/java/org/marjoramswitch/daemon/core/DecisionLoopTest.java
@@ -231,9 +231,10 @@
         assertTrue(blocked.await(10, TimeUnit.SECONDS));
         loop.callerGone(1);
         boolean cancelled = attempt.cancelled().get();
-        boolean gone = attempt.listener().isCallerGone();
+        AtomicBoolean gone = new AtomicBoolean();
+        attempt.listener().checkCaller(gone::set);
         resumed.countDown();
-        assertTrue(cancelled && gone);
+        assertTrue(cancelled && gone.get());
     }
 
     private void start(Decider decider, int maxWaiting) {
--- a/testsuite/src/test/java/org/marjoramswitch/testsuite/target/ServiceAttemptTest.java
+++ b/testsuite/src/test/java/org/marjoramswitch/testsuite/target/ServiceAttemptTest.java
@@ -3,9 +3,13 @@
 import static org.junit.jupiter.api.Assertions.assertEquals;
 import static org.junit.jupiter.api.Assertions.assertTrue;
 
+import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.TimeUnit;
 import org.junit.jupiter.api.AfterEach;
 import org.junit.jupiter.api.BeforeEach;
 import org.junit.jupiter.api.Test;
+import org.marjoramswitch.daemon.exchange.CallerCheck;
+import org.marjoramswitch.daemon.exchange.CallerWait;
 import org.marjoramswitch.daemon.target.TargetClientOptions;
 import org.marjoramswitch.kernel.model.TargetOutcome;
 import org.marjoramswitch.testkit.service.PlainService;
@@ -86,12 +90,10 @@
     void callIsNotSentAfterTheCallersDeadline() throws Exception {
         // The caller has timed out. Its request was started just before the deadline, on a busy instance, and gets its
         // connection after the deadline, before the cancellation arrives. The service would execute the call in vain.
-        long expiredDeadlineNs = System.nanoTime() - 1;
+        CallerWait expired = CallerWait.starting(System.nanoTime() - 10_000_000, 1, 0);
         for (int i = 0; i < 2; i++) {
             RecordedAttempt late = fixture.run(
-                    service.port(),
-                    LONG_TIMEOUT_MS,
-                    fixture.serviceCall().withTimeouts(expiredDeadlineNs, LONG_TIMEOUT_MS));
+                    service.port(), LONG_TIMEOUT_MS, fixture.serviceCall().withTimeouts(expired, LONG_TIMEOUT_MS));
             assertEquals(TargetOutcome.CANCELLED, late.outcome());
         }
         assertTrue(service.executions().isEmpty());
@@ -104,8 +106,8 @@
         for (int i = 0; i < 2; i++) {
             RecordedAttempt abandoned = new RecordedAttempt() {
                 @Override
-                public boolean isCallerGone() {
-                    return true;
+                public void checkCaller(CallerCheck.Result result) {
+                    result.accept(true);
                 }
             };
             fixture.start(service.port(), LONG_TIMEOUT_MS, fixture.serviceCall(), abandoned);
@@ -115,6 +117,35 @@
         assertEquals(TargetOutcome.COMPLETED, run(LONG_TIMEOUT_MS).outcome());
     }
 
+    /** Guards against running a request whose caller gave up for lack of progress while the connection was opened. */
+    @Test
+    void callIsNotSentAfterTheCallersProgressTimeout() throws Exception {
+        CallerWait over = CallerWait.starting(System.nanoTime() - 10_000_000, LONG_TIMEOUT_MS, 1);
+        RecordedAttempt late = fixture.run(
+                service.port(), LONG_TIMEOUT_MS, fixture.serviceCall().withTimeouts(over, LONG_TIMEOUT_MS));
+        assertEquals(TargetOutcome.CANCELLED, late.outcome());
+        assertTrue(service.executions().isEmpty());
+    }
+
+    /** Guards against sending a request before it is known whether its caller has disconnected, and against blaming the target. */
+    @Test
+    void callWaitsForTheCheckOfItsCaller() throws Exception {
+        CompletableFuture<CallerCheck.Result> checked = new CompletableFuture<>();
+        RecordedAttempt attempt = new RecordedAttempt() {
+            @Override
+            public void checkCaller(CallerCheck.Result result) {
+                checked.complete(result);
+            }
+        };
+        fixture.start(service.port(), SHORT_TIMEOUT_MS, fixture.serviceCall(), attempt);
+        CallerCheck.Result result = checked.get(LONG_TIMEOUT_MS, TimeUnit.MILLISECONDS);
+        Thread.sleep(3 * SHORT_TIMEOUT_MS);
+        assertTrue(service.executions().isEmpty());
+        result.accept(false);
+        assertEquals(TargetOutcome.COMPLETED, attempt.outcome());
+        assertEquals(1, service.executions().size());
+    }
+
     /** Guards against a cold target that crashes because a lagging instance sends it the requests of seconds together. */
     @Test
     void callIsNotSentAfterTheTimeWithinWhichItMayStart() throws Exception {
