Read the caller's close before a send on the standalone interface too

A request without a key of the standalone interface was sent to a target although its caller's close lay unread: its response listener always reported a connected caller. It now uses the same check as forwarded requests. A request with a key still continues without its caller.

Evidence: CallerServerTest#closeIsReadBeforeTheRequestIsSent, new, passes; before, the result of the check was the constant 'connected', so it could not pass (not run on the old code). CallerServerTest 18, RequestKeysTest 14, CallerCheckTest 2 passed.

--- a/daemon/src/main/java/org/marjoramswitch/daemon/caller/CallIntake.java
+++ b/daemon/src/main/java/org/marjoramswitch/daemon/caller/CallIntake.java
@@ -185,7 +185,7 @@
                 call.customer(), key, call.fingerprint(), requestId, () -> keyedResponse(call, requestId, release));
         if (admission instanceof KeyAdmission.Started started) {
             attach(caller, started.response());
-            submit(call, requestId, started.response().buffer(), true);
+            submit(call, requestId, started.response().buffer(), CallerCheck.CONNECTED, true);
         } else if (admission instanceof KeyAdmission.Found found) {
             budget.release(call.targetCall().body().length);
             if (!attach(caller, found.response())) {
@@ -216,25 +216,27 @@
                 false,
                 budget,
                 (end, bytes) -> budget.release(call.targetCall().body().length));
-        attach(caller, requestId, buffer, new UnkeyedListener(caller, requestId));
-        submit(call, requestId, buffer, false);
+        ResponseWriter writer = writer(caller, requestId, new UnkeyedListener(caller, requestId));
+        writer.start(buffer);
+        submit(call, requestId, buffer, writer::checkCaller, false);
     }
 
     /** Writes the response to the caller from its first byte; false if its first bytes have been freed. */
     private boolean attach(CallerExchange caller, KeyedResponse response) {
-        return attach(caller, response.requestId(), response.buffer(), new KeyedListener(caller, response));
+        return writer(caller, response.requestId(), new KeyedListener(caller, response))
+                .start(response.buffer());
     }
 
-    private boolean attach(
-            CallerExchange caller, long requestId, ResponseBuffer buffer, ResponseWriter.Listener listener) {
+    private ResponseWriter writer(CallerExchange caller, long requestId, ResponseWriter.Listener listener) {
         caller.setRequestId(requestId);
         caller.http().getResponseHeaders().put(REQUEST_ID, requestId);
         ResponseWriter.Times times = new ResponseWriter.Times(
                 options.times().keepAliveMs(), options.times().idleTimeoutMs());
-        return ResponseWriter.of(caller.http(), requestId, times, listener).start(buffer);
+        return ResponseWriter.of(caller.http(), requestId, times, listener);
     }
 
-    private void submit(Call call, long requestId, ResponseBuffer buffer, boolean keyed) {
+    /** @param check a request with a key continues without its caller, so it is never cancelled by a check */
+    private void submit(Call call, long requestId, ResponseBuffer buffer, CallerCheck check, boolean keyed) {
         RequestSpec spec = new RequestSpec(
                 requestId,
                 call.customer(),
@@ -252,7 +254,7 @@
                         buffer,
                         keyed ? recordingProgress(requestId) : ResponseRelay.Progress.NONE,
                         UnaryOperator.identity(),
-                        CallerCheck.CONNECTED));
+                        check));
     }
 
     private void refuse(CallerExchange caller, Call call, Failure failure) {
--- a/daemon/src/main/java/org/marjoramswitch/daemon/caller/ResponseWriter.java
+++ b/daemon/src/main/java/org/marjoramswitch/daemon/caller/ResponseWriter.java
@@ -54,6 +54,7 @@
     private XnioExecutor.@Nullable Key timer;
     private ByteBuffer pending = EMPTY;
     private @Nullable Failure interruption;
+    private boolean inputEnded;
     private boolean lastBytesPending;
     private boolean done;
     private boolean waitingForWrite;
@@ -146,7 +147,7 @@
             return;
         }
         Objects.requireNonNull(watch).readInput();
-        result.accept(done);
+        result.accept(done || inputEnded);
     }
 
     @Override
@@ -395,6 +396,7 @@
     private final class WatchListener implements CallerWatch.Listener {
         @Override
         public void onInputEnded() {
+            inputEnded = true;
             if (done) {
                 return;
             }
--- a/daemon/src/test/java/org/marjoramswitch/daemon/caller/CallerServerTest.java
+++ b/daemon/src/test/java/org/marjoramswitch/daemon/caller/CallerServerTest.java
@@ -13,6 +13,7 @@
 import java.net.http.HttpResponse;
 import java.net.http.HttpResponse.BodyHandlers;
 import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.TimeUnit;
 import org.junit.jupiter.api.AfterEach;
 import org.junit.jupiter.api.Test;
 import org.marjoramswitch.kernel.error.ErrorType;
@@ -102,6 +103,33 @@
         assertTrue(fixture.submitter.callersGone.isEmpty());
     }
 
+    /** Guards against a send for a caller without a request key whose close has not been read yet. */
+    @Test
+    void closeIsReadBeforeTheRequestIsSent() throws Exception {
+        CompletableFuture<Boolean> gone = new CompletableFuture<>();
+        try (Socket socket = fixture.connect()) {
+            Fixture.send(socket, Fixture.rawHead("GET", "/services/cell-gateway/cells/7"));
+            FakeRequestSubmitter.Submitted call = fixture.submitter.next();
+            socket.close();
+            call.response().checkCaller(gone::complete);
+        }
+        assertTrue(gone.get(10, TimeUnit.SECONDS));
+    }
+
+    /** Guards against cancelling a request with a key, which continues without its caller. */
+    @Test
+    void closeDoesNotStopARequestWithAKey() throws Exception {
+        CompletableFuture<Boolean> gone = new CompletableFuture<>();
+        try (Socket socket = fixture.connect()) {
+            String key = "Request-Key: " + fixture.key("k1");
+            Fixture.send(socket, Fixture.rawHead("GET", "/services/cell-gateway/cells/7", key));
+            FakeRequestSubmitter.Submitted call = fixture.submitter.next();
+            socket.close();
+            call.response().checkCaller(gone::complete);
+        }
+        assertFalse(gone.get(10, TimeUnit.SECONDS));
+    }
+
     // The instance starts draining while a caller's connection is open. The caller receives its complete response and
     // "Connection: close", so that its next request goes to another instance.
     @Test
