Keep the bytes of a caller's next request in order while its connection is read

A caller that sends its next request ahead, in parts, lost it: a check of the connection read later bytes and put them back in front of earlier ones. The check before each send on any thread made it likelier. The connection is not read while bytes of the next request are put back.

The result of a check is also passed on if the read fails.

--- a/daemon/src/main/java/org/marjoramswitch/daemon/caller/CallerWatch.java
+++ b/daemon/src/main/java/org/marjoramswitch/daemon/caller/CallerWatch.java
@@ -110,7 +110,8 @@
 
     /** Reads the input that has arrived, and notifies the listener if the caller has disconnected. */
     void readInput() {
-        if (stopped) {
+        // Bytes that are read now would be put back before those of the next request that were put back earlier.
+        if (stopped || connection.getExtraBytes() != null) {
             return;
         }
         switch (readOnce(connection)) {
--- a/daemon/src/main/java/org/marjoramswitch/daemon/caller/ResponseWriter.java
+++ b/daemon/src/main/java/org/marjoramswitch/daemon/caller/ResponseWriter.java
@@ -146,8 +146,11 @@
             exchange.getIoThread().execute(() -> checkCaller(result));
             return;
         }
-        Objects.requireNonNull(watch).readInput();
-        result.accept(done || inputEnded);
+        try {
+            Objects.requireNonNull(watch).readInput();
+        } finally {
+            result.accept(done || inputEnded);
+        }
     }
 
     @Override
--- a/daemon/src/test/java/org/marjoramswitch/daemon/caller/CallerCheckTest.java
+++ b/daemon/src/test/java/org/marjoramswitch/daemon/caller/CallerCheckTest.java
@@ -1,5 +1,6 @@
 package org.marjoramswitch.daemon.caller;
 
+import static org.junit.jupiter.api.Assertions.assertEquals;
 import static org.junit.jupiter.api.Assertions.assertFalse;
 import static org.junit.jupiter.api.Assertions.assertTrue;
 
@@ -35,6 +36,9 @@
 /** Checks of callers whose connections belong to an I/O thread that is busy. */
 class CallerCheckTest {
     private static final String REQUEST = "GET /any/ HTTP/1.1\r\nHost: h.example\r\n\r\n";
+    /** Long enough for a part of a request to arrive by itself. */
+    private static final long PART_INTERVAL_MS = 200;
+
     private static final PoolId POOL = PoolId.of("pool");
 
     private final FakeRequestSubmitter submitter = new FakeRequestSubmitter();
@@ -96,6 +100,38 @@
         }
     }
 
+    /** Guards against a pipelined request whose parts are put back in the wrong order when its caller is checked again. */
+    @Test
+    @Timeout(20)
+    void nextRequestThatArrivesInPartsBetweenChecksIsKeptInOrder() throws Exception {
+        assertEquals("/any/second-request", pathOfRequestThatArrivesInParts(true));
+    }
+
+    /** Guards against losing a pipelined request that arrives in parts. */
+    @Test
+    @Timeout(20)
+    void nextRequestThatArrivesInPartsIsKept() throws Exception {
+        assertEquals("/any/second-request", pathOfRequestThatArrivesInParts(false));
+    }
+
+    private String pathOfRequestThatArrivesInParts(boolean checked) throws Exception {
+        try (Socket caller = connect()) {
+            FakeRequestSubmitter.Submitted first = submitter.next();
+            String next = REQUEST.replace("/any/", "/any/second-request");
+            for (String part : List.of(next.substring(0, 12), next.substring(12))) {
+                caller.getOutputStream().write(part.getBytes(StandardCharsets.ISO_8859_1));
+                Thread.sleep(PART_INTERVAL_MS);
+                CompletableFuture<Boolean> gone = new CompletableFuture<>();
+                if (checked) {
+                    first.response().checkCaller(gone::complete);
+                    assertFalse(gone.get(10, TimeUnit.SECONDS));
+                }
+            }
+            first.respond(200, "text/plain", "first");
+            return submitter.next().call().path();
+        }
+    }
+
     private Socket connect() throws IOException {
         Socket socket = new Socket(InetAddress.getLoopbackAddress(), port);
         socket.getOutputStream().write(REQUEST.getBytes(StandardCharsets.ISO_8859_1));
