Do not count the check of the caller as the target's silence

A request without a body that had waited for the check of its caller ended as silent that much sooner; its target was blamed and a second run was started.

--- a/daemon/src/main/java/org/marjoramswitch/daemon/target/HttpAttempt.java
+++ b/daemon/src/main/java/org/marjoramswitch/daemon/target/HttpAttempt.java
@@ -192,6 +192,7 @@
             connectionFailed();
             return;
         }
+        deadline.progress(); // the target is not responsible for the time of the check
         usable.sendRequest(
                 HeadConverter.request(spec, sending, System.nanoTime()), callback(usable, this::requestOpened));
     }
--- a/testsuite/src/test/java/org/marjoramswitch/testsuite/target/ServiceAttemptTest.java
+++ b/testsuite/src/test/java/org/marjoramswitch/testsuite/target/ServiceAttemptTest.java
@@ -3,6 +3,7 @@
 import static org.junit.jupiter.api.Assertions.assertEquals;
 import static org.junit.jupiter.api.Assertions.assertTrue;
 
+import java.util.Map;
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.TimeUnit;
 import org.junit.jupiter.api.AfterEach;
@@ -10,8 +11,10 @@
 import org.junit.jupiter.api.Test;
 import org.marjoramswitch.daemon.exchange.CallerCheck;
 import org.marjoramswitch.daemon.exchange.CallerWait;
+import org.marjoramswitch.daemon.exchange.TargetCall;
 import org.marjoramswitch.daemon.target.TargetClientOptions;
 import org.marjoramswitch.kernel.model.TargetOutcome;
+import org.marjoramswitch.kernel.settings.TargetKind;
 import org.marjoramswitch.testkit.service.PlainService;
 import org.marjoramswitch.testkit.service.ServiceFault;
 
@@ -146,6 +149,26 @@
         assertEquals(1, service.executions().size());
     }
 
+    /** Guards against blaming a target for the time that the check of the caller took, and so against a second run. */
+    @Test
+    void timeOfTheCallersCheckIsNotTheTargetsSilence() throws Exception {
+        service.setFault(ServiceFault.SLOW);
+        CompletableFuture<CallerCheck.Result> checked = new CompletableFuture<>();
+        RecordedAttempt attempt = new RecordedAttempt() {
+            @Override
+            public void checkCaller(CallerCheck.Result result) {
+                checked.complete(result);
+            }
+        };
+        TargetCall withoutBody = TargetCall.of(
+                TargetKind.PLAIN_SERVICE, "GET", "/stop", Map.of("X-Request-Id", "call-1"), new byte[0], false);
+        fixture.start(service.port(), 3 * SHORT_TIMEOUT_MS, withoutBody, attempt);
+        CallerCheck.Result result = checked.get(LONG_TIMEOUT_MS, TimeUnit.MILLISECONDS);
+        Thread.sleep(2 * SHORT_TIMEOUT_MS);
+        result.accept(false);
+        assertEquals(TargetOutcome.COMPLETED, attempt.outcome());
+    }
+
     /** Guards against a cold target that crashes because a lagging instance sends it the requests of seconds together. */
     @Test
     void callIsNotSentAfterTheTimeWithinWhichItMayStart() throws Exception {
