Do not avoid an arbiter that had no time to respond

A retry close to its caller's progress timeout is due within milliseconds. When that passed, its arbiter was put into backoff for two seconds as one that responds late. It is now only if the time since the request was sent is that of a late response.

--- a/kernel/src/main/java/org/marjoramswitch/kernel/entry/Placements.java
+++ b/kernel/src/main/java/org/marjoramswitch/kernel/entry/Placements.java
@@ -213,7 +213,10 @@
             if (placement.placed || byId.get(placement.id) != placement) {
                 continue;
             }
-            recordLate(placement.arbiter, "overdue", nowMs, sink);
+            // A response that is due soon after the request says nothing about the arbiter: the caller gives up then.
+            if (ArbiterBackoffs.isLate(nowMs - placement.sentAtMs)) {
+                recordLate(placement.arbiter, "overdue", nowMs, sink);
+            }
             withdraw(placement.request, sink);
             overdue.add(placement.request);
         }
