Count a caller's wait from when its request was read

The kernel counted the progress timeout from the decision, so a decision loop that lagged added its lag, to the end of the wait, to the placement request and to the arbiter's hold. The request carries the time at which it was read, and reports of progress are corrected by the time that they waited for the decision loop, as peers' messages are.

The end of an attempt reported when a part was last written, which the caller's thread does after the attempt's end is handled: a stream whose event arrived together with the break was taken for one without progress. It reports when a part was last handed over; what was written is queried at the timeout and checked before a send. A query's reply may be refused by a full ring, since the query is repeated.

--- a/daemon/src/main/java/org/marjoramswitch/daemon/caller/RoutedCall.java
+++ b/daemon/src/main/java/org/marjoramswitch/daemon/caller/RoutedCall.java
@@ -49,7 +49,7 @@
                         0,
                         nowMs + Math.min(callerTimeoutMs(), route.timeoutMs()),
                         placement(nowMs - elapsedMs + route.objectiveMs() - CALLER_NETWORK_MS))
-                .withProgressTimeout(route.callerProgressTimeoutMs());
+                .withProgressTimeout(route.callerProgressTimeoutMs(), nowMs);
     }
 
     /** The wait of the caller of a request that was read now. */
--- a/daemon/src/main/java/org/marjoramswitch/daemon/core/AttemptRelay.java
+++ b/daemon/src/main/java/org/marjoramswitch/daemon/core/AttemptRelay.java
@@ -91,7 +91,7 @@
         TargetOutcome reported = request.onAttemptEnd(attempt, outcome);
         if (reported != null) {
             events.offer(
-                    new Event.TargetEnded(request.id(), reported, usage, request.sinceProgressMs(System.nanoTime())));
+                    new Event.TargetEnded(request.id(), reported, usage, request.sinceHandedOverMs(System.nanoTime())));
         }
     }
 }
--- a/daemon/src/main/java/org/marjoramswitch/daemon/core/DecisionLoop.java
+++ b/daemon/src/main/java/org/marjoramswitch/daemon/core/DecisionLoop.java
@@ -231,7 +231,16 @@
     }
 
     private static Event withRingDelay(Event event, long waitedMs) {
-        return waitedMs > 0 && event instanceof Event.PeerReceived received ? received.delayed(waitedMs) : event;
+        if (waitedMs <= 0) {
+            return event;
+        }
+        if (event instanceof Event.PeerReceived received) {
+            return received.delayed(waitedMs);
+        }
+        if (event instanceof Event.TargetEnded ended) {
+            return ended.delayed(waitedMs);
+        }
+        return event instanceof Event.ProgressReported reported ? reported.delayed(waitedMs) : event;
     }
 
     private void tickIfDue() {
--- a/daemon/src/main/java/org/marjoramswitch/daemon/core/OpenRequest.java
+++ b/daemon/src/main/java/org/marjoramswitch/daemon/core/OpenRequest.java
@@ -3,6 +3,7 @@
 import java.util.ArrayList;
 import java.util.List;
 import java.util.Map;
+import java.util.concurrent.TimeUnit;
 import java.util.concurrent.atomic.AtomicBoolean;
 import org.jspecify.annotations.Nullable;
 import org.marjoramswitch.daemon.exchange.CallerCheck;
@@ -51,6 +52,8 @@
     private int attempt;
     private boolean attemptRunning;
     private boolean headDelivered;
+    private boolean handedOver;
+    private long handedOverNs;
     private boolean completed;
     private boolean ended;
     private @Nullable Head heldHead;
@@ -139,6 +142,14 @@
         caller.checkCaller(result);
     }
 
+    /**
+     * Time since a part of the response was last handed over to the caller's thread, which writes it; {@link
+     * Event#NO_PROGRESS} if none was.
+     */
+    synchronized long sinceHandedOverMs(long nowNs) {
+        return handedOver ? TimeUnit.NANOSECONDS.toMillis(nowNs - handedOverNs) : Event.NO_PROGRESS;
+    }
+
     /** Time since the caller was last sent a part of the response; {@link Event#NO_PROGRESS} if it has received none. */
     long sinceProgressMs(long nowNs) {
         CallerWait wait = call.callerWait();
@@ -174,6 +185,8 @@
             return;
         }
         releaseHead();
+        handedOver = true;
+        handedOverNs = System.nanoTime();
         caller.onBytes(bytes);
     }
 
--- a/kernel/src/main/java/org/marjoramswitch/kernel/entry/EntryRequest.java
+++ b/kernel/src/main/java/org/marjoramswitch/kernel/entry/EntryRequest.java
@@ -19,7 +19,7 @@
     private final boolean isTrial;
     private final long arrivedAtMs;
     private final Set<TargetId> failedAt = new HashSet<>();
-    /** When the caller last received a part of the response, as far as reported; the arrival before. */
+    /** When the caller last received a part of the response, as far as reported; when the request was read before. */
     private long progressedAtMs;
 
     private int attempts;
@@ -49,7 +49,7 @@
         this.suspects = suspects;
         this.isTrial = isTrial;
         this.arrivedAtMs = arrivedAtMs;
-        this.progressedAtMs = arrivedAtMs;
+        this.progressedAtMs = spec.progressTimeoutMs() == 0 ? arrivedAtMs : spec.readAtMs();
     }
 
     RequestSpec spec() {
@@ -68,7 +68,7 @@
         return arrivedAtMs;
     }
 
-    /** When the caller last received a part of the response, as far as reported; the arrival before. */
+    /** When the caller last received a part of the response, as far as reported; when the request was read before. */
     long progressedAtMs() {
         return progressedAtMs;
     }
--- a/kernel/src/main/java/org/marjoramswitch/kernel/event/Event.java
+++ b/kernel/src/main/java/org/marjoramswitch/kernel/event/Event.java
@@ -20,6 +20,10 @@
     /** The caller has received no part of the response. */
     long NO_PROGRESS = -1;
 
+    private static long withDelay(long sinceProgressMs, long delayMs) {
+        return sinceProgressMs == NO_PROGRESS ? NO_PROGRESS : sinceProgressMs + delayMs;
+    }
+
     /** A caller's request was read completely and may be queued. */
     record RequestArrived(RequestSpec request) implements Event {}
 
@@ -35,18 +39,33 @@
     /**
      * The running attempt of a request ended.
      *
-     * @param sinceProgressMs time since the caller was last sent a part of the response, {@link #NO_PROGRESS} if it has
-     *     received none
+     * @param sinceProgressMs time since a part of the response was last passed on to the caller, {@link #NO_PROGRESS} if
+     *     none was
      */
     record TargetEnded(long requestId, TargetOutcome outcome, Usage usage, long sinceProgressMs) implements Event {
         /** Creates an event of a request whose caller has received nothing. */
         public TargetEnded(long requestId, TargetOutcome outcome, Usage usage) {
             this(requestId, outcome, usage, NO_PROGRESS);
         }
+
+        /** Returns the event with its time adjusted for processing {@code waitedMs} after the end. */
+        public TargetEnded delayed(long waitedMs) {
+            return new TargetEnded(requestId, outcome, usage, withDelay(sinceProgressMs, waitedMs));
+        }
     }
 
-    /** Responds to {@link org.marjoramswitch.kernel.action.Action.QueryProgress}; see {@link TargetEnded}. */
-    record ProgressReported(long requestId, long sinceProgressMs) implements Event {}
+    /**
+     * Responds to {@link org.marjoramswitch.kernel.action.Action.QueryProgress}.
+     *
+     * @param sinceProgressMs time since a part of the response was last written to the caller, {@link #NO_PROGRESS} if
+     *     none was
+     */
+    record ProgressReported(long requestId, long sinceProgressMs) implements Event {
+        /** Returns the event with its time adjusted for processing {@code waitedMs} after the report. */
+        public ProgressReported delayed(long waitedMs) {
+            return new ProgressReported(requestId, withDelay(sinceProgressMs, waitedMs));
+        }
+    }
 
     /**
      * A message arrived from a peer.
--- a/kernel/src/main/java/org/marjoramswitch/kernel/model/RequestSpec.java
+++ b/kernel/src/main/java/org/marjoramswitch/kernel/model/RequestSpec.java
@@ -16,6 +16,7 @@
  * @param placement properties for the placement, null for a request that is granted by counts of waiting requests
  * @param digest equal for requests with equal customer, path and body; 0 if unknown
  * @param progressTimeoutMs how long the caller waits without receiving a part of the response; 0 if until its deadline
+ * @param readAtMs when the request was read; the progress timeout counts from then
  */
 public record RequestSpec(
         long requestId,
@@ -29,7 +30,8 @@
         long deadlineMs,
         @Nullable PlacementSpec placement,
         long digest,
-        long progressTimeoutMs) {
+        long progressTimeoutMs,
+        long readAtMs) {
     public static final int DEFAULT_URGENCY = 3;
     public static final int LOWEST_URGENCY = 7;
 
@@ -98,20 +100,21 @@
                 deadlineMs,
                 placement,
                 digest,
+                0,
                 0);
     }
 
     /** Returns the request with this digest. */
     public RequestSpec withDigest(long newDigest) {
-        return with(newDigest, progressTimeoutMs);
+        return with(newDigest, progressTimeoutMs, readAtMs);
     }
 
-    /** Returns the request with this progress timeout of its caller. */
-    public RequestSpec withProgressTimeout(long timeoutMs) {
-        return with(digest, timeoutMs);
+    /** Returns the request with this progress timeout of its caller, which counts from {@code startMs}. */
+    public RequestSpec withProgressTimeout(long timeoutMs, long startMs) {
+        return with(digest, timeoutMs, startMs);
     }
 
-    private RequestSpec with(long newDigest, long newProgressTimeoutMs) {
+    private RequestSpec with(long newDigest, long newProgressTimeoutMs, long newReadAtMs) {
         return new RequestSpec(
                 requestId,
                 customer,
@@ -124,6 +127,7 @@
                 deadlineMs,
                 placement,
                 newDigest,
-                newProgressTimeoutMs);
+                newProgressTimeoutMs,
+                newReadAtMs);
     }
 }
--- a/kernel/src/test/java/org/marjoramswitch/kernel/CallerTimeoutTest.java
+++ b/kernel/src/test/java/org/marjoramswitch/kernel/CallerTimeoutTest.java
@@ -5,6 +5,7 @@
 import static org.junit.jupiter.api.Assertions.assertNull;
 import static org.junit.jupiter.api.Assertions.assertTrue;
 
+import java.util.List;
 import java.util.Objects;
 import org.junit.jupiter.api.BeforeEach;
 import org.junit.jupiter.api.Test;
@@ -26,6 +27,17 @@
         progressTimeoutMs = PROGRESS_TIMEOUT_MS;
     }
 
+    /** Guards against adding the time in which a request waited for the decision loop to the time that its caller waits. */
+    @Test
+    void timeBeforeTheArrivalCounts() {
+        readDelayMs = 500;
+        arrive(true, ATTEMPTS, true);
+        advance(PROGRESS_TIMEOUT_MS - 500 - 10);
+        assertTrue(cancelled.isEmpty());
+        advance(20);
+        assertEquals(1, cancelled.size());
+    }
+
     /** Guards against a run that goes on after its caller has given up. */
     @Test
     void runIsCancelledAtTheProgressTimeout() {
@@ -119,6 +131,26 @@
         assertEquals(RunState.UNKNOWN, failure(request).failure().run());
     }
 
+    /** Guards against avoiding an arbiter that had a few milliseconds to place a retry whose caller was about to give up. */
+    @Test
+    void arbiterIsNotBlamedForARetryWhoseCallerGivesUpAtOnce() {
+        long request = arrive(true, ATTEMPTS, true);
+        advance(PROGRESS_TIMEOUT_MS - 20);
+        frozen.add(arbiter);
+        end(request, TargetOutcome.BROKEN_BEFORE_ANSWER);
+        advance(30);
+        assertTrue(ends.containsKey(request));
+        frozen.addAll(INSTANCES);
+        wire.clear();
+        arrive(true, ATTEMPTS, true);
+        assertEquals(
+                List.of(arbiter),
+                wire.stream()
+                        .filter(sent -> sent.message() instanceof PeerMessage.Place)
+                        .map(Sent::to)
+                        .toList());
+    }
+
     /** Guards against a send by a placement that lay unread while the process stood still. */
     @Test
     void placementThatIsReadAfterAPauseStartsNothing() {
--- a/kernel/src/test/java/org/marjoramswitch/kernel/PlacementFleet.java
+++ b/kernel/src/test/java/org/marjoramswitch/kernel/PlacementFleet.java
@@ -59,6 +59,9 @@
     /** Progress timeout of the callers of new requests; 0 if they wait until their deadline. */
     long progressTimeoutMs;
 
+    /** How long before their arrival at the kernel new requests were read. */
+    long readDelayMs;
+
     private final Deque<Runnable> progressReports = new ArrayDeque<>();
     final Set<InstanceId> frozen = new HashSet<>();
     /** Pairs of instances between which messages are lost. */
@@ -162,7 +165,7 @@
         requests++;
         RequestSpec spec = new RequestSpec(
                 requests, CUSTOMER, POOL, 1, repeatable, 20, 5, 0, nowMs + CALLER_TIMEOUT_MS, placement, digest);
-        apply(entry, new Event.RequestArrived(spec.withProgressTimeout(progressTimeoutMs)));
+        apply(entry, new Event.RequestArrived(spec.withProgressTimeout(progressTimeoutMs, nowMs - readDelayMs)));
         return requests;
     }
 
