Failing tests: limits on callers' connections and connections that are open

Callers reuse connections that were idle for up to four fifths of the operator's idle limit, as they know it. The instance applies limits to new connections only, so a connection that was opened under a shorter limit is closed while its caller uses it; a larger head than the limit at that time is refused on it, and a head that is being received is cut by the former timeout. Undertow's timers come before the sockets are read, so a thread that was held up closes a connection whose request waits unread.

--- a/daemon/src/test/java/org/marjoramswitch/daemon/caller/ForwardServerTest.java
+++ b/daemon/src/test/java/org/marjoramswitch/daemon/caller/ForwardServerTest.java
@@ -17,6 +17,7 @@
 import java.util.List;
 import java.util.Locale;
 import java.util.Map;
+import java.util.concurrent.CountDownLatch;
 import java.util.concurrent.atomic.AtomicLong;
 import org.jspecify.annotations.Nullable;
 import org.junit.jupiter.api.AfterEach;
@@ -24,6 +25,7 @@
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.api.Timeout;
 import org.marjoramswitch.daemon.exchange.CallDecoder;
+import org.marjoramswitch.daemon.route.CallerLimits;
 import org.marjoramswitch.daemon.route.RoutedSettings;
 import org.marjoramswitch.daemon.settings.HostPort;
 import org.marjoramswitch.kernel.model.CustomerId;
@@ -131,6 +133,88 @@
         assertTrue(server.headroomPercent() >= 0);
     }
 
+    /**
+     * Guards against closing a connection while a whole request waits unread: an I/O thread runs its timers before it reads
+     * its sockets, so on a thread that was held up beyond the idle limit the timer comes first.
+     */
+    @Test
+    @Timeout(20)
+    void requestThatArrivesWhileTheThreadIsHeldUpBeyondTheIdleLimitIsAnswered() throws Exception {
+        server.applyLimits(new CallerLimits(4_096, 1_000, 60_000, 500));
+        Caller caller = call();
+        CountDownLatch release = holdThread();
+        caller.send(REQUEST);
+        awaitElapsed(1_000);
+        release.countDown();
+        assertEquals("HTTP/1.1 503 Service Unavailable", caller.read().status());
+    }
+
+    /** Guards against closing a connection within a head whose remainder waits unread. */
+    @Test
+    @Timeout(20)
+    void headThatArrivesWhileTheThreadIsHeldUpBeyondTheHeadTimeoutIsAnswered() throws Exception {
+        server.applyLimits(new CallerLimits(4_096, 1_000, 500, 60_000));
+        Caller caller = call();
+        caller.send(REQUEST.substring(0, 10));
+        awaitElapsed(100);
+        CountDownLatch release = holdThread();
+        caller.send(REQUEST.substring(10));
+        awaitElapsed(1_000);
+        release.countDown();
+        assertEquals("HTTP/1.1 503 Service Unavailable", caller.read().status());
+    }
+
+    /** Guards against idle connections that are never closed, or only those that were opened later. */
+    @Test
+    @Timeout(20)
+    void idleConnectionsAreClosed() throws Exception {
+        server.applyLimits(new CallerLimits(4_096, 1_000, 60_000, 300));
+        Caller used = call();
+        try (Socket unused = new Socket(InetAddress.getLoopbackAddress(), port)) {
+            unused.setSoTimeout(READ_TIMEOUT_MS);
+            assertEquals(-1, unused.getInputStream().read());
+        }
+        assertEquals(-1, used.in().read());
+    }
+
+    /** Guards against connections that stay open within a head, each of which takes one of the instance's limit. */
+    @Test
+    @Timeout(20)
+    void connectionWhoseHeadDoesNotArriveInTimeIsClosed() throws Exception {
+        server.applyLimits(new CallerLimits(4_096, 1_000, 300, 60_000));
+        Caller caller = call();
+        caller.send(REQUEST.substring(0, 10));
+        assertEquals(-1, caller.in().read());
+    }
+
+    /** Holds up the server's only I/O thread until the latch is released; returns once it is held up. */
+    private CountDownLatch holdThread() throws InterruptedException {
+        CountDownLatch held = new CountDownLatch(1);
+        CountDownLatch release = new CountDownLatch(1);
+        worker.getIoThread().execute(() -> {
+            held.countDown();
+            awaitRelease(release);
+        });
+        held.await();
+        return release;
+    }
+
+    private static void awaitRelease(CountDownLatch release) {
+        try {
+            release.await();
+        } catch (InterruptedException e) {
+            Thread.currentThread().interrupt();
+        }
+    }
+
+    /** Lets a timeout of the server elapse. */
+    private static void awaitElapsed(long elapsedMs) throws InterruptedException {
+        long sinceNs = System.nanoTime();
+        while (System.nanoTime() - sinceNs < elapsedMs * 1_000_000) {
+            Thread.sleep(5);
+        }
+    }
+
     private Caller call() throws IOException {
         Socket socket = new Socket(InetAddress.getLoopbackAddress(), port);
         socket.setSoTimeout(READ_TIMEOUT_MS);
@@ -153,7 +237,15 @@
     /** A connection and the head of its latest response. */
     private record Caller(Socket socket, BufferedReader in, String status, String head) {
         Caller sendAgain() throws IOException {
-            socket.getOutputStream().write(REQUEST.getBytes(StandardCharsets.ISO_8859_1));
+            send(REQUEST);
+            return read();
+        }
+
+        void send(String text) throws IOException {
+            socket.getOutputStream().write(text.getBytes(StandardCharsets.ISO_8859_1));
+        }
+
+        Caller read() throws IOException {
             String first = in.readLine();
             StringBuilder rest = new StringBuilder();
             int length = 0;
