Apply limits to open connections, and read the socket before a connection is closed

Callers saw connections closed without a response: connections that had been idle for less than four fifths of a raised idle limit, requests that had arrived in full while the I/O thread was behind, and heads cut by a former timeout or refused by a former size.

Cause: Undertow copies the idle and head timeouts, the maximum size of a head and that of a body into each connection when it is accepted, and its timeouts are judged by a timer, which XNIO runs before it reads the sockets, and by the wall clock.

ConnectionTimeouts replaces Undertow's two timeouts, which are switched off: the phase of each connection is observed by a conduit below Undertow, one timer per I/O thread looks at the connections in the order in which they entered their phase, and the limits are read when they are applied. An overdue connection's read listener is called once more, so that its socket is read, and it is closed only if its phase has not changed. That does not depend on the order of timers and sockets within a turn of the thread: a check in the next turn could still come before the sockets, because XNIO looks for due timers again whenever its task queue is empty. Time is monotonic.

RecentLimits keeps former limits for what began while they were in force, or up to 3 s later: a version is in force on all instances 2 s after its write, and callers may notice it a second later. Equal limits are no change, expired ones are forgotten, and at most 16 are kept. Before the first settings nothing is closed by a default; the time then counts from them. The parser's bound is a fixed ceiling, and an incomplete head is bounded by the current limit. All listeners of ForwardServer and CallerServer use it, so they are no longer opened by Undertow's builder. BUFFER_PIPELINED_DATA stays as it was in effect: off in ForwardServer, on in CallerServer.

--- a/daemon/src/main/java/org/marjoramswitch/daemon/caller/CallerServer.java
+++ b/daemon/src/main/java/org/marjoramswitch/daemon/caller/CallerServer.java
@@ -1,17 +1,22 @@
 package org.marjoramswitch.daemon.caller;
 
 import com.codahale.metrics.MetricRegistry;
-import io.undertow.Undertow;
 import io.undertow.UndertowOptions;
-import java.net.InetSocketAddress;
+import io.undertow.server.DefaultByteBufferPool;
+import java.io.IOException;
+import java.io.UncheckedIOException;
 import java.util.concurrent.TimeUnit;
 import java.util.function.LongSupplier;
 import java.util.function.Supplier;
 import org.marjoramswitch.daemon.exchange.RequestSubmitter;
+import org.marjoramswitch.daemon.route.CallerLimits;
 import org.marjoramswitch.daemon.settings.HostPort;
 import org.marjoramswitch.kernel.settings.FleetSettings;
+import org.xnio.OptionMap;
 import org.xnio.Options;
+import org.xnio.Xnio;
 import org.xnio.XnioExecutor;
+import org.xnio.XnioWorker;
 
 /** HTTP server that callers connect to. */
 public final class CallerServer implements AutoCloseable {
@@ -20,13 +25,16 @@
 
     private static final long KEY_TICK_MS = 100;
     private static final int MAX_HEAD_BYTES = 32 << 10;
-    private static final int MAX_HEADERS = 100;
+    private static final int BUFFER_BYTES = 16 << 10;
+    private static final long STOP_TIMEOUT_MS = 1_000;
 
-    private final Undertow undertow;
+    private final HttpListener listener;
+    private final XnioWorker worker;
     private final XnioExecutor.Key ticks;
 
-    private CallerServer(Undertow undertow, XnioExecutor.Key ticks) {
-        this.undertow = undertow;
+    private CallerServer(HttpListener listener, XnioWorker worker, XnioExecutor.Key ticks) {
+        this.listener = listener;
+        this.worker = worker;
         this.ticks = ticks;
     }
 
@@ -67,44 +75,66 @@
                 .get("/health/live", InfoHandlers.live(health))
                 .get("/health/ready", InfoHandlers.ready(health))
                 .get("/metrics", InfoHandlers.metrics(metrics));
-        Undertow undertow = build(bind, options, routes);
-        undertow.start();
-        XnioExecutor.Key ticks =
-                undertow.getWorker().getIoThread().executeAtInterval(keys::tick, KEY_TICK_MS, TimeUnit.MILLISECONDS);
-        return new CallerServer(undertow, ticks);
+        XnioWorker worker = worker(options);
+        HttpListener listener = listen(bind, options, worker, routes, clockMs);
+        XnioExecutor.Key ticks = worker.getIoThread().executeAtInterval(keys::tick, KEY_TICK_MS, TimeUnit.MILLISECONDS);
+        return new CallerServer(listener, worker, ticks);
     }
 
-    private static Undertow build(HostPort bind, CallerOptions options, Routes routes) {
-        return Undertow.builder()
-                .addHttpListener(bind.port(), bind.host(), routes)
-                .setIoThreads(options.ioThreads())
-                .setWorkerThreads(WORKER_THREADS)
-                .setServerOption(UndertowOptions.MAX_HEADER_SIZE, MAX_HEAD_BYTES)
-                .setServerOption(UndertowOptions.MAX_HEADERS, MAX_HEADERS)
-                .setServerOption(
-                        UndertowOptions.REQUEST_PARSE_TIMEOUT, options.times().headTimeoutMs())
-                .setServerOption(
-                        UndertowOptions.NO_REQUEST_TIMEOUT, options.times().idleTimeoutMs())
-                .setServerOption(
-                        UndertowOptions.MAX_ENTITY_SIZE, options.maxBodyBytes() + 2 * LingeringClose.MAX_DRAINED_BYTES)
-                .setServerOption(UndertowOptions.ALWAYS_SET_DATE, true)
-                .setSocketOption(Options.CONNECTION_HIGH_WATER, options.maxConnections())
-                .setSocketOption(Options.CONNECTION_LOW_WATER, options.maxConnections())
-                .setSocketOption(Options.TCP_NODELAY, true)
-                .build();
+    private static XnioWorker worker(CallerOptions options) {
+        try {
+            return Xnio.getInstance()
+                    .createWorker(OptionMap.builder()
+                            .set(Options.WORKER_IO_THREADS, options.ioThreads())
+                            .set(Options.WORKER_TASK_CORE_THREADS, WORKER_THREADS)
+                            .set(Options.WORKER_TASK_MAX_THREADS, WORKER_THREADS)
+                            .set(Options.TCP_NODELAY, true)
+                            .getMap());
+        } catch (IOException e) {
+            throw new UncheckedIOException(e);
+        }
+    }
+
+    private static HttpListener listen(
+            HostPort bind, CallerOptions options, XnioWorker worker, Routes routes, LongSupplier clockMs) {
+        CallerLimits limits = new CallerLimits(
+                MAX_HEAD_BYTES,
+                options.maxBodyBytes(),
+                options.times().headTimeoutMs(),
+                options.times().idleTimeoutMs());
+        OptionMap undertowOptions = OptionMap.builder()
+                .set(UndertowOptions.BUFFER_PIPELINED_DATA, true)
+                .set(UndertowOptions.MAX_HEADER_SIZE, MAX_HEAD_BYTES)
+                .getMap();
+        CallerConnections connections = CallerConnections.of(worker, RecentLimits.fixed(limits), clockMs);
+        try {
+            return HttpListener.open(
+                    worker,
+                    bind,
+                    connections.serve(new DefaultByteBufferPool(true, BUFFER_BYTES), undertowOptions, routes),
+                    options.maxConnections());
+        } catch (UncheckedIOException e) {
+            worker.shutdownNow();
+            throw e;
+        }
     }
 
     /** The listening address, with the assigned port if port 0 was requested. */
     public HostPort boundAddress() {
-        InetSocketAddress address =
-                (InetSocketAddress) undertow.getListenerInfo().get(0).getAddress();
-        return HostPort.of(address.getAddress().getHostAddress(), address.getPort());
+        return listener.boundAddress();
     }
 
     /** Closes all connections immediately. A graceful shutdown first waits until all requests have ended. */
     @Override
     public void close() {
         ticks.remove();
-        undertow.stop();
+        listener.close();
+        worker.shutdown();
+        try {
+            worker.awaitTermination(STOP_TIMEOUT_MS, TimeUnit.MILLISECONDS);
+        } catch (InterruptedException e) {
+            Thread.currentThread().interrupt();
+        }
+        worker.shutdownNow();
     }
 }
--- a/daemon/src/main/java/org/marjoramswitch/daemon/caller/ForwardServer.java
+++ b/daemon/src/main/java/org/marjoramswitch/daemon/caller/ForwardServer.java
@@ -1,10 +1,12 @@
 package org.marjoramswitch.daemon.caller;
 
 import com.codahale.metrics.MetricRegistry;
-import io.undertow.Undertow;
 import io.undertow.UndertowOptions;
+import io.undertow.connector.ByteBufferPool;
 import io.undertow.server.DefaultByteBufferPool;
 import io.undertow.server.HttpHandler;
+import java.io.UncheckedIOException;
+import java.util.ArrayList;
 import java.util.List;
 import java.util.Map;
 import java.util.function.BooleanSupplier;
@@ -18,33 +20,37 @@
 import org.marjoramswitch.daemon.route.RoutedSettings;
 import org.marjoramswitch.daemon.settings.HostPort;
 import org.marjoramswitch.kernel.addresses.HeadroomRamp;
+import org.xnio.IoUtils;
 import org.xnio.OptionMap;
-import org.xnio.Options;
 import org.xnio.XnioIoThread;
 import org.xnio.XnioWorker;
 
 /** HTTP server of an instance that forwards requests on the operators' routes. */
 public final class ForwardServer implements AutoCloseable {
-    private static final int MAX_HEADERS = 100;
     private static final int BUFFER_BYTES = 16 << 10;
+    /** The other listeners read no bodies; Undertow discards those that are sent to them. */
+    private static final long MAX_OTHER_BODY_BYTES = 1 << 20;
 
-    private final Undertow undertow;
+    private final List<AutoCloseable> listeners;
+    private final RecentLimits limits;
+    private final LongSupplier clockMs;
     private final LagProbe lag;
     private final RejectionLog rejectionLog;
     private final @Nullable AdmissionGate gate;
-    private final @Nullable PacedListener paced;
 
     private ForwardServer(
-            Undertow undertow,
+            List<AutoCloseable> listeners,
+            RecentLimits limits,
+            LongSupplier clockMs,
             LagProbe lag,
             RejectionLog rejectionLog,
-            @Nullable AdmissionGate gate,
-            @Nullable PacedListener paced) {
+            @Nullable AdmissionGate gate) {
+        this.listeners = listeners;
+        this.limits = limits;
+        this.clockMs = clockMs;
         this.rejectionLog = rejectionLog;
-        this.undertow = undertow;
         this.lag = lag;
         this.gate = gate;
-        this.paced = paced;
     }
 
     /**
@@ -98,12 +104,9 @@
                 budget,
                 parts.clockMs(),
                 callerMetrics);
-        Undertow undertow = listeners(parts, worker, gate == null ? forward : null);
-        undertow.start();
-        PacedListener paced = gate == null ? null : pacedListener(parts, worker, forward, gate, lag);
-        ForwardServer server = new ForwardServer(undertow, lag, rejectionLog, gate, paced);
-        server.applyLimits(CallerLimits.DEFAULT);
-        return server;
+        RecentLimits limits = RecentLimits.unknown();
+        List<AutoCloseable> listeners = listeners(parts, worker, limits, forward, gate, lag);
+        return new ForwardServer(listeners, limits, parts.clockMs(), lag, rejectionLog, gate);
     }
 
     private static ForwardHandler.Admission admission(AdmissionGate gate, LagProbe lag) {
@@ -113,31 +116,38 @@
         };
     }
 
-    /** @param forward handler of the callers' address; null if another listener serves it */
-    private static Undertow listeners(Parts parts, XnioWorker worker, @Nullable HttpHandler forward) {
-        Undertow.Builder builder = Undertow.builder()
-                .setWorker(worker)
-                .setBufferSize(BUFFER_BYTES)
-                .setDirectBuffers(true)
-                .setSocketOption(Options.CONNECTION_HIGH_WATER, parts.options().maxConnections())
-                .setSocketOption(Options.CONNECTION_LOW_WATER, parts.options().maxConnections())
-                .setSocketOption(Options.TCP_NODELAY, true);
-        if (forward != null) {
-            builder.addHttpListener(parts.callers().port(), parts.callers().host(), forward);
+    /** Opens the listeners of all addresses; if one cannot be bound, the others are closed again. */
+    private static List<AutoCloseable> listeners(
+            Parts parts,
+            XnioWorker worker,
+            RecentLimits limits,
+            HttpHandler forward,
+            @Nullable AdmissionGate gate,
+            LagProbe lag) {
+        ByteBufferPool buffers = new DefaultByteBufferPool(true, BUFFER_BYTES);
+        CallerConnections connections = CallerConnections.of(worker, limits, parts.clockMs());
+        OptionMap options = OptionMap.create(UndertowOptions.DECODE_URL, false);
+        OptionMap otherOptions = OptionMap.builder()
+                .addAll(options)
+                .set(UndertowOptions.MAX_ENTITY_SIZE, MAX_OTHER_BODY_BYTES)
+                .getMap();
+        int max = parts.options().maxConnections();
+        List<AutoCloseable> opened = new ArrayList<>();
+        try {
+            CallerConnections.Http callers = connections.serve(buffers, options, forward);
+            opened.add(
+                    gate == null
+                            ? HttpListener.open(worker, parts.callers(), callers, max)
+                            : PacedListener.open(
+                                    worker, parts.callers(), callers, max, () -> gate.mayAccept(lag.overdueMs())));
+            parts.others()
+                    .forEach((address, handler) -> opened.add(HttpListener.open(
+                            worker, address, connections.serve(buffers, otherOptions, handler), max)));
+            return opened;
+        } catch (UncheckedIOException e) {
+            opened.forEach(IoUtils::safeClose);
+            throw e;
         }
-        parts.others().forEach((address, handler) -> builder.addHttpListener(address.port(), address.host(), handler));
-        return builder.build();
-    }
-
-    private static PacedListener pacedListener(
-            Parts parts, XnioWorker worker, HttpHandler forward, AdmissionGate gate, LagProbe lag) {
-        return PacedListener.open(
-                worker,
-                parts.callers(),
-                forward,
-                new DefaultByteBufferPool(true, BUFFER_BYTES),
-                parts.options().maxConnections(),
-                () -> gate.mayAccept(lag.overdueMs()));
     }
 
     private static List<XnioIoThread> ioThreads(XnioWorker worker) {
@@ -146,21 +156,9 @@
                 .toList();
     }
 
-    /** Applies the limits to new connections. The limit of a body's size is also checked for each request. */
-    public void applyLimits(CallerLimits limits) {
-        OptionMap options = OptionMap.builder()
-                .set(UndertowOptions.MAX_HEADER_SIZE, limits.maxHeadBytes())
-                .set(UndertowOptions.MAX_HEADERS, MAX_HEADERS)
-                .set(UndertowOptions.REQUEST_PARSE_TIMEOUT, limits.headTimeoutMs())
-                .set(UndertowOptions.NO_REQUEST_TIMEOUT, limits.idleTimeoutMs())
-                .set(UndertowOptions.MAX_ENTITY_SIZE, limits.maxBodyBytes() + 2 * LingeringClose.MAX_DRAINED_BYTES)
-                .set(UndertowOptions.DECODE_URL, false)
-                .set(UndertowOptions.ALWAYS_SET_DATE, true)
-                .getMap();
-        undertow.getListenerInfo().forEach(listener -> listener.setServerOptions(options));
-        if (paced != null) {
-            paced.setServerOptions(options);
-        }
+    /** Applies the limits to open and to new connections, see {@link RecentLimits}. */
+    public void applyLimits(CallerLimits newest) {
+        limits.apply(newest, clockMs.getAsLong());
     }
 
     /** The part of the processor that further requests could use: 0 while the instance rejects requests, up to 100. */
@@ -175,10 +173,7 @@
     @Override
     public void close() {
         lag.close();
-        if (paced != null) {
-            paced.close();
-        }
-        undertow.stop();
+        listeners.forEach(IoUtils::safeClose);
         rejectionLog.flush();
     }
 }
--- a/daemon/src/main/java/org/marjoramswitch/daemon/caller/PacedListener.java
+++ b/daemon/src/main/java/org/marjoramswitch/daemon/caller/PacedListener.java
@@ -1,9 +1,5 @@
 package org.marjoramswitch.daemon.caller;
 
-import io.undertow.UndertowOptions;
-import io.undertow.connector.ByteBufferPool;
-import io.undertow.server.HttpHandler;
-import io.undertow.server.protocol.http.HttpOpenListener;
 import java.io.IOException;
 import java.io.UncheckedIOException;
 import java.net.InetSocketAddress;
@@ -41,11 +37,11 @@
 
     private final BooleanSupplier mayAccept;
     private final AtomicBoolean paused = new AtomicBoolean();
-    private final HttpOpenListener connections;
+    private final CallerConnections.Http connections;
     private final AcceptingChannel<StreamConnection> channel;
 
     private PacedListener(
-            XnioWorker worker, HostPort address, HttpOpenListener connections, int max, BooleanSupplier mayAccept)
+            XnioWorker worker, HostPort address, CallerConnections.Http connections, int max, BooleanSupplier mayAccept)
             throws IOException {
         this.mayAccept = mayAccept;
         this.connections = connections;
@@ -77,13 +73,9 @@
     static PacedListener open(
             XnioWorker worker,
             HostPort address,
-            HttpHandler handler,
-            ByteBufferPool buffers,
+            CallerConnections.Http connections,
             int maxConnections,
             BooleanSupplier mayAccept) {
-        HttpOpenListener connections =
-                new HttpOpenListener(buffers, OptionMap.create(UndertowOptions.BUFFER_PIPELINED_DATA, true));
-        connections.setRootHandler(handler);
         try {
             PacedListener listener = new PacedListener(worker, address, connections, maxConnections, mayAccept);
             listener.channel.resumeAccepts();
@@ -93,11 +85,6 @@
         }
     }
 
-    /** Sets the options of new connections. */
-    void setServerOptions(OptionMap options) {
-        connections.setUndertowOptions(options);
-    }
-
     private void pauseIfNeeded(XnioWorker worker) {
         if (!mayAccept.getAsBoolean() && paused.compareAndSet(false, true)) {
             channel.suspendAccepts();
--- a/daemon/src/main/java/org/marjoramswitch/daemon/route/CallerLimits.java
+++ b/daemon/src/main/java/org/marjoramswitch/daemon/route/CallerLimits.java
@@ -9,6 +9,15 @@
  * @param idleTimeoutMs the time after which an idle connection is closed
  */
 public record CallerLimits(int maxHeadBytes, long maxBodyBytes, int headTimeoutMs, int idleTimeoutMs) {
-    /** Used until settings specify other limits. */
+    /** Used for limits that the settings do not specify. */
     public static final CallerLimits DEFAULT = new CallerLimits(16 << 10, 4L << 20, 3_000, 15_000);
+
+    /** Returns the larger one of each limit. */
+    public CallerLimits orMoreGenerous(CallerLimits other) {
+        return new CallerLimits(
+                Math.max(maxHeadBytes, other.maxHeadBytes),
+                Math.max(maxBodyBytes, other.maxBodyBytes),
+                Math.max(headTimeoutMs, other.headTimeoutMs),
+                Math.max(idleTimeoutMs, other.idleTimeoutMs));
+    }
 }
