Reject heads above the newest limit with 431

A head limit that was lowered did not hold for open connections, and one that was exceeded ended the connection with Undertow's bare 400. ForwardHandler checks the size of each request's head and answers 431 (HEAD_TOO_LARGE); before settings are known the answer stays 503. The limits of the head and the body are those of the time at which the request began, or more generous ones, so that a request which is being received when a limit is lowered is not refused for it.

--- a/daemon/src/main/java/org/marjoramswitch/daemon/caller/ForwardHandler.java
+++ b/daemon/src/main/java/org/marjoramswitch/daemon/caller/ForwardHandler.java
@@ -18,6 +18,7 @@
 import org.marjoramswitch.daemon.exchange.CallDecoder;
 import org.marjoramswitch.daemon.exchange.CallDecoder.CallMetadata;
 import org.marjoramswitch.daemon.exchange.RequestSubmitter;
+import org.marjoramswitch.daemon.route.CallerLimits;
 import org.marjoramswitch.daemon.route.Route;
 import org.marjoramswitch.daemon.route.RoutedSettings;
 import org.marjoramswitch.kernel.admission.AdmissionRequest;
@@ -156,6 +157,10 @@
         if (framing != null) {
             return Failure.notRun(ErrorType.MALFORMED_REQUEST, 0, framing);
         }
+        int maxHeadBytes = limits(exchange, current).maxHeadBytes();
+        if (CallerConnection.of(exchange).isHeadLarger(exchange, maxHeadBytes)) {
+            return Failure.notRun(ErrorType.HEAD_TOO_LARGE, 0, Integer.toString(maxHeadBytes));
+        }
         if (route == null) {
             return Failure.notRun(ErrorType.NO_ROUTE, 0, noRouteDetail(exchange, current));
         }
@@ -195,6 +200,11 @@
         rejections.reject(caller, failure, last || draining.getAsBoolean());
     }
 
+    /** The limits of this request, which are more generous than the newest ones for a while after they were lowered. */
+    private static CallerLimits limits(HttpServerExchange exchange, RoutedSettings current) {
+        return Objects.requireNonNullElse(CallerConnection.of(exchange).limits(), current.limits());
+    }
+
     private static String noRouteDetail(HttpServerExchange exchange, RoutedSettings current) {
         String host = exchange.getRequestHeaders().getFirst(Headers.HOST);
         return host + pathOf(exchange.getRequestURI()) + " by version " + current.version() + " with "
@@ -215,7 +225,7 @@
     private void readBody(CallerExchange caller, RoutedSettings current, Route route, @Nullable CallHead head) {
         BodyReader.read(
                 caller,
-                current.limits().maxBodyBytes(),
+                limits(caller.http(), current).maxBodyBytes(),
                 options.times().bodyTimeoutMs(),
                 budget,
                 new BodyReader.Listener() {
--- a/kernel/src/main/java/org/marjoramswitch/kernel/error/ErrorType.java
+++ b/kernel/src/main/java/org/marjoramswitch/kernel/error/ErrorType.java
@@ -12,6 +12,7 @@
     UNKNOWN_PATH(104, Severity.NOTICE, 404, "Nothing is served at %s"),
     METHOD_NOT_ALLOWED(105, Severity.NOTICE, 405, "The method is not allowed here: %s"),
     BODY_TIMEOUT(106, Severity.NOTICE, 408, "The request's body did not arrive in time"),
+    HEAD_TOO_LARGE(107, Severity.NOTICE, 431, "The request's head is larger than %s bytes"),
     CUSTOMER_QUEUE_FULL(120, Severity.NOTICE, 429, "The customer has too many requests waiting: %s"),
     ENTRY_QUEUE_FULL(121, Severity.WARNING, 503, "The instance has too many requests waiting"),
     WAIT_TIMEOUT(122, Severity.WARNING, 503, "The request's time ran out before it was sent to a target"),
