Read the socket before a body is refused as late

A caller whose body had arrived in full got 408 (BODY_TIMEOUT) when the I/O thread was held up beyond the timeout: XNIO runs timers before it reads the sockets. The timeout now reads what has arrived first, and refuses only a body that is still incomplete then.

Evidence: HeldUpThreadTest#bodyThatHasArrivedIsRead failed on ("HTTP/1.1 408 Request Time-out" where 400 for the malformed body is expected) and passes now; HeldUpThreadTest 2 of 2, RawInputTest 16 of 16.

--- a/daemon/src/main/java/org/marjoramswitch/daemon/caller/BodyReader.java
+++ b/daemon/src/main/java/org/marjoramswitch/daemon/caller/BodyReader.java
@@ -113,7 +113,9 @@
         bytes.writeBytes(copy);
     }
 
+    /** The timer comes before the socket is read on a thread that is behind, so the body may have arrived in full. */
     private void onTimeout() {
+        onReadable(caller.requestChannel());
         refuse(Failure.notRun(ErrorType.BODY_TIMEOUT, 0, ""));
     }
 
--- a/daemon/src/test/java/org/marjoramswitch/daemon/caller/Fixture.java
+++ b/daemon/src/test/java/org/marjoramswitch/daemon/caller/Fixture.java
@@ -45,6 +45,9 @@
     final HttpClient client = HttpClient.newHttpClient();
     volatile FleetSettings settings = settings();
     volatile Health health = Health.READY;
+    /** Runs on the I/O thread of each request, before the health is queried. */
+    volatile Runnable beforeHealth = () -> {};
+
     private final Addresses addresses = new Addresses();
     final RequestKeys keys;
     final CallerServer server;
@@ -61,13 +64,18 @@
                 claims,
                 addresses,
                 () -> settings,
-                () -> health,
+                this::health,
                 clockMs,
                 metrics);
         peers.join(self.id(), INCARNATION, keys, server.boundAddress());
         addresses.peers = peers;
     }
 
+    private Health health() {
+        beforeHealth.run();
+        return health;
+    }
+
     static Fixture start(CallerOptions options) {
         return new Fixture("a", options, new FakePeers(), Claims.NONE);
     }
