Log connections that end without a response, and count the ends of connections

A caller's connection that ended without a response to its request left no line, so that a lost request could not be traced.

connection_ended tells who ended the connection, why, what had been received of the request and whether that was all of it, how many bytes of the response the socket had accepted, and for how long further input can have been unread at most: the time since the socket was last read. Input that the kernel holds has no time of arrival, so nothing better than this bound is known.

--- a/daemon/src/main/java/org/marjoramswitch/daemon/caller/CallerConnection.java
+++ b/daemon/src/main/java/org/marjoramswitch/daemon/caller/CallerConnection.java
@@ -10,6 +10,7 @@
 import java.nio.channels.FileChannel;
 import java.util.concurrent.RejectedExecutionException;
 import org.jspecify.annotations.Nullable;
+import org.marjoramswitch.daemon.caller.ConnectionEnds.Cause;
 import org.marjoramswitch.daemon.log.KeyValueLog;
 import org.marjoramswitch.daemon.route.CallerLimits;
 import org.xnio.ChannelListener;
@@ -18,6 +19,7 @@
 import org.xnio.StreamConnection;
 import org.xnio.channels.StreamSinkChannel;
 import org.xnio.conduits.AbstractStreamSourceConduit;
+import org.xnio.conduits.ConduitStreamSinkChannel;
 import org.xnio.conduits.ConduitStreamSourceChannel;
 import org.xnio.conduits.StreamSourceConduit;
 
@@ -25,7 +27,7 @@
  * The state of one connection of a caller, which decides which of its timeouts applies. Observes the bytes that are read
  * below Undertow. Confined to the connection's I/O thread.
  */
-final class CallerConnection implements ExchangeCompletionListener {
+final class CallerConnection implements ExchangeCompletionListener, ObservedSink.Listener {
     private static final KeyValueLog LOG = KeyValueLog.of(CallerConnection.class);
 
     /** Two spaces, the line's end and the empty line after the head. */
@@ -37,8 +39,13 @@
     private final ConnectionTimeouts timeouts;
     private Phase phase = Phase.OPENING;
     private long sinceMs;
-    private long headBytes;
+    private long requestBytes;
     private @Nullable CallerLimits limits;
+    private @Nullable HttpServerExchange exchange;
+    private @Nullable Cause cause;
+    private String callerRequestId = "";
+    private long deliveredBytes;
+    private long lastReadMs;
 
     private CallerConnection(StreamConnection channel, ConnectionTimeouts timeouts) {
         this.channel = channel;
@@ -65,6 +72,8 @@
         CallerConnection connection = new CallerConnection(channel, timeouts);
         ConduitStreamSourceChannel source = channel.getSourceChannel();
         source.setConduit(connection.new ObservedSource(source.getConduit()));
+        ConduitStreamSinkChannel sink = channel.getSinkChannel();
+        sink.setConduit(new ObservedSink(sink.getConduit(), connection));
         connection.enter(Phase.IDLE);
         openListener.handleEvent(channel);
         connection.listenForClose();
@@ -86,7 +95,9 @@
     }
 
     /** The head was received and its handler runs. */
-    void requestBegins() {
+    void requestBegins(HttpServerExchange begun) {
+        exchange = begun;
+        callerRequestId = "";
         limits = timeouts.limits(sinceMs);
         enter(Phase.BUSY);
     }
@@ -97,20 +108,25 @@
         return limits;
     }
 
+    /** Sets the id that the caller gave to the request, for the log. */
+    void setCallerRequestId(String id) {
+        callerRequestId = id;
+    }
+
     /** Whether the request's head, which was received completely, is larger than this. */
-    boolean isHeadLarger(HttpServerExchange exchange, int maxBytes) {
+    boolean isHeadLarger(HttpServerExchange received, int maxBytes) {
         // The bytes received include those after the head; the head's own size is determined only if it may be too
         // large.
-        return headBytes > maxBytes && headSize(exchange) > maxBytes;
+        return requestBytes > maxBytes && headSize(received) > maxBytes;
     }
 
-    private static long headSize(HttpServerExchange exchange) {
-        long bytes = (long) exchange.getRequestMethod().length()
-                + exchange.getRequestURI().length()
-                + exchange.getQueryString().length()
-                + exchange.getProtocol().length()
+    private static long headSize(HttpServerExchange received) {
+        long bytes = (long) received.getRequestMethod().length()
+                + received.getRequestURI().length()
+                + received.getQueryString().length()
+                + received.getProtocol().length()
                 + REQUEST_LINE_SEPARATORS;
-        for (HeaderValues values : exchange.getRequestHeaders()) {
+        for (HeaderValues values : received.getRequestHeaders()) {
             for (String value : values) {
                 bytes += values.getHeaderName().length() + value.length() + HEADER_SEPARATORS;
             }
@@ -119,22 +135,24 @@
     }
 
     @Override
-    public void exchangeEvent(HttpServerExchange exchange, NextListener next) {
-        if (exchange.isInIoThread()) {
-            exchangeEnded(exchange);
+    public void exchangeEvent(HttpServerExchange ended, NextListener next) {
+        if (ended.isInIoThread()) {
+            exchangeEnded(ended);
         } else {
-            onIoThread(() -> exchangeEnded(exchange));
+            onIoThread(() -> exchangeEnded(ended));
         }
         next.proceed();
     }
 
-    private void exchangeEnded(HttpServerExchange exchange) {
-        if (!exchange.isPersistent() || !channel.isOpen()) {
+    private void exchangeEnded(HttpServerExchange ended) {
+        if (!ended.isPersistent() || !channel.isOpen()) {
             return; // Undertow closes the connection
         }
-        PooledByteBuffer received = ((HttpServerConnection) exchange.getConnection()).getExtraBytes();
-        headBytes = received == null ? 0 : received.getBuffer().remaining();
-        enter(headBytes == 0 ? Phase.IDLE : Phase.HEAD);
+        exchange = null;
+        deliveredBytes = 0;
+        PooledByteBuffer received = ((HttpServerConnection) ended.getConnection()).getExtraBytes();
+        requestBytes = received == null ? 0 : received.getBuffer().remaining();
+        enter(requestBytes == 0 ? Phase.IDLE : Phase.HEAD);
     }
 
     /**
@@ -147,6 +165,7 @@
         ConduitStreamSourceChannel source = channel.getSourceChannel();
         ChannelListeners.invokeChannelListener(source, source.getReadListener());
         if (phase == overdue && sinceMs == overdueSinceMs) {
+            note(phase == Phase.IDLE ? Cause.IDLE_LIMIT : Cause.HEAD_TIMEOUT);
             IoUtils.safeClose(channel);
             enter(Phase.CLOSED);
         }
@@ -164,7 +183,64 @@
 
     /** Called in addition to Undertow's listener. */
     private void listenForClose() {
-        channel.setCloseListener(closed -> onIoThread(() -> enter(Phase.CLOSED)));
+        channel.setCloseListener(closed -> onIoThread(this::closed));
+    }
+
+    private void closed() {
+        if (phase == Phase.CLOSED) {
+            return;
+        }
+        HttpServerExchange last = exchange;
+        boolean outstanding =
+                phase == Phase.HEAD || (phase == Phase.BUSY && last != null && !last.isResponseComplete());
+        if (outstanding) {
+            timeouts.ends().endedUnanswered(cause(true), unanswered(last));
+        } else {
+            timeouts.ends().endedIdle(cause(false));
+        }
+        enter(Phase.CLOSED);
+    }
+
+    private ConnectionEnds.Unanswered unanswered(@Nullable HttpServerExchange last) {
+        return new ConnectionEnds.Unanswered(
+                String.valueOf(channel.getPeerAddress()),
+                last == null ? "" : callerRequestId,
+                requestBytes,
+                last != null && last.isRequestComplete(),
+                deliveredBytes,
+                timeouts.nowMs() - lastReadMs);
+    }
+
+    private Cause cause(boolean outstanding) {
+        Cause noted = cause;
+        if (phase == Phase.BUSY && !outstanding) {
+            return Cause.AFTER_RESPONSE;
+        }
+        if (noted != null) {
+            return noted;
+        }
+        if (timeouts.ends().isShutDown()) {
+            return Cause.SHUTDOWN;
+        }
+        if (deliveredBytes == 0) {
+            return Cause.REQUEST_DROPPED;
+        }
+        return phase == Phase.BUSY ? Cause.RESPONSE_CUT : Cause.MALFORMED_HEAD;
+    }
+
+    /** Notes the first cause that is known for the end of the connection. */
+    private void note(Cause known) {
+        cause = cause == null ? known : cause;
+    }
+
+    @Override
+    public void onWritten(long bytes) {
+        deliveredBytes += bytes;
+    }
+
+    @Override
+    public void onBroken() {
+        note(Cause.RESET);
     }
 
     private void onIoThread(Runnable task) {
@@ -180,18 +256,41 @@
     }
 
     private void received(long count) throws IOException {
-        if (count <= 0 || phase == Phase.BUSY) {
+        lastReadMs = timeouts.nowMs();
+        if (count < 0) {
+            note(Cause.CALLER_CLOSED);
+        }
+        if (count <= 0) {
             return;
         }
         if (phase == Phase.IDLE) {
-            headBytes = 0;
+            requestBytes = 0;
+            deliveredBytes = 0;
             enter(Phase.HEAD);
         }
-        if (headBytes > timeouts.maxHeadBytes(sinceMs)) {
+        if (phase == Phase.HEAD && requestBytes > timeouts.maxHeadBytes(sinceMs)) {
             // Bounds the memory for a head that is not complete. A head that is slightly too large gets a response.
+            note(Cause.HEAD_TOO_LARGE);
             throw new IOException("the head is larger than " + timeouts.maxHeadBytes(sinceMs) + " bytes");
         }
-        headBytes += count;
+        requestBytes += count;
+    }
+
+    /** A read of the socket. */
+    private interface Read {
+        long run() throws IOException;
+    }
+
+    private long observe(Read read) throws IOException {
+        long count;
+        try {
+            count = read.run();
+        } catch (IOException e) {
+            note(Cause.RESET);
+            throw e;
+        }
+        received(count);
+        return count;
     }
 
     /** Observes what is read from the socket. */
@@ -206,30 +305,22 @@
 
         @Override
         public int read(ByteBuffer buffer) throws IOException {
-            int count = next.read(buffer);
-            received(count);
-            return count;
+            return (int) observe(() -> next.read(buffer));
         }
 
         @Override
         public long read(ByteBuffer[] buffers, int offset, int length) throws IOException {
-            long count = next.read(buffers, offset, length);
-            received(count);
-            return count;
+            return observe(() -> next.read(buffers, offset, length));
         }
 
         @Override
         public long transferTo(long position, long count, FileChannel target) throws IOException {
-            long moved = next.transferTo(position, count, target);
-            received(moved);
-            return moved;
+            return observe(() -> next.transferTo(position, count, target));
         }
 
         @Override
         public long transferTo(long count, ByteBuffer buffer, StreamSinkChannel target) throws IOException {
-            long moved = next.transferTo(count, buffer, target);
-            received(moved);
-            return moved;
+            return observe(() -> next.transferTo(count, buffer, target));
         }
     }
 }
--- a/daemon/src/main/java/org/marjoramswitch/daemon/caller/CallerConnections.java
+++ b/daemon/src/main/java/org/marjoramswitch/daemon/caller/CallerConnections.java
@@ -36,13 +36,17 @@
 
     private final Map<XnioIoThread, ConnectionTimeouts> timeouts = new HashMap<>();
 
-    private CallerConnections() {}
+    private final ConnectionEnds ends;
 
-    static CallerConnections of(XnioWorker worker, RecentLimits limits, LongSupplier clockMs) {
-        CallerConnections connections = new CallerConnections();
+    private CallerConnections(ConnectionEnds ends) {
+        this.ends = ends;
+    }
+
+    static CallerConnections of(XnioWorker worker, RecentLimits limits, LongSupplier clockMs, ConnectionEnds ends) {
+        CallerConnections connections = new CallerConnections(ends);
         for (int i = 0; i < worker.getIoThreadCount(); i++) {
             XnioIoThread thread = worker.getIoThread(i);
-            connections.timeouts.put(thread, ConnectionTimeouts.of(thread, limits, clockMs));
+            connections.timeouts.put(thread, ConnectionTimeouts.of(thread, limits, clockMs, ends));
         }
         return connections;
     }
@@ -63,7 +67,7 @@
 
     private static void handle(HttpServerExchange exchange, HttpHandler handler) throws Exception {
         CallerConnection connection = CallerConnection.of(exchange);
-        connection.requestBegins();
+        connection.requestBegins(exchange);
         exchange.addExchangeCompleteListener(connection);
         if (!exchange.isRequestComplete()) {
             CallerLimits applied = Objects.requireNonNullElse(connection.limits(), CallerLimits.DEFAULT);
@@ -86,6 +90,7 @@
         }
 
         void closeConnections() {
+            ends.shutDown();
             undertow.closeConnections();
         }
     }
--- a/daemon/src/main/java/org/marjoramswitch/daemon/caller/CallerServer.java
+++ b/daemon/src/main/java/org/marjoramswitch/daemon/caller/CallerServer.java
@@ -76,7 +76,7 @@
                 .get("/health/ready", InfoHandlers.ready(health))
                 .get("/metrics", InfoHandlers.metrics(metrics));
         XnioWorker worker = worker(options);
-        HttpListener listener = listen(bind, options, worker, routes, clockMs);
+        HttpListener listener = listen(bind, options, worker, routes, clockMs, ConnectionEnds.of(metrics));
         XnioExecutor.Key ticks = worker.getIoThread().executeAtInterval(keys::tick, KEY_TICK_MS, TimeUnit.MILLISECONDS);
         return new CallerServer(listener, worker, ticks);
     }
@@ -96,7 +96,12 @@
     }
 
     private static HttpListener listen(
-            HostPort bind, CallerOptions options, XnioWorker worker, Routes routes, LongSupplier clockMs) {
+            HostPort bind,
+            CallerOptions options,
+            XnioWorker worker,
+            Routes routes,
+            LongSupplier clockMs,
+            ConnectionEnds ends) {
         CallerLimits limits = new CallerLimits(
                 MAX_HEAD_BYTES,
                 options.maxBodyBytes(),
@@ -106,7 +111,7 @@
                 .set(UndertowOptions.BUFFER_PIPELINED_DATA, true)
                 .set(UndertowOptions.MAX_HEADER_SIZE, MAX_HEAD_BYTES)
                 .getMap();
-        CallerConnections connections = CallerConnections.of(worker, RecentLimits.fixed(limits), clockMs);
+        CallerConnections connections = CallerConnections.of(worker, RecentLimits.fixed(limits), clockMs, ends);
         try {
             return HttpListener.open(
                     worker,
--- a/daemon/src/main/java/org/marjoramswitch/daemon/caller/ConnectionTimeouts.java
+++ b/daemon/src/main/java/org/marjoramswitch/daemon/caller/ConnectionTimeouts.java
@@ -35,18 +35,24 @@
     private final XnioIoThread thread;
     private final RecentLimits limits;
     private final LongSupplier clockMs;
+    private final ConnectionEnds ends;
     private final Set<CallerConnection> idle = new LinkedHashSet<>();
     private final Set<CallerConnection> heads = new LinkedHashSet<>();
     private boolean armed;
 
-    private ConnectionTimeouts(XnioIoThread thread, RecentLimits limits, LongSupplier clockMs) {
+    private ConnectionTimeouts(XnioIoThread thread, RecentLimits limits, LongSupplier clockMs, ConnectionEnds ends) {
         this.thread = thread;
         this.limits = limits;
         this.clockMs = clockMs;
+        this.ends = ends;
     }
 
-    static ConnectionTimeouts of(XnioIoThread thread, RecentLimits limits, LongSupplier clockMs) {
-        return new ConnectionTimeouts(thread, limits, clockMs);
+    static ConnectionTimeouts of(XnioIoThread thread, RecentLimits limits, LongSupplier clockMs, ConnectionEnds ends) {
+        return new ConnectionTimeouts(thread, limits, clockMs, ends);
+    }
+
+    ConnectionEnds ends() {
+        return ends;
     }
 
     long nowMs() {
--- a/daemon/src/main/java/org/marjoramswitch/daemon/caller/ForwardHandler.java
+++ b/daemon/src/main/java/org/marjoramswitch/daemon/caller/ForwardHandler.java
@@ -145,7 +145,9 @@
 
     private CallHead head(CallerExchange caller) {
         Map<String, String> headers = endToEnd(caller.http().getRequestHeaders());
-        return CallHead.of(headers, decoder.read(headers));
+        CallMetadata metadata = decoder.read(headers);
+        CallerConnection.of(caller.http()).setCallerRequestId(metadata.requestId());
+        return CallHead.of(headers, metadata);
     }
 
     private @Nullable Failure admit(CallerExchange caller, RoutedSettings current, @Nullable Route route) {
--- a/daemon/src/main/java/org/marjoramswitch/daemon/caller/ForwardServer.java
+++ b/daemon/src/main/java/org/marjoramswitch/daemon/caller/ForwardServer.java
@@ -105,7 +105,8 @@
                 parts.clockMs(),
                 callerMetrics);
         RecentLimits limits = RecentLimits.unknown();
-        List<AutoCloseable> listeners = listeners(parts, worker, limits, forward, gate, lag);
+        List<AutoCloseable> listeners =
+                listeners(parts, worker, limits, ConnectionEnds.of(metrics), forward, gate, lag);
         return new ForwardServer(listeners, limits, parts.clockMs(), lag, rejectionLog, gate);
     }
 
@@ -121,11 +122,12 @@
             Parts parts,
             XnioWorker worker,
             RecentLimits limits,
+            ConnectionEnds ends,
             HttpHandler forward,
             @Nullable AdmissionGate gate,
             LagProbe lag) {
         ByteBufferPool buffers = new DefaultByteBufferPool(true, BUFFER_BYTES);
-        CallerConnections connections = CallerConnections.of(worker, limits, parts.clockMs());
+        CallerConnections connections = CallerConnections.of(worker, limits, parts.clockMs(), ends);
         OptionMap options = OptionMap.create(UndertowOptions.DECODE_URL, false);
         OptionMap otherOptions = OptionMap.builder()
                 .addAll(options)
--- a/daemon/src/test/java/org/marjoramswitch/daemon/caller/ForwardServerTest.java
+++ b/daemon/src/test/java/org/marjoramswitch/daemon/caller/ForwardServerTest.java
@@ -41,6 +41,7 @@
 
     private final List<Caller> callers = new ArrayList<>();
     private final AtomicLong decisionsLagMs = new AtomicLong();
+    private final MetricRegistry metrics = new MetricRegistry();
     private XnioWorker worker;
     private ForwardServer server;
     private int port;
@@ -66,7 +67,7 @@
                         () -> System.nanoTime() / 1_000_000,
                         admission),
                 worker,
-                new MetricRegistry());
+                metrics);
     }
 
     @AfterEach
@@ -187,6 +188,37 @@
         assertEquals(-1, caller.in().read());
     }
 
+    /** Guards against ends of connections that leave no trace, and against a log line for each idle connection. */
+    @Test
+    @Timeout(20)
+    void endsOfConnectionsAreCountedByCause() throws Exception {
+        server.applyLimits(new CallerLimits(4_096, 1_000, 300, 60_000));
+        call().socket().close();
+        awaitEnds("ended.caller_closed", 1);
+        Caller incomplete = call();
+        incomplete.send(REQUEST.substring(0, 10));
+        awaitEnds("ended_unanswered.head_timeout", 1);
+        Caller gone = call();
+        gone.send(REQUEST.substring(0, 10));
+        awaitElapsed(100);
+        gone.socket().close();
+        awaitEnds("ended_unanswered.caller_closed", 1);
+        server.applyLimits(new CallerLimits(4_096, 1_000, 300, 300));
+        call();
+        awaitElapsed(RecentLimits.NOTICE_MS);
+        call();
+        awaitEnds("ended.idle_limit", 1);
+        assertEquals(0, ends("ended_unanswered.idle_limit"));
+    }
+
+    private void awaitEnds(String name, long least) throws InterruptedException {
+        Fixture.await(() -> ends(name) >= least);
+    }
+
+    private long ends(String name) {
+        return metrics.counter("caller.connections_" + name).getCount();
+    }
+
     /** Holds up the server's only I/O thread until the latch is released; returns once it is held up. */
     private CountDownLatch holdThread() throws InterruptedException {
         CountDownLatch held = new CountDownLatch(1);
