--- /dev/null
+++ b/daemon/src/main/java/org/marjoramswitch/daemon/caller/CallerConnection.java
@@ -0,0 +1,326 @@
+package org.marjoramswitch.daemon.caller;
+
+import io.undertow.connector.PooledByteBuffer;
+import io.undertow.server.ExchangeCompletionListener;
+import io.undertow.server.HttpServerExchange;
+import io.undertow.server.protocol.http.HttpServerConnection;
+import io.undertow.util.HeaderValues;
+import java.io.IOException;
+import java.nio.ByteBuffer;
+import java.nio.channels.FileChannel;
+import java.util.concurrent.RejectedExecutionException;
+import org.jspecify.annotations.Nullable;
+import org.marjoramswitch.daemon.caller.ConnectionEnds.Cause;
+import org.marjoramswitch.daemon.log.KeyValueLog;
+import org.marjoramswitch.daemon.route.CallerLimits;
+import org.xnio.ChannelListener;
+import org.xnio.ChannelListeners;
+import org.xnio.IoUtils;
+import org.xnio.StreamConnection;
+import org.xnio.channels.StreamSinkChannel;
+import org.xnio.conduits.AbstractStreamSourceConduit;
+import org.xnio.conduits.ConduitStreamSinkChannel;
+import org.xnio.conduits.ConduitStreamSourceChannel;
+import org.xnio.conduits.StreamSourceConduit;
+
+/**
+ * The state of one connection of a caller, which decides which of its timeouts applies. Observes the bytes that are read
+ * below Undertow. Confined to the connection's I/O thread.
+ */
+final class CallerConnection implements ExchangeCompletionListener, ObservedSink.Listener {
+    private static final KeyValueLog LOG = KeyValueLog.of(CallerConnection.class);
+
+    /** Two spaces, the line's end and the empty line after the head. */
+    private static final int REQUEST_LINE_SEPARATORS = 6;
+    /** A colon, a space and the line's end. */
+    private static final int HEADER_SEPARATORS = 4;
+
+    private final StreamConnection channel;
+    private final ConnectionTimeouts timeouts;
+    private Phase phase = Phase.OPENING;
+    private long sinceMs;
+    private long requestBytes;
+    private @Nullable CallerLimits limits;
+    private @Nullable HttpServerExchange exchange;
+    private @Nullable Cause cause;
+    private String callerRequestId = "";
+    private long deliveredBytes;
+    private long lastReadMs;
+
+    private CallerConnection(StreamConnection channel, ConnectionTimeouts timeouts) {
+        this.channel = channel;
+        this.timeouts = timeouts;
+    }
+
+    /** What the connection is used for. */
+    enum Phase {
+        OPENING,
+        /** No byte of a request was received since the connection was accepted, or since its last exchange ended. */
+        IDLE,
+        /** The head of a request was received in part. */
+        HEAD,
+        /** A request is received further or served. */
+        BUSY,
+        CLOSED
+    }
+
+    /** Accepts a connection: observes its bytes and passes it to Undertow. Must be called on its I/O thread. */
+    static void open(
+            StreamConnection channel,
+            ConnectionTimeouts timeouts,
+            ChannelListener<? super StreamConnection> openListener) {
+        CallerConnection connection = new CallerConnection(channel, timeouts);
+        ConduitStreamSourceChannel source = channel.getSourceChannel();
+        source.setConduit(connection.new ObservedSource(source.getConduit()));
+        ConduitStreamSinkChannel sink = channel.getSinkChannel();
+        sink.setConduit(new ObservedSink(sink.getConduit(), connection));
+        connection.enter(Phase.IDLE);
+        openListener.handleEvent(channel);
+        connection.listenForClose();
+    }
+
+    /** The connection of an exchange; all of the server's connections are opened by {@link #open}. */
+    static CallerConnection of(HttpServerExchange exchange) {
+        HttpServerConnection connection = (HttpServerConnection) exchange.getConnection();
+        return ((ObservedSource) connection.getOriginalSourceConduit()).connection();
+    }
+
+    Phase phase() {
+        return phase;
+    }
+
+    /** Since when the connection has been in its phase. */
+    long sinceMs() {
+        return sinceMs;
+    }
+
+    /** The head was received and its handler runs. */
+    void requestBegins(HttpServerExchange begun) {
+        exchange = begun;
+        callerRequestId = "";
+        limits = timeouts.limits(sinceMs);
+        enter(Phase.BUSY);
+    }
+
+    /** The limits that hold for the request that is being served, or null if they are not known. */
+    @Nullable
+    CallerLimits limits() {
+        return limits;
+    }
+
+    /** Sets the id that the caller gave to the request, for the log. */
+    void setCallerRequestId(String id) {
+        callerRequestId = id;
+    }
+
+    /** Whether the request's head, which was received completely, is larger than this. */
+    boolean isHeadLarger(HttpServerExchange received, int maxBytes) {
+        // The bytes received include those after the head; the head's own size is determined only if it may be too
+        // large.
+        return requestBytes > maxBytes && headSize(received) > maxBytes;
+    }
+
+    private static long headSize(HttpServerExchange received) {
+        long bytes = (long) received.getRequestMethod().length()
+                + received.getRequestURI().length()
+                + received.getQueryString().length()
+                + received.getProtocol().length()
+                + REQUEST_LINE_SEPARATORS;
+        for (HeaderValues values : received.getRequestHeaders()) {
+            for (String value : values) {
+                bytes += values.getHeaderName().length() + value.length() + HEADER_SEPARATORS;
+            }
+        }
+        return bytes;
+    }
+
+    @Override
+    public void exchangeEvent(HttpServerExchange ended, NextListener next) {
+        if (ended.isInIoThread()) {
+            exchangeEnded(ended);
+        } else {
+            onIoThread(() -> exchangeEnded(ended));
+        }
+        next.proceed();
+    }
+
+    private void exchangeEnded(HttpServerExchange ended) {
+        if (!ended.isPersistent() || !channel.isOpen()) {
+            return; // Undertow closes the connection
+        }
+        exchange = null;
+        deliveredBytes = 0;
+        PooledByteBuffer received = ((HttpServerConnection) ended.getConnection()).getExtraBytes();
+        requestBytes = received == null ? 0 : received.getBuffer().remaining();
+        enter(requestBytes == 0 ? Phase.IDLE : Phase.HEAD);
+    }
+
+    /**
+     * Closes the connection unless bytes are waiting that end its phase. On a thread that is behind, or after a pause of
+     * the process, a timer comes before the bytes that have arrived, so the socket is read first.
+     */
+    void closeUnlessReceived() {
+        Phase overdue = phase;
+        long overdueSinceMs = sinceMs;
+        ConduitStreamSourceChannel source = channel.getSourceChannel();
+        ChannelListeners.invokeChannelListener(source, source.getReadListener());
+        if (phase == overdue && sinceMs == overdueSinceMs) {
+            note(phase == Phase.IDLE ? Cause.IDLE_LIMIT : Cause.HEAD_TIMEOUT);
+            IoUtils.safeClose(channel);
+            enter(Phase.CLOSED);
+        }
+    }
+
+    private void enter(Phase next) {
+        if (phase == Phase.CLOSED) {
+            return;
+        }
+        timeouts.remove(this);
+        phase = next;
+        sinceMs = timeouts.nowMs();
+        timeouts.add(this);
+    }
+
+    /** Called in addition to Undertow's listener. */
+    private void listenForClose() {
+        channel.setCloseListener(closed -> onIoThread(this::closed));
+    }
+
+    private void closed() {
+        if (phase == Phase.CLOSED) {
+            return;
+        }
+        HttpServerExchange last = exchange;
+        boolean outstanding =
+                phase == Phase.HEAD || (phase == Phase.BUSY && last != null && !last.isResponseComplete());
+        if (outstanding) {
+            timeouts.ends().endedUnanswered(cause(true), unanswered(last));
+        } else {
+            timeouts.ends().endedIdle(cause(false));
+        }
+        enter(Phase.CLOSED);
+    }
+
+    private ConnectionEnds.Unanswered unanswered(@Nullable HttpServerExchange last) {
+        return new ConnectionEnds.Unanswered(
+                String.valueOf(channel.getPeerAddress()),
+                last == null ? "" : callerRequestId,
+                requestBytes,
+                last != null && last.isRequestComplete(),
+                deliveredBytes,
+                timeouts.nowMs() - lastReadMs);
+    }
+
+    private Cause cause(boolean outstanding) {
+        Cause noted = cause;
+        if (phase == Phase.BUSY && !outstanding) {
+            return Cause.AFTER_RESPONSE;
+        }
+        if (noted != null) {
+            return noted;
+        }
+        if (timeouts.ends().isShutDown()) {
+            return Cause.SHUTDOWN;
+        }
+        if (deliveredBytes == 0) {
+            return Cause.REQUEST_DROPPED;
+        }
+        return phase == Phase.BUSY ? Cause.RESPONSE_CUT : Cause.MALFORMED_HEAD;
+    }
+
+    /** Notes the first cause that is known for the end of the connection. */
+    private void note(Cause known) {
+        cause = cause == null ? known : cause;
+    }
+
+    @Override
+    public void onWritten(long bytes) {
+        deliveredBytes += bytes;
+    }
+
+    @Override
+    public void onBroken() {
+        note(Cause.RESET);
+    }
+
+    private void onIoThread(Runnable task) {
+        if (Thread.currentThread() == channel.getIoThread()) {
+            task.run();
+            return;
+        }
+        try {
+            channel.getIoThread().execute(task);
+        } catch (RejectedExecutionException e) {
+            LOG.debug("connection_closed_late", "reason", String.valueOf(e.getMessage()));
+        }
+    }
+
+    private void received(long count) throws IOException {
+        lastReadMs = timeouts.nowMs();
+        if (count < 0) {
+            note(Cause.CALLER_CLOSED);
+        }
+        if (count <= 0) {
+            return;
+        }
+        if (phase == Phase.IDLE) {
+            requestBytes = 0;
+            deliveredBytes = 0;
+            enter(Phase.HEAD);
+        }
+        if (phase == Phase.HEAD && requestBytes > timeouts.maxHeadBytes(sinceMs)) {
+            // Bounds the memory for a head that is not complete. A head that is slightly too large gets a response.
+            note(Cause.HEAD_TOO_LARGE);
+            throw new IOException("the head is larger than " + timeouts.maxHeadBytes(sinceMs) + " bytes");
+        }
+        requestBytes += count;
+    }
+
+    /** A read of the socket. */
+    private interface Read {
+        long run() throws IOException;
+    }
+
+    private long observe(Read read) throws IOException {
+        long count;
+        try {
+            count = read.run();
+        } catch (IOException e) {
+            note(Cause.RESET);
+            throw e;
+        }
+        received(count);
+        return count;
+    }
+
+    /** Observes what is read from the socket. */
+    private final class ObservedSource extends AbstractStreamSourceConduit<StreamSourceConduit> {
+        ObservedSource(StreamSourceConduit next) {
+            super(next);
+        }
+
+        CallerConnection connection() {
+            return CallerConnection.this;
+        }
+
+        @Override
+        public int read(ByteBuffer buffer) throws IOException {
+            return (int) observe(() -> next.read(buffer));
+        }
+
+        @Override
+        public long read(ByteBuffer[] buffers, int offset, int length) throws IOException {
+            return observe(() -> next.read(buffers, offset, length));
+        }
+
+        @Override
+        public long transferTo(long position, long count, FileChannel target) throws IOException {
+            return observe(() -> next.transferTo(position, count, target));
+        }
+
+        @Override
+        public long transferTo(long count, ByteBuffer buffer, StreamSinkChannel target) throws IOException {
+            return observe(() -> next.transferTo(count, buffer, target));
+        }
+    }
+}
--- a/daemon/src/main/java/org/marjoramswitch/daemon/caller/ForwardHandler.java
+++ b/daemon/src/main/java/org/marjoramswitch/daemon/caller/ForwardHandler.java
@@ -19,6 +19,7 @@
 import org.marjoramswitch.daemon.exchange.CallDecoder.CallMetadata;
 import org.marjoramswitch.daemon.exchange.CallerWait;
 import org.marjoramswitch.daemon.exchange.RequestSubmitter;
+import org.marjoramswitch.daemon.route.CallerLimits;
 import org.marjoramswitch.daemon.route.Route;
 import org.marjoramswitch.daemon.route.RoutedSettings;
 import org.marjoramswitch.kernel.admission.AdmissionRequest;
@@ -145,7 +146,9 @@
 
     private CallHead head(CallerExchange caller) {
         Map<String, String> headers = endToEnd(caller.http().getRequestHeaders());
-        return CallHead.of(headers, decoder.read(headers));
+        CallMetadata metadata = decoder.read(headers);
+        CallerConnection.of(caller.http()).setCallerRequestId(metadata.requestId());
+        return CallHead.of(headers, metadata);
     }
 
     private @Nullable Failure admit(CallerExchange caller, RoutedSettings current, @Nullable Route route) {
@@ -157,6 +160,10 @@
         if (framing != null) {
             return Failure.notRun(ErrorType.MALFORMED_REQUEST, 0, framing);
         }
+        int maxHeadBytes = limits(exchange, current).maxHeadBytes();
+        if (CallerConnection.of(exchange).isHeadLarger(exchange, maxHeadBytes)) {
+            return Failure.notRun(ErrorType.HEAD_TOO_LARGE, 0, Integer.toString(maxHeadBytes));
+        }
         if (route == null) {
             return Failure.notRun(ErrorType.NO_ROUTE, 0, noRouteDetail(exchange, current));
         }
@@ -196,6 +203,11 @@
         rejections.reject(caller, failure, last || draining.getAsBoolean());
     }
 
+    /** The limits of this request, which are more generous than the newest ones for a while after they were lowered. */
+    private static CallerLimits limits(HttpServerExchange exchange, RoutedSettings current) {
+        return Objects.requireNonNullElse(CallerConnection.of(exchange).limits(), current.limits());
+    }
+
     private static String noRouteDetail(HttpServerExchange exchange, RoutedSettings current) {
         String host = exchange.getRequestHeaders().getFirst(Headers.HOST);
         return host + pathOf(exchange.getRequestURI()) + " by version " + current.version() + " with "
@@ -216,7 +228,7 @@
     private void readBody(CallerExchange caller, RoutedSettings current, Route route, @Nullable CallHead head) {
         BodyReader.read(
                 caller,
-                current.limits().maxBodyBytes(),
+                limits(caller.http(), current).maxBodyBytes(),
                 options.times().bodyTimeoutMs(),
                 budget,
                 new BodyReader.Listener() {
