Test: callers of a small instance that is behind get no answer (known red)

What callers see: a small instance whose I/O threads are behind leaves new connections unread until their callers give up, or does not establish them. Nothing tells the callers when to return.

--- /dev/null
+++ b/daemon/src/test/java/org/marjoramswitch/daemon/caller/TurnedAwayCallersTest.java
@@ -0,0 +1,162 @@
+package org.marjoramswitch.daemon.caller;
+
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import com.codahale.metrics.MetricRegistry;
+import java.io.IOException;
+import java.io.OutputStream;
+import java.net.InetAddress;
+import java.net.InetSocketAddress;
+import java.net.ServerSocket;
+import java.net.Socket;
+import java.net.SocketTimeoutException;
+import java.nio.charset.StandardCharsets;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Map;
+import java.util.concurrent.CountDownLatch;
+import org.jspecify.annotations.Nullable;
+import org.junit.jupiter.api.AfterEach;
+import org.junit.jupiter.api.BeforeEach;
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.api.Timeout;
+import org.marjoramswitch.daemon.exchange.CallDecoder;
+import org.marjoramswitch.daemon.route.RoutedSettings;
+import org.marjoramswitch.daemon.settings.HostPort;
+import org.marjoramswitch.kernel.model.CustomerId;
+import org.xnio.OptionMap;
+import org.xnio.Options;
+import org.xnio.Xnio;
+import org.xnio.XnioWorker;
+
+/** Callers of a small instance whose I/O threads are behind, on real sockets. */
+@Timeout(60)
+class TurnedAwayCallersTest {
+    private static final int CALLERS = 200;
+    private static final int CONNECT_TIMEOUT_MS = 1_000;
+    private static final int READ_TIMEOUT_MS = 5_000;
+    private static final String BODY = "x".repeat(2_000);
+    private static final String REQUEST =
+            "POST /any/ HTTP/1.1\r\nHost: h.example\r\nContent-Length: " + BODY.length() + "\r\n\r\n" + BODY;
+
+    private final MetricRegistry metrics = new MetricRegistry();
+    private final CountDownLatch caughtUp = new CountDownLatch(1);
+    private final List<Socket> open = new ArrayList<>();
+    private XnioWorker worker;
+    private ForwardServer server;
+    private int port;
+
+    @BeforeEach
+    void start() throws IOException {
+        worker = Xnio.getInstance().createWorker(OptionMap.create(Options.WORKER_IO_THREADS, 1));
+        try (ServerSocket free = new ServerSocket(0, 1, InetAddress.getLoopbackAddress())) {
+            port = free.getLocalPort();
+        }
+        server = ForwardServer.start(
+                new ForwardServer.Parts(
+                        HostPort.of("127.0.0.1", port),
+                        Map.of(),
+                        CallerOptions.builder().cheapRejections(true).build(),
+                        new PlainDecoder(),
+                        new FakeRequestSubmitter(),
+                        () -> RoutedSettings.NONE,
+                        () -> false,
+                        () -> 0,
+                        () -> System.nanoTime() / 1_000_000,
+                        AdmissionOptions.of(360, rejected -> {})),
+                worker,
+                metrics);
+    }
+
+    @AfterEach
+    void stop() throws IOException {
+        caughtUp.countDown();
+        for (Socket socket : open) {
+            socket.close();
+        }
+        server.close();
+        worker.shutdownNow();
+    }
+
+    /**
+     * Guards against callers that get no answer: while the I/O threads were behind, connections waited unread until their
+     * callers gave up, or were not established, and nothing told their callers when to return.
+     */
+    @Test
+    void callersOfAnInstanceThatIsBehindAreTurnedAwayAndServedAfterwards() throws IOException {
+        holdUp();
+        List<Socket> callers = new ArrayList<>();
+        for (int i = 0; i < CALLERS; i++) {
+            callers.add(send(REQUEST));
+        }
+        for (Socket caller : callers) {
+            String response = response(caller);
+            assertTrue(response.startsWith("HTTP/1.1 503 "), response);
+            assertTrue(response.contains("\r\nRetry-After: "), response);
+            assertTrue(response.contains("\"run\":\"not-run\""), response);
+        }
+        caughtUp.countDown();
+        awaitServed();
+    }
+
+    private void holdUp() {
+        worker.getIoThread(0).execute(() -> {
+            try {
+                caughtUp.await();
+            } catch (InterruptedException e) {
+                Thread.currentThread().interrupt();
+            }
+        });
+    }
+
+    /** A handled request is rejected as well, because there are no settings, but it is counted. */
+    private void awaitServed() throws IOException {
+        while (metrics.meter("caller.error.not_ready").getCount() == 0) {
+            assertTrue(response(send(REQUEST)).startsWith("HTTP/1.1 503 "));
+        }
+    }
+
+    private Socket send(String request) throws IOException {
+        Socket socket = new Socket();
+        open.add(socket);
+        socket.connect(new InetSocketAddress(InetAddress.getLoopbackAddress(), port), CONNECT_TIMEOUT_MS);
+        socket.setSoTimeout(READ_TIMEOUT_MS);
+        OutputStream out = socket.getOutputStream();
+        out.write(request.getBytes(StandardCharsets.ISO_8859_1));
+        return socket;
+    }
+
+    /** The bytes up to the end of the problem body, or what was received before the end or the time-out. */
+    private static String response(Socket socket) throws IOException {
+        StringBuilder received = new StringBuilder();
+        try {
+            while (received.indexOf("}") < 0) {
+                int next = socket.getInputStream().read();
+                if (next < 0) {
+                    return received + " (closed)";
+                }
+                received.append((char) next);
+            }
+        } catch (SocketTimeoutException e) {
+            return received + " (no response)";
+        }
+        return received.toString();
+    }
+
+    private static final class PlainDecoder implements CallDecoder {
+        @Override
+        public CallMetadata read(Map<String, String> headers) {
+            return new CallMetadata("", 0, List.of(), 0, 0, "", "");
+        }
+
+        @Override
+        public Map<String, String> forTarget(Map<String, String> headers, @Nullable CustomerId customer) {
+            return headers;
+        }
+
+        @Override
+        public String retryAfter(long retryAfterMs) {
+            return Long.toString(retryAfterMs);
+        }
+    }
+}
