Admission control reports unread requests as rejected demand

What callers saw: requests that an overloaded instance does not read count nowhere, so the arbiters know too little of the demand of a flooding customer and it gets less than its share (RejectedDemand holds read requests only).

Change: InstanceAdmission.turnedAway(count) distributes unread requests over the pools and customers of the last two seconds, in proportion to their requests and with their mean tokens (RecentRequests, at most 256 pairs), and adds them to the tokens of rejected requests; AdmissionGate.turnedAway passes the report on. Nothing calls it yet.

Why in proportion: connections are accepted in the order of their arrival, so the requests that were read are a sample of all. Equal parts would charge customers with few requests for the flood of another one.

--- a/daemon/src/main/java/org/marjoramswitch/daemon/caller/AdmissionGate.java
+++ b/daemon/src/main/java/org/marjoramswitch/daemon/caller/AdmissionGate.java
@@ -64,6 +64,19 @@
         return result;
     }
 
+    /** Reports requests that were turned away unread as demand. */
+    void turnedAway(long requests) {
+        long nowMs = clockMs.getAsLong();
+        List<CustomerTokens> due;
+        synchronized (this) {
+            admission.turnedAway(requests, nowMs);
+            due = admission.takeRejectedDemand(nowMs);
+        }
+        if (!due.isEmpty()) {
+            rejectedDemand.accept(due);
+        }
+    }
+
     @Override
     public synchronized void lagSampled(long lagMs) {
         long nowMs = clockMs.getAsLong();
--- a/daemon/src/test/java/org/marjoramswitch/daemon/caller/AdmissionGateTest.java
+++ b/daemon/src/test/java/org/marjoramswitch/daemon/caller/AdmissionGateTest.java
@@ -35,6 +35,14 @@
         assertFalse(gate.mayAccept(100));
     }
 
+    /** Guards against demand that the arbiters do not learn of because its requests were turned away unread. */
+    @Test
+    void requestsThatWereTurnedAwayUnreadAreReported() {
+        gate.admit(new AdmissionRequest(CustomerId.of("a"), PoolId.of("p"), "r", 100, 600, 800, 6_000));
+        gate.turnedAway(50);
+        assertEquals(List.of(new CustomerTokens(PoolId.of("p"), CustomerId.of("a"), 5_000)), reported);
+    }
+
     /** Guards against changing the decisions of instances that are large or whose processor is not stated. */
     @Test
     void onlySmallStatedProcessorsAreControlled() {
--- a/kernel/src/main/java/org/marjoramswitch/kernel/admission/InstanceAdmission.java
+++ b/kernel/src/main/java/org/marjoramswitch/kernel/admission/InstanceAdmission.java
@@ -54,6 +54,7 @@
     private final Map<CustomerId, CustomerDemand> customers = new LinkedHashMap<>(16, LOAD_FACTOR, true);
     private final RejectedTokens rejectedTokens = new RejectedTokens();
     private final DecayingRate offered = new DecayingRate();
+    private final RecentRequests recentRequests = new RecentRequests();
     private long sampleBeganAtMs;
     private long sampledLagMs;
     private long rejections;
@@ -79,6 +80,7 @@
         KindDemand kind = customer.kind(request.kind(), request.objectiveLeftMs() <= limits.lastLagMs());
         kind.record(tokens, workUs, nowMs);
         offered.add(workUs, nowMs);
+        recentRequests.add(request.pool(), request.customer(), tokens, nowMs);
         if (!limits.isActive() || !customer.isAboveShare() || kind.take(workUs, nowMs)) {
             return ADMITTED;
         }
@@ -90,6 +92,14 @@
         return new AdmissionResult.Rejected(farAboveShare ? spreadRetryAfterMs(request) : NEAR_SHARE_RETRY_AFTER_MS);
     }
 
+    /**
+     * Counts requests that were turned away before they were read as rejected demand, by an estimate from those that were
+     * read.
+     */
+    public void turnedAway(long requests, long nowMs) {
+        recentRequests.distribute(requests, nowMs, rejectedTokens);
+    }
+
     private CustomerDemand demandOf(CustomerId id) {
         CustomerDemand customer = customers.computeIfAbsent(id, missing -> new CustomerDemand());
         if (customers.size() > MAX_CUSTOMERS) {
