Callers of a small instance that is behind are told when to return

What callers saw: while the I/O threads of an instance with admission control were behind, new connections waited unread, or were not established because the listen queue of 64 was full.

Cause: XNIO's server accepts on a thread of its own, but each connection is then handled by an I/O thread, and the pause of accepts was ended by a timer of an I/O thread. Whoever is to reject is the one that is behind.

Change: CallerAcceptor accepts on a thread of its own. A connection is handed over at once while the instance may accept. Otherwise it waits, unread, for at most 100 ms; then its head is read, a prepared 503 is written, and the remainder is discarded until the caller closes, for at most a second (TurnedAwayConnection). A connection that its I/O thread has not taken within 100 ms is taken back and turned away. A caller that has sent nothing is not answered but handed over. Rejections are limited to a quarter of the processor and hand-overs of those that waited to what the processor can reject; the numbers of waiting connections (128) and of those being turned away (256) are bounded. The listen queue has the ordinary length of 1,000. Time in which this thread did not run itself does not count, so that a pause of the process turns nobody away. XNIO has no public function that makes a connection of an accepted socket, so AcceptedSocket is in XNIO's package.

Why it works: the thread that rejects shares no queue with the I/O threads. The promise of 503 holds because nothing has read the request's body or handed it on.

Counted by caller.turned_away, caller.gone_unread and a log line connections_turned_away per 100 ms, and reported as demand.

--- /dev/null
+++ b/daemon/src/main/java/org/marjoramswitch/daemon/caller/CallerAcceptor.java
@@ -0,0 +1,322 @@
+package org.marjoramswitch.daemon.caller;
+
+import java.io.IOException;
+import java.net.InetSocketAddress;
+import java.net.StandardSocketOptions;
+import java.nio.ByteBuffer;
+import java.nio.channels.SelectionKey;
+import java.nio.channels.Selector;
+import java.nio.channels.ServerSocketChannel;
+import java.nio.channels.SocketChannel;
+import java.util.ArrayDeque;
+import java.util.ArrayList;
+import java.util.Deque;
+import java.util.List;
+import java.util.concurrent.atomic.AtomicBoolean;
+import java.util.concurrent.atomic.AtomicInteger;
+import java.util.function.BooleanSupplier;
+import java.util.function.LongSupplier;
+import org.marjoramswitch.daemon.log.KeyValueLog;
+import org.marjoramswitch.daemon.settings.HostPort;
+import org.xnio.IoUtils;
+
+/**
+ * Accepts connections on a thread of its own, and either hands them over to be served or turns them away, so that callers
+ * of an instance whose I/O threads are behind are told when to return.
+ *
+ * <p>While the instance may accept, a connection is handed over at once. Otherwise it waits, unread, in the order of
+ * accepts: it is handed over as soon as the instance may accept again, and turned away with a prepared response by {@link
+ * TurnedAwayConnection} once it has waited for {@link #MAX_WAIT_MS}. The wait keeps a short pause, such as a garbage
+ * collection, from turning anyone away. A connection that was handed over, but that its I/O thread has not taken within the
+ * same time, is taken back and turned away as well.
+ *
+ * <p>Both hand-overs of connections that waited and rejections are limited by parts of the processor. What exceeds the
+ * limits, or the bounds of connections, waits in the listen queue of the operating system.
+ */
+final class CallerAcceptor implements AutoCloseable {
+    private static final KeyValueLog LOG = KeyValueLog.of(CallerAcceptor.class);
+    /** As Undertow's listeners. */
+    private static final int BACKLOG = 1_000;
+
+    private static final long CHECK_MS = 5;
+    /** Longer than the lag from which on nothing is accepted (40 ms), and a tenth of a caller's patience. */
+    private static final long MAX_WAIT_MS = 100;
+    /** A longer time between two rounds is a pause of this thread as well, which says nothing of the I/O threads. */
+    private static final long MAX_ROUND_MS = 25;
+    /** Each may hold some kilobytes of its request in the operating system. */
+    private static final int MAX_WAITING = 128;
+
+    private static final int MAX_TURNED_AWAY = 256;
+    /** Processor time of a rejection by an I/O thread with its accept, the least that a hand-over leads to. */
+    private static final double HAND_OVER_US = 450;
+    /** Processor time of a rejection here: 60 to 100 µs in OverloadAnswers. */
+    private static final double REJECTION_US = 100;
+    /** The part of the processor for rejections; the rest is for requests that are served. */
+    private static final double REJECTION_SHARE = 0.25;
+
+    private static final double BURST_MS = 20;
+    private static final int INPUT_BYTES = 16 << 10;
+    private static final long FAILURE_PAUSE_MS = 100;
+    private static final long CLOSE_TIMEOUT_MS = 1_000;
+
+    private final Parts parts;
+    private final Selector selector;
+    private final ServerSocketChannel server;
+    private final SelectionKey acceptKey;
+    private final Thread thread;
+    private final ByteBuffer input = ByteBuffer.allocateDirect(INPUT_BYTES);
+    private final Deque<Waiting> waiting = new ArrayDeque<>();
+    /** Connections that were handed over and may not have been taken yet, in the order of accepts. */
+    private final Deque<Waiting> handedOver = new ArrayDeque<>();
+
+    private final List<TurnedAway> turnedAway = new ArrayList<>();
+    private final RateLimit handOvers;
+    private final RateLimit rejections;
+    /** Connections that were handed over and are open. */
+    private final AtomicInteger served = new AtomicInteger();
+
+    private long lastRoundMs;
+    /** The time for which this thread ran, without its pauses. */
+    private long runningMs;
+
+    private long acceptNotBeforeMs;
+    private volatile boolean full;
+    private volatile boolean closed;
+
+    /** Serves a connection on another thread. */
+    interface Server {
+        /**
+         * @param take called before anything is done with the channel; if false, the channel must be left alone
+         * @param onClosed must be called once, when the connection has been closed
+         */
+        void serve(SocketChannel channel, BooleanSupplier take, Runnable onClosed);
+    }
+
+    /**
+     * Dependencies and limits.
+     *
+     * @param maxConnections maximum number of open connections
+     * @param processorMillicores the instance's processor limit
+     * @param mayAccept whether a connection may be served now
+     */
+    record Parts(
+            int maxConnections,
+            int processorMillicores,
+            BooleanSupplier mayAccept,
+            Server server,
+            TurnedAwayResponses responses,
+            TurnedAwayReport report,
+            LongSupplier clockMs) {}
+
+    /** @param taken set by the thread that serves the connection or turns it away */
+    private record Waiting(SocketChannel channel, long acceptedMs, long acceptedRunningMs, AtomicBoolean taken) {
+        boolean take() {
+            return taken.compareAndSet(false, true);
+        }
+    }
+
+    private record TurnedAway(TurnedAwayConnection connection, long waitMs) {}
+
+    private CallerAcceptor(HostPort address, Parts parts) throws IOException {
+        this.parts = parts;
+        this.handOvers = new RateLimit(parts.processorMillicores() / HAND_OVER_US, BURST_MS);
+        this.rejections = new RateLimit(REJECTION_SHARE * parts.processorMillicores() / REJECTION_US, BURST_MS);
+        this.selector = Selector.open();
+        this.server = ServerSocketChannel.open();
+        server.setOption(StandardSocketOptions.SO_REUSEADDR, true);
+        server.bind(new InetSocketAddress(address.host(), address.port()), BACKLOG);
+        server.configureBlocking(false);
+        this.acceptKey = server.register(selector, SelectionKey.OP_ACCEPT);
+        this.thread = new Thread(this::run, "callers-accept");
+        thread.setDaemon(true);
+    }
+
+    /** Binds the address and starts accepting. */
+    static CallerAcceptor open(HostPort address, Parts parts) throws IOException {
+        CallerAcceptor acceptor = new CallerAcceptor(address, parts);
+        acceptor.thread.start();
+        return acceptor;
+    }
+
+    private void released() {
+        served.decrementAndGet();
+        if (full) {
+            selector.wakeup();
+        }
+    }
+
+    private void run() {
+        lastRoundMs = parts.clockMs().getAsLong();
+        while (!closed) {
+            try {
+                selector.select(isIdle() ? 0 : CHECK_MS);
+                round(parts.clockMs().getAsLong());
+            } catch (IOException | RuntimeException e) {
+                // Accepting must not end with one fault, and a fault that repeats must not use the processor.
+                LOG.error("accept_round_failed", "reason", String.valueOf(e));
+                acceptNotBeforeMs = parts.clockMs().getAsLong() + FAILURE_PAUSE_MS;
+                acceptKey.interestOps(0);
+            }
+        }
+        closeAll();
+    }
+
+    private boolean isIdle() {
+        return waiting.isEmpty()
+                && handedOver.isEmpty()
+                && turnedAway.isEmpty()
+                && parts.report().isEmpty()
+                && acceptNotBeforeMs == 0;
+    }
+
+    private void round(long nowMs) {
+        runningMs += Math.min(MAX_ROUND_MS, Math.max(0, nowMs - lastRoundMs));
+        lastRoundMs = nowMs;
+        boolean acceptable = proceedReady(nowMs);
+        serveWaiting(nowMs);
+        if (acceptable) {
+            acceptAll(nowMs);
+        }
+        turnAwayExpired(nowMs);
+        removeEnded(nowMs);
+        parts.report().flushIfDue(nowMs);
+        updateInterest(nowMs);
+    }
+
+    /** Returns whether connections wait to be accepted. */
+    private boolean proceedReady(long nowMs) {
+        boolean acceptable = false;
+        for (SelectionKey key : selector.selectedKeys()) {
+            if (key.attachment() instanceof TurnedAwayConnection connection) {
+                connection.proceed(nowMs);
+            } else {
+                acceptable = true;
+            }
+        }
+        selector.selectedKeys().clear();
+        return acceptable;
+    }
+
+    private void serveWaiting(long nowMs) {
+        while (!waiting.isEmpty() && parts.mayAccept().getAsBoolean() && handOvers.take(nowMs)) {
+            serve(waiting.removeFirst());
+        }
+    }
+
+    private void acceptAll(long nowMs) {
+        try {
+            while (hasRoom()) {
+                SocketChannel channel = server.accept();
+                if (channel == null) {
+                    return;
+                }
+                accepted(channel, nowMs);
+            }
+        } catch (IOException e) {
+            LOG.warn("accept_failed", "reason", String.valueOf(e.getMessage()));
+            acceptNotBeforeMs = nowMs + FAILURE_PAUSE_MS;
+        }
+    }
+
+    private void accepted(SocketChannel channel, long nowMs) {
+        try {
+            channel.configureBlocking(false);
+            channel.setOption(StandardSocketOptions.TCP_NODELAY, true);
+        } catch (IOException e) {
+            IoUtils.safeClose(channel);
+            return;
+        }
+        Waiting connection = new Waiting(channel, nowMs, runningMs, new AtomicBoolean());
+        if (waiting.isEmpty() && parts.mayAccept().getAsBoolean()) {
+            serve(connection);
+        } else {
+            waiting.addLast(connection);
+        }
+    }
+
+    private boolean hasRoom() {
+        int held = waiting.size() + turnedAway.size();
+        return waiting.size() < MAX_WAITING && served.get() + held < parts.maxConnections();
+    }
+
+    private void serve(Waiting connection) {
+        served.incrementAndGet();
+        handedOver.addLast(connection);
+        parts.server().serve(connection.channel(), connection::take, this::released);
+    }
+
+    private void turnAwayExpired(long nowMs) {
+        handedOver.removeIf(connection -> connection.taken().get());
+        turnAwayExpired(waiting, nowMs);
+        int untaken = handedOver.size();
+        turnAwayExpired(handedOver, nowMs);
+        served.addAndGet(handedOver.size() - untaken);
+    }
+
+    private void turnAwayExpired(Deque<Waiting> line, long nowMs) {
+        while (!line.isEmpty() && turnedAway.size() < MAX_TURNED_AWAY) {
+            Waiting oldest = line.getFirst();
+            if (runningMs - oldest.acceptedRunningMs() < MAX_WAIT_MS || !rejections.take(nowMs)) {
+                return;
+            }
+            if (!oldest.take()) {
+                return; // its I/O thread has taken it just now; it is removed in the next round
+            }
+            line.removeFirst();
+            TurnedAwayConnection connection =
+                    new TurnedAwayConnection(oldest.channel(), parts.responses(), input, nowMs);
+            connection.begin(selector, nowMs);
+            turnedAway.add(new TurnedAway(connection, nowMs - oldest.acceptedMs()));
+        }
+    }
+
+    private void removeEnded(long nowMs) {
+        turnedAway.removeIf(entry -> {
+            TurnedAwayConnection connection = entry.connection();
+            connection.checkTime(nowMs);
+            if (!connection.hasEnded()) {
+                return false;
+            }
+            if (connection.state() == TurnedAwayConnection.State.SILENT) {
+                serve(new Waiting(connection.channel(), nowMs, runningMs, new AtomicBoolean()));
+            } else {
+                boolean told = connection.state() == TurnedAwayConnection.State.REJECTED;
+                parts.report().add(told, entry.waitMs());
+            }
+            return true;
+        });
+    }
+
+    /** Stops looking for connections that could not be accepted, which would make each selection return at once. */
+    private void updateInterest(long nowMs) {
+        full = true;
+        if (nowMs < acceptNotBeforeMs || !hasRoom()) {
+            acceptKey.interestOps(0);
+            return;
+        }
+        full = false;
+        acceptNotBeforeMs = 0;
+        acceptKey.interestOps(SelectionKey.OP_ACCEPT);
+    }
+
+    private void closeAll() {
+        IoUtils.safeClose(server);
+        waiting.forEach(entry -> IoUtils.safeClose(entry.channel()));
+        handedOver.stream().filter(Waiting::take).forEach(entry -> IoUtils.safeClose(entry.channel()));
+        turnedAway.forEach(entry -> entry.connection().close());
+        IoUtils.safeClose(selector);
+        parts.report().flush();
+    }
+
+    /** Stops accepting and closes the connections that were not handed over. */
+    @Override
+    public void close() {
+        closed = true;
+        selector.wakeup();
+        try {
+            thread.join(CLOSE_TIMEOUT_MS);
+        } catch (InterruptedException e) {
+            Thread.currentThread().interrupt();
+        }
+    }
+}
--- a/daemon/src/main/java/org/marjoramswitch/daemon/caller/ForwardServer.java
+++ b/daemon/src/main/java/org/marjoramswitch/daemon/caller/ForwardServer.java
@@ -100,7 +100,7 @@
                 callerMetrics);
         Undertow undertow = listeners(parts, worker, gate == null ? forward : null);
         undertow.start();
-        PacedListener paced = gate == null ? null : pacedListener(parts, worker, forward, gate, lag);
+        PacedListener paced = gate == null ? null : pacedListener(parts, worker, forward, gate, lag, metrics);
         ForwardServer server = new ForwardServer(undertow, lag, rejectionLog, gate, paced);
         server.applyLimits(CallerLimits.DEFAULT);
         return server;
@@ -130,14 +130,25 @@
     }
 
     private static PacedListener pacedListener(
-            Parts parts, XnioWorker worker, HttpHandler forward, AdmissionGate gate, LagProbe lag) {
+            Parts parts,
+            XnioWorker worker,
+            HttpHandler forward,
+            AdmissionGate gate,
+            LagProbe lag,
+            MetricRegistry metrics) {
         return PacedListener.open(
                 worker,
                 parts.callers(),
                 forward,
                 new DefaultByteBufferPool(true, BUFFER_BYTES),
-                parts.options().maxConnections(),
-                () -> gate.mayAccept(lag.overdueMs()));
+                server -> new CallerAcceptor.Parts(
+                        parts.options().maxConnections(),
+                        parts.admission().processorMillicores(),
+                        () -> gate.mayAccept(lag.overdueMs()),
+                        server,
+                        TurnedAwayResponses.create(parts.decoder()),
+                        TurnedAwayReport.create(metrics, gate::turnedAway),
+                        parts.clockMs()));
     }
 
     private static List<XnioIoThread> ioThreads(XnioWorker worker) {
--- a/daemon/src/main/java/org/marjoramswitch/daemon/caller/PacedListener.java
+++ b/daemon/src/main/java/org/marjoramswitch/daemon/caller/PacedListener.java
@@ -6,88 +6,54 @@
 import io.undertow.server.protocol.http.HttpOpenListener;
 import java.io.IOException;
 import java.io.UncheckedIOException;
-import java.net.InetSocketAddress;
+import java.nio.channels.SocketChannel;
 import java.util.concurrent.RejectedExecutionException;
-import java.util.concurrent.TimeUnit;
-import java.util.concurrent.atomic.AtomicBoolean;
 import java.util.function.BooleanSupplier;
 import org.marjoramswitch.daemon.log.KeyValueLog;
 import org.marjoramswitch.daemon.settings.HostPort;
-import org.xnio.ChannelListener;
-import org.xnio.ChannelListeners;
 import org.xnio.IoUtils;
 import org.xnio.OptionMap;
-import org.xnio.Options;
 import org.xnio.StreamConnection;
+import org.xnio.XnioIoThread;
 import org.xnio.XnioWorker;
-import org.xnio.channels.AcceptingChannel;
+import org.xnio.nio.AcceptedSocket;
 
 /**
- * A listening address whose connections are accepted only while the instance may accept them. Undertow's own listeners
- * cannot pause without closing the open connections.
- *
- * <p>Connections that are not accepted wait in the listen queue of the operating system, where they cost nothing. The
- * queue is short, so that those in it are accepted before their callers abandon them; further ones are not established.
+ * A listening address of an instance that may become overloaded: {@link CallerAcceptor} accepts its connections, and
+ * Undertow serves those that are not turned away. Undertow's own listeners hand each connection to an I/O thread, which
+ * answers nobody while it is behind.
  */
 final class PacedListener implements AutoCloseable {
     private static final KeyValueLog LOG = KeyValueLog.of(PacedListener.class);
-    /**
-     * At 200 accepts per second, the last one waits for a third of a second; callers abandon a request after a second or a
-     * third of their remaining time.
-     */
-    private static final int BACKLOG = 64;
 
-    private static final long CHECK_MS = 5;
-
-    private final BooleanSupplier mayAccept;
-    private final AtomicBoolean paused = new AtomicBoolean();
+    private final XnioWorker worker;
     private final HttpOpenListener connections;
-    private final AcceptingChannel<StreamConnection> channel;
+    private final CallerAcceptor acceptor;
 
-    private PacedListener(
-            XnioWorker worker, HostPort address, HttpOpenListener connections, int max, BooleanSupplier mayAccept)
+    private PacedListener(XnioWorker worker, HostPort address, HttpOpenListener connections, AcceptorParts parts)
             throws IOException {
-        this.mayAccept = mayAccept;
+        this.worker = worker;
         this.connections = connections;
-        ChannelListener<AcceptingChannel<StreamConnection>> opened = ChannelListeners.openListenerAdapter(connections);
-        this.channel = worker.createStreamConnectionServer(
-                new InetSocketAddress(address.host(), address.port()),
-                acceptable -> {
-                    pauseIfNeeded(worker);
-                    // Connections that the worker has accepted already must be handled, or it offers them again at
-                    // once.
-                    opened.handleEvent(acceptable);
-                },
-                OptionMap.builder()
-                        .set(Options.TCP_NODELAY, true)
-                        .set(Options.REUSE_ADDRESSES, true)
-                        .set(Options.BACKLOG, BACKLOG)
-                        .set(Options.CONNECTION_HIGH_WATER, max)
-                        .set(Options.CONNECTION_LOW_WATER, max)
-                        .getMap());
+        this.acceptor = CallerAcceptor.open(address, parts.with(this::serve));
+    }
+
+    /** Makes the acceptor's dependencies from the function that serves a connection. */
+    interface AcceptorParts {
+        CallerAcceptor.Parts with(CallerAcceptor.Server server);
     }
 
     /**
      * Binds the address and starts accepting.
      *
-     * @param maxConnections maximum number of open connections
-     * @param mayAccept whether a connection may be accepted now
      * @throws UncheckedIOException if the address cannot be bound
      */
     static PacedListener open(
-            XnioWorker worker,
-            HostPort address,
-            HttpHandler handler,
-            ByteBufferPool buffers,
-            int maxConnections,
-            BooleanSupplier mayAccept) {
+            XnioWorker worker, HostPort address, HttpHandler handler, ByteBufferPool buffers, AcceptorParts parts) {
         HttpOpenListener connections =
                 new HttpOpenListener(buffers, OptionMap.create(UndertowOptions.BUFFER_PIPELINED_DATA, true));
         connections.setRootHandler(handler);
         try {
-            PacedListener listener = new PacedListener(worker, address, connections, maxConnections, mayAccept);
-            listener.channel.resumeAccepts();
-            return listener;
+            return new PacedListener(worker, address, connections, parts);
         } catch (IOException e) {
             throw new UncheckedIOException(e);
         }
@@ -98,37 +64,43 @@
         connections.setUndertowOptions(options);
     }
 
-    private void pauseIfNeeded(XnioWorker worker) {
-        if (!mayAccept.getAsBoolean() && paused.compareAndSet(false, true)) {
-            channel.suspendAccepts();
-            checkLater(worker);
-        }
-    }
-
-    private void checkLater(XnioWorker worker) {
+    private void serve(SocketChannel channel, BooleanSupplier take, Runnable onClosed) {
+        XnioIoThread thread = worker.getIoThread();
         try {
-            worker.getIoThread().executeAfter(() -> check(worker), CHECK_MS, TimeUnit.MILLISECONDS);
+            thread.execute(() -> {
+                if (take.getAsBoolean()) {
+                    open(thread, channel, onClosed);
+                }
+            });
         } catch (RejectedExecutionException e) {
-            LOG.debug("accept_pause_closed_late", "reason", String.valueOf(e.getMessage()));
+            LOG.debug("connection_after_close", "reason", String.valueOf(e.getMessage()));
+            if (take.getAsBoolean()) {
+                close(channel, onClosed);
+            }
         }
     }
 
-    private void check(XnioWorker worker) {
-        if (!channel.isOpen()) {
+    private void open(XnioIoThread thread, SocketChannel channel, Runnable onClosed) {
+        StreamConnection connection;
+        try {
+            connection = AcceptedSocket.toConnection(thread, channel, onClosed);
+        } catch (IOException | RuntimeException e) {
+            LOG.debug("connection_not_opened", "reason", String.valueOf(e));
+            close(channel, onClosed);
             return;
         }
-        if (mayAccept.getAsBoolean()) {
-            paused.set(false);
-            channel.resumeAccepts();
-        } else {
-            checkLater(worker);
-        }
+        connections.handleEvent(connection);
+    }
+
+    private static void close(SocketChannel channel, Runnable onClosed) {
+        IoUtils.safeClose(channel);
+        onClosed.run();
     }
 
     /** Stops accepting and closes the connections. */
     @Override
     public void close() {
-        IoUtils.safeClose(channel);
+        acceptor.close();
         connections.closeConnections();
     }
 }
--- a/daemon/src/test/java/org/marjoramswitch/daemon/caller/TurnedAwayCallersTest.java
+++ b/daemon/src/test/java/org/marjoramswitch/daemon/caller/TurnedAwayCallersTest.java
@@ -1,5 +1,6 @@
 package org.marjoramswitch.daemon.caller;
 
+import static org.junit.jupiter.api.Assertions.assertEquals;
 import static org.junit.jupiter.api.Assertions.assertTrue;
 
 import com.codahale.metrics.MetricRegistry;
@@ -15,6 +16,7 @@
 import java.util.List;
 import java.util.Map;
 import java.util.concurrent.CountDownLatch;
+import java.util.concurrent.atomic.AtomicLong;
 import org.jspecify.annotations.Nullable;
 import org.junit.jupiter.api.AfterEach;
 import org.junit.jupiter.api.BeforeEach;
@@ -40,6 +42,9 @@
             "POST /any/ HTTP/1.1\r\nHost: h.example\r\nContent-Length: " + BODY.length() + "\r\n\r\n" + BODY;
 
     private final MetricRegistry metrics = new MetricRegistry();
+    /** Time by which the instance's clock is ahead, as after a pause of the process. */
+    private final AtomicLong skippedMs = new AtomicLong();
+
     private final CountDownLatch caughtUp = new CountDownLatch(1);
     private final List<Socket> open = new ArrayList<>();
     private XnioWorker worker;
@@ -62,7 +67,7 @@
                         () -> RoutedSettings.NONE,
                         () -> false,
                         () -> 0,
-                        () -> System.nanoTime() / 1_000_000,
+                        () -> System.nanoTime() / 1_000_000 + skippedMs.get(),
                         AdmissionOptions.of(360, rejected -> {})),
                 worker,
                 metrics);
@@ -99,10 +104,73 @@
         awaitServed();
     }
 
+    /** Guards against requests that were turned away and are counted or told nowhere. */
+    @Test
+    void turnedAwayCallersAreCounted() throws IOException {
+        holdUp();
+        for (int i = 0; i < 5; i++) {
+            assertTrue(response(send(REQUEST)).startsWith("HTTP/1.1 503 "));
+        }
+        awaitCount("caller.turned_away", 5);
+    }
+
+    /** Guards against a reset that discards the rejection while its caller still sends the request's body. */
+    @Test
+    void callerThatStillSendsItsBodyReadsTheRejection() throws IOException {
+        holdUp();
+        Socket caller = send("POST /any/ HTTP/1.1\r\nHost: h.example\r\nContent-Length: 5000000\r\n\r\nab");
+        for (int i = 0; i < 50; i++) {
+            caller.getOutputStream().write(BODY.getBytes(StandardCharsets.ISO_8859_1));
+        }
+        assertTrue(response(caller).startsWith("HTTP/1.1 503 "));
+        caller.getOutputStream().write(BODY.getBytes(StandardCharsets.ISO_8859_1));
+        assertEquals(-1, caller.getInputStream().read());
+    }
+
+    /** Guards against a response to a request that was not sent, which its caller would take for that of a later one. */
+    @Test
+    void callerThatHasSentNothingIsNotAnswered() throws IOException {
+        holdUp();
+        Socket silent = send("");
+        for (int i = 0; i < 10; i++) {
+            assertTrue(response(send(REQUEST)).startsWith("HTTP/1.1 503 "));
+        }
+        assertEquals(0, silent.getInputStream().available());
+        caughtUp.countDown();
+        awaitServed();
+        silent.getOutputStream().write(REQUEST.getBytes(StandardCharsets.ISO_8859_1));
+        assertTrue(response(silent).startsWith("HTTP/1.1 503 "));
+    }
+
+    /** Guards against a body after the response to HEAD, which has none. */
+    @Test
+    void rejectionOfHeadHasNoBody() throws IOException {
+        holdUp();
+        String response = response(send("HEAD /any/ HTTP/1.1\r\nHost: h.example\r\n\r\n"));
+        assertTrue(response.startsWith("HTTP/1.1 503 "), response);
+        assertTrue(response.endsWith("\r\n\r\n (closed)"), response);
+    }
+
+    /** Guards against callers that are turned away because the whole process paused, after which nobody is behind. */
+    @Test
+    void pauseOfTheProcessTurnsNobodyAway() throws IOException {
+        CountDownLatch resumed = new CountDownLatch(1);
+        holdUp(resumed);
+        skippedMs.set(60_000);
+        Socket caller = send(REQUEST);
+        resumed.countDown();
+        assertTrue(response(caller).contains("not-ready"));
+        assertEquals(0, metrics.meter("caller.turned_away").getCount());
+    }
+
     private void holdUp() {
+        holdUp(caughtUp);
+    }
+
+    private void holdUp(CountDownLatch until) {
         worker.getIoThread(0).execute(() -> {
             try {
-                caughtUp.await();
+                until.await();
             } catch (InterruptedException e) {
                 Thread.currentThread().interrupt();
             }
@@ -116,6 +184,12 @@
         }
     }
 
+    private void awaitCount(String meter, long count) {
+        while (metrics.meter(meter).getCount() < count) {
+            Thread.onSpinWait();
+        }
+    }
+
     private Socket send(String request) throws IOException {
         Socket socket = new Socket();
         open.add(socket);
