A single delay turns no caller away before an overload is known

What callers could see: after 100 ms with an I/O thread that is late once, as during its first requests, a connection was turned away although nobody is overloaded; admission control ignores a single late sample.

Change: a connection waits for 200 ms as long as the instance does not reject (a single delay that PersistentLagDetector ignores is shorter), and for 100 ms while it does. An incomplete head is answered after half a second, so that its caller has the response before it gives up after a second.

--- a/daemon/src/main/java/org/marjoramswitch/daemon/caller/AdmissionGate.java
+++ b/daemon/src/main/java/org/marjoramswitch/daemon/caller/AdmissionGate.java
@@ -19,6 +19,11 @@
 final class AdmissionGate implements LagProbe.Listener {
     private static final KeyValueLog LOG = KeyValueLog.of(AdmissionGate.class);
 
+    /** Longer than a single delay that {@link PersistentLagDetector} ignores. */
+    private static final long MAX_WAIT_MS = 200;
+    /** While the overload is known, a wait only delays the retry; longer than the lag that stops accepts (40 ms). */
+    private static final long MAX_WAIT_SHEDDING_MS = 100;
+
     private final InstanceAdmission admission;
     private final Consumer<List<CustomerTokens>> rejectedDemand;
     private final LongSupplier clockMs;
@@ -115,6 +120,11 @@
         return admission.mayAccept(lagMs, clockMs.getAsLong());
     }
 
+    /** How long a connection may wait unread before it is turned away. */
+    synchronized long maxWaitMs() {
+        return admission.isShedding() ? MAX_WAIT_SHEDDING_MS : MAX_WAIT_MS;
+    }
+
     /** See {@link InstanceAdmission#headroomPercent}. */
     synchronized int headroomPercent() {
         return admission.headroomPercent(clockMs.getAsLong());
--- a/daemon/src/main/java/org/marjoramswitch/daemon/caller/CallerAcceptor.java
+++ b/daemon/src/main/java/org/marjoramswitch/daemon/caller/CallerAcceptor.java
@@ -26,7 +26,7 @@
  *
  * <p>While the instance may accept, a connection is handed over at once. Otherwise it waits, unread, in the order of
  * accepts: it is handed over as soon as the instance may accept again, and turned away with a prepared response by {@link
- * TurnedAwayConnection} once it has waited for {@link #MAX_WAIT_MS}. The wait keeps a short pause, such as a garbage
+ * TurnedAwayConnection} once it has waited for {@link AdmissionGate#maxWaitMs}. The wait keeps a short pause, such as a garbage
  * collection, from turning anyone away. A connection that was handed over, but that its I/O thread has not taken within the
  * same time, is taken back and turned away as well.
  *
@@ -39,8 +39,6 @@
     private static final int BACKLOG = 1_000;
 
     private static final long CHECK_MS = 5;
-    /** Longer than the lag from which on nothing is accepted (40 ms), and a tenth of a caller's patience. */
-    private static final long MAX_WAIT_MS = 100;
     /** A longer time between two rounds is a pause of this thread as well, which says nothing of the I/O threads. */
     private static final long MAX_ROUND_MS = 25;
     /** Each may hold some kilobytes of its request in the operating system. */
@@ -49,10 +47,10 @@
     private static final int MAX_TURNED_AWAY = 256;
     /** Processor time of a rejection by an I/O thread with its accept, the least that a hand-over leads to. */
     private static final double HAND_OVER_US = 450;
-    /** Processor time of a rejection here: 60 to 100 µs in OverloadAnswers. */
-    private static final double REJECTION_US = 100;
+    /** Processor time of a rejection here, 90 to 150 µs in OverloadAnswers on loaded machines. */
+    private static final double REJECTION_US = 125;
     /** The part of the processor for rejections; the rest is for requests that are served. */
-    private static final double REJECTION_SHARE = 0.25;
+    private static final double REJECTION_SHARE = 0.3;
 
     private static final double BURST_MS = 20;
     private static final int INPUT_BYTES = 16 << 10;
@@ -98,11 +96,13 @@
      * @param maxConnections maximum number of open connections
      * @param processorMillicores the instance's processor limit
      * @param mayAccept whether a connection may be served now
+     * @param maxWaitMs how long a connection may wait to be served before it is turned away
      */
     record Parts(
             int maxConnections,
             int processorMillicores,
             BooleanSupplier mayAccept,
+            LongSupplier maxWaitMs,
             Server server,
             TurnedAwayResponses responses,
             TurnedAwayReport report,
@@ -254,9 +254,10 @@
     }
 
     private void turnAwayExpired(Deque<Waiting> line, long nowMs) {
+        long maxWaitMs = line.isEmpty() ? 0 : parts.maxWaitMs().getAsLong();
         while (!line.isEmpty() && turnedAway.size() < MAX_TURNED_AWAY) {
             Waiting oldest = line.getFirst();
-            if (runningMs - oldest.acceptedRunningMs() < MAX_WAIT_MS || !rejections.take(nowMs)) {
+            if (runningMs - oldest.acceptedRunningMs() < maxWaitMs || !rejections.take(nowMs)) {
                 return;
             }
             if (!oldest.take()) {
--- a/daemon/src/main/java/org/marjoramswitch/daemon/caller/ForwardServer.java
+++ b/daemon/src/main/java/org/marjoramswitch/daemon/caller/ForwardServer.java
@@ -145,6 +145,7 @@
                         parts.options().maxConnections(),
                         parts.admission().processorMillicores(),
                         () -> gate.mayAccept(lag.overdueMs()),
+                        gate::maxWaitMs,
                         server,
                         TurnedAwayResponses.create(parts.decoder()),
                         TurnedAwayReport.create(metrics, gate::turnedAway),
--- a/daemon/src/main/java/org/marjoramswitch/daemon/caller/TurnedAwayConnection.java
+++ b/daemon/src/main/java/org/marjoramswitch/daemon/caller/TurnedAwayConnection.java
@@ -19,8 +19,8 @@
 final class TurnedAwayConnection {
     /** Waiting longer for the first byte would keep the place of a caller that has sent one. */
     private static final long FIRST_BYTE_MS = 250;
-    /** Callers abandon a request that was not read after a second, so a head that is still incomplete is answered then. */
-    private static final long HEAD_MS = 1_000;
+    /** Callers abandon a request that was not read after a second, so a head that is still incomplete is answered before. */
+    private static final long HEAD_MS = 500;
 
     private static final long LINGER_MS = 1_000;
     private static final int MAX_HEAD_BYTES = 64 << 10;
--- a/daemon/src/test/java/org/marjoramswitch/daemon/caller/AdmissionGateTest.java
+++ b/daemon/src/test/java/org/marjoramswitch/daemon/caller/AdmissionGateTest.java
@@ -43,6 +43,17 @@
         assertEquals(List.of(new CustomerTokens(PoolId.of("p"), CustomerId.of("a"), 5_000)), reported);
     }
 
+    /** Guards against callers that are turned away because of a single delay, before an overload is known. */
+    @Test
+    void connectionsMayWaitLongerBeforeAnOverloadIsKnown() {
+        assertEquals(200, gate.maxWaitMs());
+        for (int i = 0; i < 100; i++) {
+            nowMs += 20;
+            gate.lagSampled(100);
+        }
+        assertEquals(100, gate.maxWaitMs());
+    }
+
     /** Guards against changing the decisions of instances that are large or whose processor is not stated. */
     @Test
     void onlySmallStatedProcessorsAreControlled() {
