--- a/daemon/src/main/java/org/marjoramswitch/daemon/caller/ForwardServer.java
+++ b/daemon/src/main/java/org/marjoramswitch/daemon/caller/ForwardServer.java
@@ -105,8 +105,7 @@
                 parts.clockMs(),
                 callerMetrics);
         RecentLimits limits = RecentLimits.unknown();
-        List<AutoCloseable> listeners =
-                listeners(parts, worker, limits, ConnectionEnds.of(metrics), forward, gate, lag);
+        List<AutoCloseable> listeners = listeners(parts, worker, limits, forward, gate, lag, metrics);
         return new ForwardServer(listeners, limits, parts.clockMs(), lag, rejectionLog, gate);
     }
 
@@ -122,12 +121,13 @@
             Parts parts,
             XnioWorker worker,
             RecentLimits limits,
-            ConnectionEnds ends,
             HttpHandler forward,
             @Nullable AdmissionGate gate,
-            LagProbe lag) {
+            LagProbe lag,
+            MetricRegistry metrics) {
         ByteBufferPool buffers = new DefaultByteBufferPool(true, BUFFER_BYTES);
-        CallerConnections connections = CallerConnections.of(worker, limits, parts.clockMs(), ends);
+        CallerConnections connections =
+                CallerConnections.of(worker, limits, parts.clockMs(), ConnectionEnds.of(metrics));
         OptionMap options = OptionMap.create(UndertowOptions.DECODE_URL, false);
         OptionMap otherOptions = OptionMap.builder()
                 .addAll(options)
@@ -141,7 +141,10 @@
                     gate == null
                             ? HttpListener.open(worker, parts.callers(), callers, max)
                             : PacedListener.open(
-                                    worker, parts.callers(), callers, max, () -> gate.mayAccept(lag.overdueMs())));
+                                    worker,
+                                    parts.callers(),
+                                    callers,
+                                    server -> acceptorParts(parts, gate, lag, metrics, server)));
             parts.others()
                     .forEach((address, handler) -> opened.add(HttpListener.open(
                             worker, address, connections.serve(buffers, otherOptions, handler), max)));
@@ -152,6 +155,19 @@
         }
     }
 
+    private static CallerAcceptor.Parts acceptorParts(
+            Parts parts, AdmissionGate gate, LagProbe lag, MetricRegistry metrics, CallerAcceptor.Server server) {
+        return new CallerAcceptor.Parts(
+                parts.options().maxConnections(),
+                parts.admission().processorMillicores(),
+                () -> gate.mayAccept(lag.overdueMs()),
+                gate::maxWaitMs,
+                server,
+                TurnedAwayResponses.create(parts.decoder()),
+                TurnedAwayReport.create(metrics, gate::turnedAway),
+                parts.clockMs());
+    }
+
     private static List<XnioIoThread> ioThreads(XnioWorker worker) {
         return IntStream.range(0, worker.getIoThreadCount())
                 .mapToObj(worker::getIoThread)
--- a/daemon/src/test/java/org/marjoramswitch/daemon/caller/AdmissionGateTest.java
+++ b/daemon/src/test/java/org/marjoramswitch/daemon/caller/AdmissionGateTest.java
@@ -35,6 +35,25 @@
         assertFalse(gate.mayAccept(100));
     }
 
+    /** Guards against demand that the arbiters do not learn of because its requests were turned away unread. */
+    @Test
+    void requestsThatWereTurnedAwayUnreadAreReported() {
+        gate.admit(new AdmissionRequest(CustomerId.of("a"), PoolId.of("p"), "r", 100, 600, 800, 6_000));
+        gate.turnedAway(50);
+        assertEquals(List.of(new CustomerTokens(PoolId.of("p"), CustomerId.of("a"), 5_000)), reported);
+    }
+
+    /** Guards against callers that are turned away because of a single delay, before an overload is known. */
+    @Test
+    void connectionsMayWaitLongerBeforeAnOverloadIsKnown() {
+        assertEquals(200, gate.maxWaitMs());
+        for (int i = 0; i < 100; i++) {
+            nowMs += 20;
+            gate.lagSampled(100);
+        }
+        assertEquals(100, gate.maxWaitMs());
+    }
+
     /** Guards against changing the decisions of instances that are large or whose processor is not stated. */
     @Test
     void onlySmallStatedProcessorsAreControlled() {
