Guard the state of a connection against an end that is noticed late

The end of an exchange that another thread reports is queued for the I/O thread; it must not make a connection idle whose next request has begun. A connection that is found overdue together with others must not be judged once it has left its phase. Neither was seen; both follow from reading the code.

--- a/daemon/src/main/java/org/marjoramswitch/daemon/caller/CallerConnection.java
+++ b/daemon/src/main/java/org/marjoramswitch/daemon/caller/CallerConnection.java
@@ -145,8 +145,8 @@
     }
 
     private void exchangeEnded(HttpServerExchange ended) {
-        if (!ended.isPersistent() || !channel.isOpen()) {
-            return; // Undertow closes the connection
+        if (exchange != ended || !ended.isPersistent() || !channel.isOpen()) {
+            return; // the next request has begun, or Undertow closes the connection
         }
         exchange = null;
         deliveredBytes = 0;
@@ -160,6 +160,9 @@
      * the process, a timer comes before the bytes that have arrived, so the socket is read first.
      */
     void closeUnlessReceived() {
+        if (phase != Phase.IDLE && phase != Phase.HEAD) {
+            return;
+        }
         Phase overdue = phase;
         long overdueSinceMs = sinceMs;
         ConduitStreamSourceChannel source = channel.getSourceChannel();
