--- a/daemon/src/main/java/org/marjoramswitch/daemon/caller/AdmissionGate.java
+++ b/daemon/src/main/java/org/marjoramswitch/daemon/caller/AdmissionGate.java
@@ -69,12 +69,12 @@
         return result;
     }
 
-    /** Reports requests that were turned away unread as demand. */
-    void turnedAway(long requests) {
+    /** Reports requests that were rejected unread as demand. */
+    void rejectedUnread(long requests) {
         long nowMs = clockMs.getAsLong();
         List<CustomerTokens> due;
         synchronized (this) {
-            admission.turnedAway(requests, nowMs);
+            admission.rejectedUnread(requests, nowMs);
             due = admission.takeRejectedDemand(nowMs);
         }
         if (!due.isEmpty()) {
@@ -120,7 +120,7 @@
         return admission.mayAccept(lagMs, clockMs.getAsLong());
     }
 
-    /** How long a connection may wait unread before it is turned away. */
+    /** How long a connection may wait unread before it is rejected. */
     synchronized long maxWaitMs() {
         return admission.isShedding() ? MAX_WAIT_SHEDDING_MS : MAX_WAIT_MS;
     }
--- a/daemon/src/main/java/org/marjoramswitch/daemon/caller/CallerAcceptor.java
+++ b/daemon/src/main/java/org/marjoramswitch/daemon/caller/CallerAcceptor.java
@@ -21,14 +21,14 @@
 import org.xnio.IoUtils;
 
 /**
- * Accepts connections on a thread of its own, and either hands them over to be served or turns them away, so that callers
+ * Accepts connections on a thread of its own, and either hands them over to be served or rejects them, so that callers
  * of an instance whose I/O threads are behind are told when to return.
  *
  * <p>While the instance may accept, a connection is handed over at once. Otherwise it waits, unread, in the order of
- * accepts: it is handed over as soon as the instance may accept again, and turned away with a prepared response by {@link
- * TurnedAwayConnection} once it has waited for {@link AdmissionGate#maxWaitMs}. The wait keeps a short pause, such as a garbage
- * collection, from turning anyone away. A connection that was handed over, but that its I/O thread has not taken within the
- * same time, is taken back and turned away as well.
+ * accepts: it is handed over as soon as the instance may accept again, and rejected with a prepared response by {@link
+ * RejectedConnection} once it has waited for {@link AdmissionGate#maxWaitMs}. The wait keeps a short pause, such as a garbage
+ * collection, from rejecting anyone. A connection that was handed over, but that its I/O thread has not taken within the
+ * same time, is taken back and rejected as well.
  *
  * <p>Both hand-overs of connections that waited and rejections are limited by parts of the processor. What exceeds the
  * limits, or the bounds of connections, waits in the listen queue of the operating system.
@@ -44,7 +44,7 @@
     /** Each may hold some kilobytes of its request in the operating system. */
     private static final int MAX_WAITING = 128;
 
-    private static final int MAX_TURNED_AWAY = 256;
+    private static final int MAX_REJECTING = 256;
     /** Processor time of a rejection by an I/O thread with its accept, the least that a hand-over leads to. */
     private static final double HAND_OVER_US = 450;
     /** Processor time of a rejection here, 90 to 150 µs in OverloadAnswers on loaded machines. */
@@ -67,7 +67,7 @@
     /** Connections that were handed over and may not have been taken yet, in the order of accepts. */
     private final Deque<Waiting> handedOver = new ArrayDeque<>();
 
-    private final List<TurnedAway> turnedAway = new ArrayList<>();
+    private final List<Rejection> rejecting = new ArrayList<>();
     private final RateLimit handOvers;
     private final RateLimit rejections;
     /** Connections that were handed over and are open. */
@@ -96,7 +96,7 @@
      * @param maxConnections maximum number of open connections
      * @param processorMillicores the instance's processor limit
      * @param mayAccept whether a connection may be served now
-     * @param maxWaitMs how long a connection may wait to be served before it is turned away
+     * @param maxWaitMs how long a connection may wait to be served before it is rejected
      */
     record Parts(
             int maxConnections,
@@ -104,18 +104,18 @@
             BooleanSupplier mayAccept,
             LongSupplier maxWaitMs,
             Server server,
-            TurnedAwayResponses responses,
-            TurnedAwayReport report,
+            PreparedRejections responses,
+            UnreadRejectionReport report,
             LongSupplier clockMs) {}
 
-    /** @param taken set by the thread that serves the connection or turns it away */
+    /** @param taken set by the thread that serves the connection or rejects it */
     private record Waiting(SocketChannel channel, long acceptedMs, long acceptedRunningMs, AtomicBoolean taken) {
         boolean take() {
             return taken.compareAndSet(false, true);
         }
     }
 
-    private record TurnedAway(TurnedAwayConnection connection, long waitMs) {}
+    private record Rejection(RejectedConnection connection, long waitMs) {}
 
     private CallerAcceptor(HostPort address, Parts parts) throws IOException {
         this.parts = parts;
@@ -164,7 +164,7 @@
     private boolean isIdle() {
         return waiting.isEmpty()
                 && handedOver.isEmpty()
-                && turnedAway.isEmpty()
+                && rejecting.isEmpty()
                 && parts.report().isEmpty()
                 && acceptNotBeforeMs == 0;
     }
@@ -177,7 +177,7 @@
         if (acceptable) {
             acceptAll(nowMs);
         }
-        turnAwayExpired(nowMs);
+        rejectExpired(nowMs);
         removeEnded(nowMs);
         parts.report().flushIfDue(nowMs);
         updateInterest(nowMs);
@@ -187,7 +187,7 @@
     private boolean proceedReady(long nowMs) {
         boolean acceptable = false;
         for (SelectionKey key : selector.selectedKeys()) {
-            if (key.attachment() instanceof TurnedAwayConnection connection) {
+            if (key.attachment() instanceof RejectedConnection connection) {
                 connection.proceed(nowMs);
             } else {
                 acceptable = true;
@@ -235,7 +235,7 @@
     }
 
     private boolean hasRoom() {
-        int held = waiting.size() + turnedAway.size();
+        int held = waiting.size() + rejecting.size();
         return waiting.size() < MAX_WAITING && served.get() + held < parts.maxConnections();
     }
 
@@ -245,17 +245,17 @@
         parts.server().serve(connection.channel(), connection::take, this::released);
     }
 
-    private void turnAwayExpired(long nowMs) {
+    private void rejectExpired(long nowMs) {
         handedOver.removeIf(connection -> connection.taken().get());
-        turnAwayExpired(waiting, nowMs);
+        rejectExpired(waiting, nowMs);
         int untaken = handedOver.size();
-        turnAwayExpired(handedOver, nowMs);
+        rejectExpired(handedOver, nowMs);
         served.addAndGet(handedOver.size() - untaken);
     }
 
-    private void turnAwayExpired(Deque<Waiting> line, long nowMs) {
+    private void rejectExpired(Deque<Waiting> line, long nowMs) {
         long maxWaitMs = line.isEmpty() ? 0 : parts.maxWaitMs().getAsLong();
-        while (!line.isEmpty() && turnedAway.size() < MAX_TURNED_AWAY) {
+        while (!line.isEmpty() && rejecting.size() < MAX_REJECTING) {
             Waiting oldest = line.getFirst();
             if (runningMs - oldest.acceptedRunningMs() < maxWaitMs || !rejections.take(nowMs)) {
                 return;
@@ -264,24 +264,23 @@
                 return; // its I/O thread has taken it just now; it is removed in the next round
             }
             line.removeFirst();
-            TurnedAwayConnection connection =
-                    new TurnedAwayConnection(oldest.channel(), parts.responses(), input, nowMs);
+            RejectedConnection connection = new RejectedConnection(oldest.channel(), parts.responses(), input, nowMs);
             connection.begin(selector, nowMs);
-            turnedAway.add(new TurnedAway(connection, nowMs - oldest.acceptedMs()));
+            rejecting.add(new Rejection(connection, nowMs - oldest.acceptedMs()));
         }
     }
 
     private void removeEnded(long nowMs) {
-        turnedAway.removeIf(entry -> {
-            TurnedAwayConnection connection = entry.connection();
+        rejecting.removeIf(entry -> {
+            RejectedConnection connection = entry.connection();
             connection.checkTime(nowMs);
             if (!connection.hasEnded()) {
                 return false;
             }
-            if (connection.state() == TurnedAwayConnection.State.SILENT) {
+            if (connection.state() == RejectedConnection.State.SILENT) {
                 serve(new Waiting(connection.channel(), nowMs, runningMs, new AtomicBoolean()));
             } else {
-                boolean told = connection.state() == TurnedAwayConnection.State.REJECTED;
+                boolean told = connection.state() == RejectedConnection.State.REJECTED;
                 parts.report().add(told, entry.waitMs());
             }
             return true;
@@ -304,7 +303,7 @@
         IoUtils.safeClose(server);
         waiting.forEach(entry -> IoUtils.safeClose(entry.channel()));
         handedOver.stream().filter(Waiting::take).forEach(entry -> IoUtils.safeClose(entry.channel()));
-        turnedAway.forEach(entry -> entry.connection().close());
+        rejecting.forEach(entry -> entry.connection().close());
         IoUtils.safeClose(selector);
         parts.report().flush();
     }
--- a/daemon/src/main/java/org/marjoramswitch/daemon/caller/ForwardServer.java
+++ b/daemon/src/main/java/org/marjoramswitch/daemon/caller/ForwardServer.java
@@ -163,8 +163,8 @@
                 () -> gate.mayAccept(lag.overdueMs()),
                 gate::maxWaitMs,
                 server,
-                TurnedAwayResponses.create(parts.decoder()),
-                TurnedAwayReport.create(metrics, gate::turnedAway),
+                PreparedRejections.create(parts.decoder()),
+                UnreadRejectionReport.create(metrics, gate::rejectedUnread),
                 parts.clockMs());
     }
 
--- a/daemon/src/main/java/org/marjoramswitch/daemon/caller/PacedListener.java
+++ b/daemon/src/main/java/org/marjoramswitch/daemon/caller/PacedListener.java
@@ -15,7 +15,7 @@
 
 /**
  * A listening address of an instance that may become overloaded: {@link CallerAcceptor} accepts its connections, and
- * Undertow serves those that are not turned away. Undertow's own listeners hand each connection to an I/O thread, which
+ * Undertow serves those that are not rejected. Undertow's own listeners hand each connection to an I/O thread, which
  * answers nobody while it is behind.
  */
 final class PacedListener implements AutoCloseable {
--- a/daemon/src/main/java/org/marjoramswitch/daemon/caller/TurnedAwayResponses.java
+++ b/daemon/src/main/java/org/marjoramswitch/daemon/caller/PreparedRejections.java
@@ -8,25 +8,25 @@
 import org.marjoramswitch.kernel.error.ErrorType;
 import org.marjoramswitch.kernel.error.Failure;
 
-/** The prepared responses to callers that are turned away. Not thread-safe. */
-final class TurnedAwayResponses {
+/** The prepared responses to callers that are rejected. Not thread-safe. */
+final class PreparedRejections {
     /**
-     * Longer than the wait after which a caller is turned away, so that an immediate retry does not find the same
+     * Longer than the wait after which a caller is rejected, so that an immediate retry does not find the same
      * overload, and short, because another instance can accept the request.
      */
     private static final long MIN_RETRY_AFTER_MS = 250;
 
     private static final long RETRY_STEP_MS = 25;
-    /** The delays differ, so that callers that were turned away together do not return together. */
+    /** The delays differ, so that callers that were rejected together do not return together. */
     private static final int STEPS = 11;
 
     private final List<Response> responses = new ArrayList<>();
     private int next;
 
-    private TurnedAwayResponses() {}
+    private PreparedRejections() {}
 
-    static TurnedAwayResponses create(CallDecoder decoder) {
-        TurnedAwayResponses result = new TurnedAwayResponses();
+    static PreparedRejections create(CallDecoder decoder) {
+        PreparedRejections result = new PreparedRejections();
         for (int step = 0; step < STEPS; step++) {
             result.responses.add(response(decoder, MIN_RETRY_AFTER_MS + step * RETRY_STEP_MS));
         }
--- a/daemon/src/main/java/org/marjoramswitch/daemon/caller/TurnedAwayConnection.java
+++ b/daemon/src/main/java/org/marjoramswitch/daemon/caller/RejectedConnection.java
@@ -16,7 +16,7 @@
  *
  * <p>Used by the thread of {@link CallerAcceptor} only.
  */
-final class TurnedAwayConnection {
+final class RejectedConnection {
     /** Waiting longer for the first byte would keep the place of a caller that has sent one. */
     private static final long FIRST_BYTE_MS = 250;
     /** Callers abandon a request that was not read after a second, so a head that is still incomplete is answered before. */
@@ -31,7 +31,7 @@
     private static final byte[] HEAD_END = {'\r', '\n', '\r', '\n'};
 
     private final SocketChannel channel;
-    private final TurnedAwayResponses responses;
+    private final PreparedRejections responses;
     private final ByteBuffer input;
     private @Nullable SelectionKey key;
     private @Nullable ByteBuffer response;
@@ -58,7 +58,7 @@
     }
 
     /** @param input a buffer of the thread, whose contents are not kept between two calls */
-    TurnedAwayConnection(SocketChannel channel, TurnedAwayResponses responses, ByteBuffer input, long nowMs) {
+    RejectedConnection(SocketChannel channel, PreparedRejections responses, ByteBuffer input, long nowMs) {
         this.channel = channel;
         this.responses = responses;
         this.input = input;
--- a/daemon/src/main/java/org/marjoramswitch/daemon/caller/TurnedAwayReport.java
+++ b/daemon/src/main/java/org/marjoramswitch/daemon/caller/UnreadRejectionReport.java
@@ -6,11 +6,11 @@
 import org.marjoramswitch.daemon.log.KeyValueLog;
 
 /**
- * Counts connections that were turned away, logs them as one event for each interval, and reports them as demand. Used by
+ * Counts connections that were rejected, logs them as one event for each interval, and reports them as demand. Used by
  * one thread; only the meters may be read by others.
  */
-final class TurnedAwayReport {
-    private static final KeyValueLog LOG = KeyValueLog.of(TurnedAwayReport.class);
+final class UnreadRejectionReport {
+    private static final KeyValueLog LOG = KeyValueLog.of(UnreadRejectionReport.class);
     private static final long INTERVAL_MS = 100;
 
     private final LongConsumer unreadDemand;
@@ -21,22 +21,22 @@
     private long maxWaitMs;
     private long reportedAtMs;
 
-    private TurnedAwayReport(MetricRegistry registry, LongConsumer unreadDemand) {
+    private UnreadRejectionReport(MetricRegistry registry, LongConsumer unreadDemand) {
         this.unreadDemand = unreadDemand;
-        this.rejectedMeter = registry.meter("caller.turned_away");
+        this.rejectedMeter = registry.meter("caller.connections_rejected");
         this.goneMeter = registry.meter("caller.gone_unread");
     }
 
     /** @param unreadDemand receives the number of requests that were not read */
-    static TurnedAwayReport create(MetricRegistry registry, LongConsumer unreadDemand) {
-        return new TurnedAwayReport(registry, unreadDemand);
+    static UnreadRejectionReport create(MetricRegistry registry, LongConsumer unreadDemand) {
+        return new UnreadRejectionReport(registry, unreadDemand);
     }
 
     /**
      * Counts a connection that was not served.
      *
      * @param told whether a rejection was written to it
-     * @param waitMs time from its accept until it was turned away
+     * @param waitMs time from its accept until it was rejected
      */
     void add(boolean told, long waitMs) {
         if (told) {
@@ -65,7 +65,7 @@
         if (isEmpty()) {
             return;
         }
-        LOG.info("connections_turned_away", "count", rejected, "goneUnread", gone, "maxWaitMs", maxWaitMs);
+        LOG.info("connections_rejected", "count", rejected, "goneUnread", gone, "maxWaitMs", maxWaitMs);
         unreadDemand.accept(rejected + gone);
         rejected = 0;
         gone = 0;
--- a/daemon/src/test/java/org/marjoramswitch/daemon/caller/AdmissionGateTest.java
+++ b/daemon/src/test/java/org/marjoramswitch/daemon/caller/AdmissionGateTest.java
@@ -35,15 +35,15 @@
         assertFalse(gate.mayAccept(100));
     }
 
-    /** Guards against demand that the arbiters do not learn of because its requests were turned away unread. */
+    /** Guards against demand that the arbiters do not learn of because its requests were rejected unread. */
     @Test
-    void requestsThatWereTurnedAwayUnreadAreReported() {
+    void requestsThatWereRejectedUnreadAreReported() {
         gate.admit(new AdmissionRequest(CustomerId.of("a"), PoolId.of("p"), "r", 100, 600, 800, 6_000));
-        gate.turnedAway(50);
+        gate.rejectedUnread(50);
         assertEquals(List.of(new CustomerTokens(PoolId.of("p"), CustomerId.of("a"), 5_000)), reported);
     }
 
-    /** Guards against callers that are turned away because of a single delay, before an overload is known. */
+    /** Guards against callers that are rejected because of a single delay, before an overload is known. */
     @Test
     void connectionsMayWaitLongerBeforeAnOverloadIsKnown() {
         assertEquals(200, gate.maxWaitMs());
--- a/daemon/src/test/java/org/marjoramswitch/daemon/caller/TurnedAwayCallersTest.java
+++ b/daemon/src/test/java/org/marjoramswitch/daemon/caller/UnreadRejectionTest.java
@@ -33,7 +33,7 @@
 
 /** Callers of a small instance whose I/O threads are behind, on real sockets. */
 @Timeout(60)
-class TurnedAwayCallersTest {
+class UnreadRejectionTest {
     private static final int CALLERS = 200;
     private static final int CONNECT_TIMEOUT_MS = 1_000;
     private static final int READ_TIMEOUT_MS = 5_000;
@@ -88,7 +88,7 @@
      * callers gave up, or were not established, and nothing told their callers when to return.
      */
     @Test
-    void callersOfAnInstanceThatIsBehindAreTurnedAwayAndServedAfterwards() throws IOException {
+    void callersOfAnInstanceThatIsBehindAreRejectedAndServedAfterwards() throws IOException {
         holdUp();
         List<Socket> callers = new ArrayList<>();
         for (int i = 0; i < CALLERS; i++) {
@@ -104,14 +104,14 @@
         awaitServed();
     }
 
-    /** Guards against requests that were turned away and are counted or told nowhere. */
+    /** Guards against requests that were rejected and are counted or told nowhere. */
     @Test
-    void turnedAwayCallersAreCounted() throws IOException {
+    void rejectedCallersAreCounted() throws IOException {
         holdUp();
         for (int i = 0; i < 5; i++) {
             assertTrue(response(send(REQUEST)).startsWith("HTTP/1.1 503 "));
         }
-        awaitCount("caller.turned_away", 5);
+        awaitCount("caller.connections_rejected", 5);
     }
 
     /** Guards against a reset that discards the rejection while its caller still sends the request's body. */
@@ -151,7 +151,7 @@
         assertTrue(response.endsWith("\r\n\r\n (closed)"), response);
     }
 
-    /** Guards against callers that are turned away because the whole process paused, after which nobody is behind. */
+    /** Guards against callers that are rejected because the whole process paused, after which nobody is behind. */
     @Test
     void pauseOfTheProcessTurnsNobodyAway() throws IOException {
         CountDownLatch resumed = new CountDownLatch(1);
@@ -160,7 +160,7 @@
         Socket caller = send(REQUEST);
         resumed.countDown();
         assertTrue(response(caller).contains("not-ready"));
-        assertEquals(0, metrics.meter("caller.turned_away").getCount());
+        assertEquals(0, metrics.meter("caller.connections_rejected").getCount());
     }
 
     private void holdUp() {
--- a/kernel/src/main/java/org/marjoramswitch/kernel/admission/InstanceAdmission.java
+++ b/kernel/src/main/java/org/marjoramswitch/kernel/admission/InstanceAdmission.java
@@ -93,10 +93,10 @@
     }
 
     /**
-     * Counts requests that were turned away before they were read as rejected demand, by an estimate from those that were
+     * Counts requests that were rejected before they were read as rejected demand, by an estimate from those that were
      * read.
      */
-    public void turnedAway(long requests, long nowMs) {
+    public void rejectedUnread(long requests, long nowMs) {
         recentRequests.distribute(requests, nowMs, rejectedTokens);
     }
 
