Apply lowered sizes of heads and bodies at once

A lowered limit on the size of a head or body came into force three seconds later than its version, since former limits were kept as long as former idle limits, which callers may still act by. A configuration must be in force within two seconds. Former sizes hold only for requests that began while they were in force; former timeouts keep their notice.

--- a/daemon/src/main/java/org/marjoramswitch/daemon/caller/RecentLimits.java
+++ b/daemon/src/main/java/org/marjoramswitch/daemon/caller/RecentLimits.java
@@ -8,9 +8,10 @@
 /**
  * The limits on callers' connections: those in force, and former ones that callers may still act by.
  *
- * <p>A caller learns a limit at another time than the instance. What it began by a former limit, such as keeping a
- * connection for reuse, or sending a large body, it may finish by it. A former limit therefore holds for whatever began
- * while it was in force or within {@link #NOTICE_MS} after that. Of several limits the most generous one holds.
+ * <p>What began while a former limit was in force may be finished by it. A caller learns a limit at another time than the
+ * instance and keeps idle connections by the limit that it knows, so former timeouts also hold for what began within {@link
+ * #NOTICE_MS} after their end. Sizes do not: a changed limit must be in force on all instances within seconds. Of several
+ * limits the most generous one holds.
  *
  * <p>Until limits are known, none is applied: a default that is shorter than the operator's limit would close connections
  * that callers are about to use.
@@ -75,13 +76,17 @@
         return known.former().isEmpty();
     }
 
-    /** The limits that hold for what began at this time, or null if none are known. */
+    /** The limits of a request that began at this time, or null if none are known. */
     @Nullable
     CallerLimits since(long beganMs) {
+        return mostGenerous(beganMs, 0);
+    }
+
+    private @Nullable CallerLimits mostGenerous(long beganMs, long noticeMs) {
         Known present = known;
         CallerLimits limits = present.current();
         for (Former former : present.former()) {
-            if (limits != null && former.endedMs() + NOTICE_MS > beganMs) {
+            if (limits != null && former.endedMs() + noticeMs > beganMs) {
                 limits = limits.orMoreGenerous(former.limits());
             }
         }
@@ -90,13 +95,13 @@
 
     /** When a connection that is idle since this time is closed. */
     long idleUntilMs(long idleSinceMs) {
-        CallerLimits limits = since(idleSinceMs);
+        CallerLimits limits = mostGenerous(idleSinceMs, NOTICE_MS);
         return limits == null ? Long.MAX_VALUE : Math.max(idleSinceMs, known.sinceMs()) + limits.idleTimeoutMs();
     }
 
     /** When a connection is closed on which a head is being received since this time. */
     long headUntilMs(long beganMs) {
-        CallerLimits limits = since(beganMs);
+        CallerLimits limits = mostGenerous(beganMs, NOTICE_MS);
         return limits == null ? Long.MAX_VALUE : Math.max(beganMs, known.sinceMs()) + limits.headTimeoutMs();
     }
 
--- a/daemon/src/test/java/org/marjoramswitch/daemon/caller/RecentLimitsTest.java
+++ b/daemon/src/test/java/org/marjoramswitch/daemon/caller/RecentLimitsTest.java
@@ -5,6 +5,7 @@
 import static org.junit.jupiter.api.Assertions.assertNull;
 import static org.junit.jupiter.api.Assertions.assertTrue;
 
+import java.util.Objects;
 import org.junit.jupiter.api.Test;
 import org.marjoramswitch.daemon.route.CallerLimits;
 
@@ -40,6 +41,16 @@
         assertEquals(10_000 + NOTICE_MS + 2_000, limits.idleUntilMs(10_000 + NOTICE_MS));
     }
 
+    /** Guards against a lowered size that is in force only seconds later than the version that brings it. */
+    @Test
+    void formerSizeHoldsOnlyForWhatBeganWhileItWasInForce() {
+        limits.apply(new CallerLimits(4_096, 1_000, 1_000, 2_000), 0);
+        limits.apply(new CallerLimits(1_024, 10, 1_000, 2_000), 10_000);
+        assertEquals(1_000, Objects.requireNonNull(limits.since(9_999)).maxBodyBytes());
+        assertEquals(10, Objects.requireNonNull(limits.since(10_000)).maxBodyBytes());
+        assertEquals(1_024, Objects.requireNonNull(limits.since(10_000)).maxHeadBytes());
+    }
+
     /** Guards against forgetting the longest of several limits that follow each other quickly. */
     @Test
     void mostGenerousOfSeveralFormerLimitsHolds() {
