--- a/daemon/src/main/java/org/marjoramswitch/daemon/caller/CallerAcceptor.java
+++ b/daemon/src/main/java/org/marjoramswitch/daemon/caller/CallerAcceptor.java
@@ -22,7 +22,7 @@
 
 /**
  * Accepts connections on a thread of its own, and either hands them over to be served or rejects them, so that callers
- * of an instance whose I/O threads are behind are told when to return.
+ * of an instance whose I/O threads are behind receive a rejection with a retry delay.
  *
  * <p>While the instance may accept, a connection is handed over at once. Otherwise it waits, unread, in the order of
  * accepts: it is handed over as soon as the instance may accept again, and rejected with a prepared response by {@link
@@ -45,9 +45,9 @@
     private static final int MAX_WAITING = 128;
 
     private static final int MAX_REJECTING = 256;
-    /** Processor time of a rejection by an I/O thread with its accept, the least that a hand-over leads to. */
+    /** Estimated processor time of a rejection by an I/O thread, the least that a hand-over leads to. */
     private static final double HAND_OVER_US = 450;
-    /** Processor time of a rejection here, 90 to 150 µs in OverloadAnswers on loaded machines. */
+    /** Estimated processor time of a rejection by the accepting thread. */
     private static final double REJECTION_US = 125;
     /** The part of the processor for rejections; the rest is for requests that are served. */
     private static final double REJECTION_SHARE = 0.3;
