--- a/review/standins/StandIns.java
+++ b/review/standins/StandIns.java
@@ -494,8 +494,11 @@
             });
         }
 
-        /** Closes the address and all connections at once, as the end of a process does. */
-        void crash() {
+        /** Closes the address and all connections at once, as the end of a process does; false if it has crashed before. */
+        synchronized boolean crash() {
+            if (server.isClosed()) {
+                return false;
+            }
             try {
                 server.close();
                 for (Socket socket : open) {
@@ -504,6 +507,7 @@
             } catch (IOException e) {
                 record.add("crash of " + id + ": " + e);
             }
+            return true;
         }
 
         String entry(String state) {
