Review: keep the uploading channels of case 2 within the time that callers keep idle ones

Cause: the script opened its channels one after another, so that some were idle for longer than callers keep them when the uploads began, and were closed by the idle limit.

--- a/review/standins/HotTenantUploads.java
+++ b/review/standins/HotTenantUploads.java
@@ -124,15 +124,27 @@
     }
 
     /** Opens the channels of the tenant that uploads, which it keeps, with a small request on each. */
-    private void openChannels() throws IOException {
+    private void openChannels() throws InterruptedException {
+        List<Thread> opening = new ArrayList<>();
         for (StandIns.Node node : nodes) {
             List<StandIns.Channel> channels = new ArrayList<>();
+            uploadChannels.put(node, channels);
+            opening.add(StandIns.daemon(() -> openChannels(node, channels)));
+        }
+        for (Thread thread : opening) {
+            thread.join();
+        }
+    }
+
+    private void openChannels(StandIns.Node node, List<StandIns.Channel> channels) {
+        try {
             for (int i = 0; i < HOT_FACTOR * USUAL_UPLOADS; i++) {
                 StandIns.Channel channel = new StandIns.Channel(node);
                 exchange(channel, "/report/", UPLOAD_KEY, SMALL_BYTES, false);
                 channels.add(channel);
             }
-            uploadChannels.put(node, channels);
+        } catch (IOException e) {
+            throw new IllegalStateException(e);
         }
     }
 
