Send bodies of unknown length in chunks on every connection

Cause: the HTTP server chooses chunks for a body of unknown length only on a connection that it keeps. On the last response of a connection (reuse limit, many open connections, draining, the caller's Connection: close) the body has neither length nor chunks and ends with the connection, so closing the connection, by which ResponseWriter marks a partial response, is the body's regular end.

Change: ResponseWriter sets Transfer-Encoding: chunked where no length is known. This works since an HTTP/1.1 client reports a chunked body without its last chunk as incomplete; callers of HTTP/1.0 are rejected by both interfaces.

--- a/daemon/src/main/java/org/marjoramswitch/daemon/caller/ResponseWriter.java
+++ b/daemon/src/main/java/org/marjoramswitch/daemon/caller/ResponseWriter.java
@@ -24,11 +24,12 @@
 /**
  * Writes one response to one caller without blocking. Runs on the connection's I/O thread.
  *
- * <p>Correctness: the end of a chunked body, or the last byte of a body of known length, is written if and only if the
- * response's end is {@link ResponseEnd.Complete}. A failure before the head becomes a problem body. A failure after the
- * head ends an event stream with an {@code error} event that holds the problem; in any case the connection is then
- * closed within the body, which every HTTP/1.1 client reports as an error. A partial response is therefore never
- * mistaken for a complete one.
+ * <p>Correctness: every body has a length or is sent in chunks, also on a connection that is closed after the response.
+ * A body with neither ends with its connection, so a partial one would pass for complete. The end of a chunked body, or
+ * the last byte of a body of known length, is written if and only if the response's end is {@link
+ * ResponseEnd.Complete}. A failure before the head becomes a problem body. A failure after the head ends an event stream
+ * with an {@code error} event that holds the problem; in any case the connection is then closed within the body, which
+ * every HTTP/1.1 client reports as an error. A partial response is therefore never mistaken for a complete one.
  *
  * <p>While an event stream has nothing to send, a comment is sent every few seconds: the caller detects that the connection works, and a failing write reports a failed connection here.
  *
@@ -231,8 +232,8 @@
         exchange.setStatusCode(head.status());
         HeaderMap headers = exchange.getResponseHeaders();
         head.headers().forEach((name, value) -> headers.put(new HttpString(name), value));
-        if (knownLength >= 0 && canHaveBody(head.status())) {
-            exchange.setResponseContentLength(knownLength);
+        if (canHaveBody(head.status())) {
+            frameBody(headers, knownLength);
         }
         String contentType = headers.getFirst(Headers.CONTENT_TYPE);
         if (!unchanged
@@ -247,6 +248,16 @@
         armTimer();
     }
 
+    /** @param knownLength negative if it is not known yet */
+    private void frameBody(HeaderMap headers, long knownLength) {
+        if (knownLength >= 0) {
+            exchange.setResponseContentLength(knownLength);
+            return;
+        }
+        // Undertow chooses chunks by itself on persistent connections only.
+        headers.put(Headers.TRANSFER_ENCODING, Headers.CHUNKED.toString());
+    }
+
     private boolean canHaveBody(int status) {
         boolean bodiless = status == StatusCodes.NO_CONTENT || status == StatusCodes.NOT_MODIFIED;
         return !bodiless && !exchange.getRequestMethod().equals(Methods.HEAD);
--- a/daemon/src/test/java/org/marjoramswitch/daemon/caller/CallerServerTest.java
+++ b/daemon/src/test/java/org/marjoramswitch/daemon/caller/CallerServerTest.java
@@ -12,10 +12,13 @@
 import java.net.http.HttpRequest;
 import java.net.http.HttpResponse;
 import java.net.http.HttpResponse.BodyHandlers;
+import java.util.Locale;
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.TimeUnit;
 import org.junit.jupiter.api.AfterEach;
 import org.junit.jupiter.api.Test;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.CsvSource;
 import org.marjoramswitch.kernel.error.ErrorType;
 import org.marjoramswitch.kernel.error.Failure;
 import org.marjoramswitch.kernel.settings.FleetSettings;
@@ -237,6 +240,28 @@
                 response.handle((answer, error) -> error instanceof Exception).get());
     }
 
+    /** Guards against a truncated response that ends as complete, because its body has neither a length nor chunks. */
+    @ParameterizedTest
+    @CsvSource({"text/event-stream,true", "text/event-stream,false", "application/json,true", "application/json,false"})
+    void truncatedLastResponseOfAConnectionIsVisiblyIncomplete(String contentType, boolean ready) throws Exception {
+        fixture.health = ready ? Health.READY : Health.notReady("draining");
+        try (Socket socket = fixture.connect()) {
+            String length = "Content-Length: " + Fixture.CHAT_STREAM.length();
+            String head = ready
+                    ? Fixture.rawHead("POST", "/v1/chat/completions", length, "Connection: close")
+                    : Fixture.rawHead("POST", "/v1/chat/completions", length);
+            Fixture.send(socket, head + Fixture.CHAT_STREAM);
+            FakeRequestSubmitter.Submitted call = fixture.submitter.next();
+            call.head(200, contentType);
+            call.bytes("data: 1\n\n");
+            call.response().onFailure(Failure.unknown(ErrorType.TARGET_BROKE, "reset"));
+            String all = Fixture.readAll(socket).toLowerCase(Locale.ROOT);
+            assertTrue(all.contains("connection: close\r\n"), all);
+            assertTrue(all.contains("transfer-encoding: chunked\r\n"), all);
+            assertFalse(all.endsWith("0\r\n\r\n"), all);
+        }
+    }
+
     // The caller declares a body beyond the limit, or sends one in chunks: it is rejected before the body is complete.
     @Test
     void oversizedBodyIsRejectedWithoutReadingIt() throws Exception {
