Clear prompt parts by what targets send, not by the absence of a failure

Cause: CrashReports cleared the parts of a response that had begun 300 ms later, if its request had a target and the same number of attempts. A request that has failed keeps both, so the response that the part broke off cleared the part of all earlier crashes, at all instances.

Change: a part is cleared by a part of the response that arrives at least 300 ms after its beginning (TargetProgress), or by its complete end. The list of responses that have begun is gone. This covers failed, cancelled and silent responses and errors of targets alike, since nothing is inferred from a report that is missing; a lost or late report delays a clearance only.

Test that was wrong: CrashReportsTest#partThatIsClearedSoonIsNotPersisted expected a clearance by the mere passing of time, which is the fault. A part of the response arrives now, and one that arrives a millisecond earlier clears nothing.

--- a/kernel/src/main/java/org/marjoramswitch/kernel/InstanceKernel.java
+++ b/kernel/src/main/java/org/marjoramswitch/kernel/InstanceKernel.java
@@ -190,7 +190,7 @@
         } else if (event instanceof Event.CallerGone gone) {
             entry.callerGone(gone.requestId(), sink);
         } else if (event instanceof Event.TargetProgress progress) {
-            entry.delivered(progress.requestId(), progress.outputTokens(), sink);
+            entry.delivered(progress.requestId(), progress.outputTokens(), nowMs, sink);
         } else if (event instanceof Event.TargetAnswering answering) {
             entry.responseStarted(answering.requestId(), nowMs, sink);
         } else if (event instanceof Event.TargetEnded ended) {
--- a/kernel/src/main/java/org/marjoramswitch/kernel/entry/CrashReports.java
+++ b/kernel/src/main/java/org/marjoramswitch/kernel/entry/CrashReports.java
@@ -1,9 +1,7 @@
 package org.marjoramswitch.kernel.entry;
 
-import java.util.ArrayDeque;
 import java.util.ArrayList;
 import java.util.Collection;
-import java.util.Deque;
 import java.util.Iterator;
 import java.util.LinkedHashMap;
 import java.util.List;
@@ -25,6 +23,10 @@
  *
  * <p>A target that crashes breaks off all that runs there. Of these requests only those are accused whose responses had
  * not begun, or only just: the others' prompts had been processed long before.
+ *
+ * <p>Only what a target sends clears the parts of a prompt: a part of the response some time after its beginning, or its
+ * end. That a response has not been reported as broken proves nothing, since its caller may have cancelled it, its target
+ * may have crashed without closing the connection, and reports may be late.
  */
 final class CrashReports {
     /**
@@ -34,22 +36,14 @@
      */
     private static final long PERSIST_AFTER_MS = 2_000;
 
-    /** A response that goes on for this long after its first byte did not crash its target. */
+    /** A response of which a part arrives this long after its first byte did not crash its target. */
     private static final long WENT_ON_MS = 300;
 
     private final PoisonRequestGossip gossip = PoisonRequestGossip.create();
-    /** Responses that may not have gone on for long enough yet, in the order in which they began. */
-    private final Deque<BegunResponse> begun = new ArrayDeque<>();
 
     /** Blocked prompt parts whose crashes have not been persisted, in the order in which they were blocked. */
     private final Map<Long, Long> blockedSinceMs = new LinkedHashMap<>();
 
-    private record BegunResponse(EntryRequest request, int attempt, long atMs) {
-        private boolean isRunning() {
-            return request.target() != null && request.attempts() == attempt;
-        }
-    }
-
     PoisonRequests poisonRequests() {
         return gossip.poisonRequests();
     }
@@ -66,12 +60,17 @@
 
     /** Records that the response of the request's running attempt has begun. */
     void responseBegan(EntryRequest request, long nowMs) {
-        if (request.responseBeganAtMs() != EntryRequest.NOT_BEGUN) {
-            return;
+        if (request.responseBeganAtMs() == EntryRequest.NOT_BEGUN) {
+            request.responseBegan(nowMs);
         }
-        request.responseBegan(nowMs);
-        if (!request.suspects().promptParts().isEmpty()) {
-            begun.add(new BegunResponse(request, request.attempts(), nowMs));
+    }
+
+    /** Records that a part of the response of the request's running attempt has arrived; clears its prompt if it went on. */
+    void responseProgressed(EntryRequest request, long nowMs) {
+        // The report of the response's first byte may have been lost in a full ring.
+        responseBegan(request, nowMs);
+        if (hasGoneOn(request.responseBeganAtMs(), nowMs)) {
+            gossip.responseWentOn(request.suspects().promptParts(), request.responseBeganAtMs());
         }
     }
 
@@ -113,21 +112,11 @@
         return begunAtMs <= nowMs - WENT_ON_MS;
     }
 
-    /** Clears the prompt parts of responses that have gone on for long enough, and persists blocked ones. */
+    /** Persists the crashes under prompt parts that have been blocked for long enough. */
     void tick(long nowMs, ActionSink sink) {
-        clearPartsOfResponses(nowMs);
         persistBlockedParts(nowMs, sink);
     }
 
-    private void clearPartsOfResponses(long nowMs) {
-        while (!begun.isEmpty() && hasGoneOn(begun.peek().atMs(), nowMs)) {
-            BegunResponse response = begun.poll();
-            if (response.isRunning()) {
-                gossip.responseWentOn(response.request().suspects().promptParts(), response.atMs());
-            }
-        }
-    }
-
     /** Applies a peer's update; returns the digests with new crashes. */
     Set<Long> received(CrashNews update, long nowMs) {
         return gossip.received(update, nowMs);
--- a/kernel/src/main/java/org/marjoramswitch/kernel/entry/Entry.java
+++ b/kernel/src/main/java/org/marjoramswitch/kernel/entry/Entry.java
@@ -304,10 +304,14 @@
      * Updates the cost of the running attempt, which has delivered {@code outputTokens} so far. The arbiter is notified
      * only when the cost has grown by {@code progressStepTokens}.
      */
-    public void delivered(long requestId, long outputTokens, ActionSink sink) {
+    public void delivered(long requestId, long outputTokens, long nowMs, ActionSink sink) {
         EntryRequest request = requests.get(requestId);
-        PoolSettings pool = request == null ? null : poolSettings(request);
-        if (request == null || pool == null || request.target() == null) {
+        if (request == null || request.target() == null) {
+            return;
+        }
+        crashReports.responseProgressed(request, nowMs);
+        PoolSettings pool = poolSettings(request);
+        if (pool == null) {
             return;
         }
         request.costTokens(CostModel.running(pool, request.spec(), outputTokens));
--- a/kernel/src/test/java/org/marjoramswitch/kernel/PoisonPromptPartTest.java
+++ b/kernel/src/test/java/org/marjoramswitch/kernel/PoisonPromptPartTest.java
@@ -14,6 +14,7 @@
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.params.ParameterizedTest;
 import org.junit.jupiter.params.provider.MethodSource;
+import org.junit.jupiter.params.provider.ValueSource;
 import org.marjoramswitch.kernel.action.Action;
 import org.marjoramswitch.kernel.event.Event;
 import org.marjoramswitch.kernel.model.InstanceId;
@@ -41,7 +42,7 @@
     private static final long FIRST_BYTE_MS = 80;
     private static final long RESPONSE_MS = 600;
     private static final long SOUND_INTERVAL_MS = 50;
-    private static final long POISON_INTERVAL_MS = 250;
+    private static final long BEFORE_FIRST_BYTE = -1;
     private static final int ATTEMPTS = 2;
 
     private final Map<Long, SentRequest> sent = new HashMap<>();
@@ -50,6 +51,9 @@
     private final List<Long> poisonSentAtMs = new ArrayList<>();
     private final Random random = new Random(1);
     private int examined;
+    private long poisonIntervalMs = 250;
+    /** When a response with the poison part crashes its target, counted from its first byte. */
+    private long crashAfterMs = BEFORE_FIRST_BYTE;
 
     private record SentRequest(InstanceId entry, boolean poison, long sentAtMs) {}
 
@@ -84,6 +88,17 @@
         assertTrue(soundShareBegun() > 0.9, "sound requests begun: " + soundShareBegun());
     }
 
+    /** Guards against clearing a part by a response that began and was broken off, after one event or after several. */
+    @ParameterizedTest
+    @ValueSource(longs = {10, 100, 250})
+    void poisonPartThatCrashesTargetsWithinTheResponseIsBlocked(long afterFirstByteMs) {
+        crashAfterMs = afterFirstByteMs;
+        poisonIntervalMs = 1_000;
+        run(20_000, List.of(FIRST_PART, POISON_PART));
+        assertAlmostNeverSentOnceKnown();
+        assertTrue(soundShareBegun() > 0.9, "sound requests begun: " + soundShareBegun());
+    }
+
     /** Guards against blocking a sound part that few requests use and that the poison requests share. */
     @Test
     void rareSoundPartBesideThePoisonOneIsServed() {
@@ -162,7 +177,7 @@
             if (nowMs % SOUND_INTERVAL_MS == 0) {
                 send(randomInstance(), List.of(FIRST_PART, 200L + random.nextInt(10)), false);
             }
-            if (nowMs % POISON_INTERVAL_MS == 0) {
+            if (nowMs % poisonIntervalMs == 0) {
                 send(randomInstance(), poisonParts, true);
             }
         }
@@ -215,7 +230,7 @@
         if (frozen.contains(requireSent(request).entry())) {
             return;
         }
-        if (requireSent(request).poison() && elapsedMs >= FIRST_BYTE_MS) {
+        if (requireSent(request).poison() && elapsedMs >= FIRST_BYTE_MS + crashAfterMs) {
             crashedAtMs.add(nowMs);
             crash(run.target);
         } else if (!run.answering && elapsedMs >= FIRST_BYTE_MS) {
--- a/kernel/src/test/java/org/marjoramswitch/kernel/entry/CrashReportsTest.java
+++ b/kernel/src/test/java/org/marjoramswitch/kernel/entry/CrashReportsTest.java
@@ -6,6 +6,8 @@
 import java.util.ArrayList;
 import java.util.List;
 import org.junit.jupiter.api.Test;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.EnumSource;
 import org.marjoramswitch.kernel.action.Action;
 import org.marjoramswitch.kernel.crash.CrashSuspects;
 import org.marjoramswitch.kernel.model.CellId;
@@ -44,7 +46,9 @@
         crashThreeTimes();
         assertTrue(reports.poisonRequests().blockedForMs(digest(), 1_200) > 0);
         reports.responseBegan(sent, 1_250);
-        reports.tick(1_550, persisted::add);
+        reports.responseProgressed(sent, 1_549);
+        assertTrue(reports.poisonRequests().blockedForMs(digest(), 1_549) > 0);
+        reports.responseProgressed(sent, 1_550);
         assertEquals(0, reports.poisonRequests().blockedForMs(digest(), 1_550));
         reports.tick(10_000, persisted::add);
         assertEquals(List.of(), persisted);
@@ -62,6 +66,30 @@
                 List.of(digest()), reports.attemptEnded(later, TargetId.of("t1"), TargetOutcome.BROKEN_IN_ANSWER, 400));
     }
 
+    /** Guards against clearing a part by a response that ended, or went silent, right after it had begun. */
+    @ParameterizedTest
+    @EnumSource(
+            value = TargetOutcome.class,
+            mode = EnumSource.Mode.EXCLUDE,
+            names = {"COMPLETED"})
+    void responseThatEndedEarlyClearsNothing(TargetOutcome outcome) {
+        crashThreeTimes();
+        EntryRequest ended = started("t4");
+        reports.responseBegan(ended, 1_250);
+        reports.attemptEnded(ended, TargetId.of("t4"), outcome, 1_255);
+        reports.tick(1_600, persisted::add);
+        assertTrue(reports.poisonRequests().crashCount(digest()) >= 3);
+    }
+
+    /** Guards against clearing a part while its response is silent, as it is when its target loses power. */
+    @Test
+    void silentResponseClearsNothing() {
+        crashThreeTimes();
+        reports.responseBegan(started("t4"), 1_250);
+        reports.tick(5_000, persisted::add);
+        assertEquals(3, reports.poisonRequests().crashCount(digest()));
+    }
+
     private void crashThreeTimes() {
         for (int i = 0; i < 3; i++) {
             long nowMs = 600L * i;
