Bound what a target may send without a part of a body

Cause: Undertow's client collects heads and trailers of any size and skips any number of zeros in a chunk's size. The limit on a response counts bytes of its body, and the progress timeout comes after the memory is gone.

Change: FramingLimit counts the bytes of a connection since its request was sent or since a head or a part of a body was received, and fails the read above 256 KiB. It has to be below the parser, so TargetConnector opens the stream and makes the client connection from it (io.undertow.client.http.ClientConnections, in Undertow's package since there is no public way).

Open: the client of the standalone key-value store has no such limit.

--- a/daemon/src/main/java/org/marjoramswitch/daemon/target/HttpAttempt.java
+++ b/daemon/src/main/java/org/marjoramswitch/daemon/target/HttpAttempt.java
@@ -193,6 +193,7 @@
             return;
         }
         deadline.progress(); // the target is not responsible for the time of the check
+        FramingLimit.progressed(usable);
         usable.sendRequest(
                 HeadConverter.request(spec, sending, System.nanoTime()), callback(usable, this::requestOpened));
     }
@@ -225,6 +226,7 @@
 
     private void responseOpened(ClientConnection carrier, ClientExchange exchange) {
         deadline.progress();
+        FramingLimit.progressed(carrier);
         ResponseReader opened = ResponseReader.of(exchange, spec, connector, delivery);
         reader = opened;
         if (opened.isCrossed()) {
--- a/daemon/src/main/java/org/marjoramswitch/daemon/target/ResponseReader.java
+++ b/daemon/src/main/java/org/marjoramswitch/daemon/target/ResponseReader.java
@@ -1,5 +1,6 @@
 package org.marjoramswitch.daemon.target;
 
+import io.undertow.client.ClientConnection;
 import io.undertow.client.ClientExchange;
 import io.undertow.client.ClientResponse;
 import io.undertow.connector.PooledByteBuffer;
@@ -25,6 +26,7 @@
 
     private final TargetConnector connector;
     private final ResponseDelivery delivery;
+    private final ClientConnection connection;
     private final StreamSourceChannel channel;
     private final int status;
     private final Map<String, String> headers;
@@ -43,6 +45,7 @@
         HeaderMap received = response.getResponseHeaders();
         this.connector = connector;
         this.delivery = delivery;
+        this.connection = exchange.getConnection();
         this.channel = exchange.getResponseChannel();
         this.status = response.getResponseCode();
         this.headers = HeadConverter.response(received);
@@ -123,6 +126,7 @@
         byte[] bytes = new byte[buffer.remaining()];
         buffer.get(bytes);
         receivedBytes += bytes.length;
+        FramingLimit.progressed(connection);
         if (receivedBytes > connector.options().maxResponseBytes()) {
             return false;
         }
--- a/daemon/src/main/java/org/marjoramswitch/daemon/target/TargetAddress.java
+++ b/daemon/src/main/java/org/marjoramswitch/daemon/target/TargetAddress.java
@@ -1,6 +1,5 @@
 package org.marjoramswitch.daemon.target;
 
-import java.net.URI;
 import org.marjoramswitch.kernel.settings.TargetSettings;
 
 /** Host and port on which a target listens. */
@@ -9,10 +8,6 @@
         return new TargetAddress(target.host(), target.port());
     }
 
-    URI toUri() {
-        return URI.create("http://" + this);
-    }
-
     @Override
     public String toString() {
         String literal = host.indexOf(':') >= 0 ? "[" + host + "]" : host;
--- a/daemon/src/main/java/org/marjoramswitch/daemon/target/TargetConnector.java
+++ b/daemon/src/main/java/org/marjoramswitch/daemon/target/TargetConnector.java
@@ -2,25 +2,29 @@
 
 import io.undertow.UndertowOptions;
 import io.undertow.client.ClientConnection;
-import io.undertow.client.UndertowClient;
+import io.undertow.client.http.ClientConnections;
 import io.undertow.connector.ByteBufferPool;
 import io.undertow.server.DefaultByteBufferPool;
 import java.io.IOException;
+import java.net.InetSocketAddress;
 import java.security.SecureRandom;
 import java.util.concurrent.TimeUnit;
 import java.util.concurrent.atomic.AtomicBoolean;
 import java.util.concurrent.atomic.AtomicLong;
 import org.jspecify.annotations.Nullable;
+import org.marjoramswitch.daemon.log.KeyValueLog;
 import org.xnio.IoFuture;
 import org.xnio.IoUtils;
 import org.xnio.OptionMap;
 import org.xnio.Options;
+import org.xnio.StreamConnection;
 import org.xnio.XnioExecutor;
 import org.xnio.XnioIoThread;
 import org.xnio.XnioWorker;
 
 /** Opens connections to targets and pools idle ones. */
 final class TargetConnector {
+    private static final KeyValueLog LOG = KeyValueLog.of(TargetConnector.class);
     private static final int READ_BUFFER_BYTES = 16 << 10;
     private static final OptionMap CONNECT_OPTIONS = OptionMap.builder()
             .set(Options.TCP_NODELAY, true)
@@ -112,8 +116,8 @@
             return;
         }
         AtomicBoolean settled = new AtomicBoolean();
-        IoFuture<ClientConnection> connecting =
-                UndertowClient.getInstance().connect(address.toUri(), thread, bufferPool, CONNECT_OPTIONS);
+        IoFuture<StreamConnection> connecting = thread.openStreamConnection(
+                new InetSocketAddress(address.host(), address.port()), null, CONNECT_OPTIONS);
         // A host that is down does not respond to a connect at all; without this limit the attempt would wait for the
         // operating system's timeout, which is minutes. A connection that opens after the timeout is closed.
         XnioExecutor.Key timeout = thread.executeAfter(
@@ -134,13 +138,16 @@
         }
     }
 
-    private @Nullable ClientConnection opened(TargetAddress address, IoFuture<? extends ClientConnection> future) {
+    private @Nullable ClientConnection opened(TargetAddress address, IoFuture<? extends StreamConnection> future) {
         if (future.getStatus() != IoFuture.Status.DONE) {
             pool.release(address);
             return null;
         }
         try {
-            ClientConnection connection = future.get();
+            StreamConnection connected = future.get();
+            FramingLimit limit = FramingLimit.install(connected, () -> framingExceeded(address));
+            ClientConnection connection = ClientConnections.over(connected, CONNECT_OPTIONS, bufferPool);
+            limit.attachTo(connection);
             metrics.connectionsOpened.inc();
             if (!connection.isOpen()) {
                 pool.release(address);
@@ -154,6 +161,11 @@
         }
     }
 
+    private void framingExceeded(TargetAddress address) {
+        metrics.framingExceeded.inc();
+        LOG.warn("framing_exceeded", "address", address, "limitBytes", FramingLimit.MAX_BYTES);
+    }
+
     /** Receives the new connection, or null. */
     interface ConnectListener {
         void onConnect(@Nullable ClientConnection connection);
--- a/daemon/src/main/java/org/marjoramswitch/daemon/target/TargetMetrics.java
+++ b/daemon/src/main/java/org/marjoramswitch/daemon/target/TargetMetrics.java
@@ -21,6 +21,8 @@
     /** Responses that carried another request's id, or none where one is required. */
     final Counter responsesCrossed;
 
+    /** Connections closed because the target sent more bytes without a part of a body than {@link FramingLimit} allows. */
+    final Counter framingExceeded;
     /** Responses resumed over another connection. */
     final Counter responsesResumed;
     /** Cache events that were missed, by their sequence numbers, or malformed. */
@@ -38,6 +40,7 @@
         connectionsExpired = registry.counter("targets.connections.expired");
         connectionsFoundDead = registry.counter("targets.connections.found_dead");
         responsesCrossed = registry.counter("targets.answers.crossed");
+        framingExceeded = registry.counter("targets.answers.framing_exceeded");
         responsesResumed = registry.counter("targets.answers.resumed");
         cacheEventGaps = registry.counter("targets.cache_events.gaps");
         cacheEventRestarts = registry.counter("targets.cache_events.restarts");
