--- a/daemon/src/main/java/org/marjoramswitch/daemon/target/FramingLimit.java
+++ b/daemon/src/main/java/org/marjoramswitch/daemon/target/FramingLimit.java
@@ -16,7 +16,7 @@
  * <p>Accessed on the connection's I/O thread.
  */
 final class FramingLimit extends AbstractStreamSourceConduit<StreamSourceConduit> {
-    /** Well above any head; a chunk's framing is at most some bytes per byte of its body. */
+    /** Far above the size of any head, and above that of the chunk frames between two reads of a body. */
     static final long MAX_BYTES = 256 << 10;
 
     private static final AttachmentKey<FramingLimit> KEY = AttachmentKey.create(FramingLimit.class);
@@ -49,7 +49,7 @@
         ((Attachable) connection).putAttachment(KEY, this);
     }
 
-    /** A request is sent, or a head or a part of a body was received. */
+    /** Restarts the count: a request is about to be sent, or a head or a part of a body was received. */
     static void progressed(ClientConnection connection) {
         FramingLimit limit = ((Attachable) connection).getAttachment(KEY);
         if (limit != null) {
--- a/daemon/src/main/java/org/marjoramswitch/daemon/target/TargetMetrics.java
+++ b/daemon/src/main/java/org/marjoramswitch/daemon/target/TargetMetrics.java
@@ -20,9 +20,9 @@
     final Counter connectionsFoundDead;
     /** Responses that carried another request's id, or none where one is required. */
     final Counter responsesCrossed;
-
     /** Connections closed because the target sent more bytes without a part of a body than {@link FramingLimit} allows. */
     final Counter framingExceeded;
+
     /** Responses resumed over another connection. */
     final Counter responsesResumed;
     /** Cache events that were missed, by their sequence numbers, or malformed. */
