--- a/kernel/src/test/java/org/marjoramswitch/kernel/PoisonPromptPartTest.java
+++ b/kernel/src/test/java/org/marjoramswitch/kernel/PoisonPromptPartTest.java
@@ -43,6 +43,7 @@
     private static final long RESPONSE_MS = 600;
     private static final long SOUND_INTERVAL_MS = 50;
     private static final long BEFORE_FIRST_BYTE = -1;
+    private static final int MAX_CRASH_AFTER_MS = 280;
     private static final int ATTEMPTS = 2;
 
     private final Map<Long, SentRequest> sent = new HashMap<>();
@@ -148,6 +149,19 @@
     @MethodSource("seeds")
     void blockSurvivesPausesAndRestarts(long seed) {
         random.setSeed(seed);
+        disturbInstances(seed);
+    }
+
+    /** As above, with crashes at any moment of the time in which a response counts as begun. */
+    @ParameterizedTest
+    @MethodSource("seeds")
+    void blockByCrashesWithinResponsesSurvivesPausesAndRestarts(long seed) {
+        random.setSeed(seed);
+        crashAfterMs = random.nextInt(MAX_CRASH_AFTER_MS);
+        disturbInstances(seed);
+    }
+
+    private void disturbInstances(long seed) {
         run(8_000, List.of(FIRST_PART, POISON_PART));
         for (int i = 0; i < 6; i++) {
             InstanceId disturbed = INSTANCES.get(random.nextInt(INSTANCES.size()));
