Continue streams after all instances have crashed together

Cause: which software version began a stream, and which versions have served, was known to instances alone (StreamDirectory, ServedVersions).

Change: both are persisted in the key-value store. The versions are one key, written when they change and every 10 s by the arbiter of the first cell. Beginnings are written in batches every 250 ms by the arbiter that entries report them to, and only while no single version has served for as long as a stream may last; the first batch holds all that are known. They expire with their lease. An instance reads both when it starts. No request waits for the store. After a restore of the store from an older copy the record of versions is not used.

--- a/daemon/src/main/java/org/marjoramswitch/daemon/ForwardingDaemon.java
+++ b/daemon/src/main/java/org/marjoramswitch/daemon/ForwardingDaemon.java
@@ -43,11 +43,11 @@
     /** Delay between two reads of the list of instances, also after a failed read. */
     private static final long LIST_INTERVAL_MS = 500;
     /**
-     * Maximum time for which an instance with settings is not ready because it has not read the list, which holds the
-     * poison requests that were blocked before a restart of the fleet. While the store is down, instances serve by the
-     * settings of their peers.
+     * Maximum time for which an instance with settings is not ready because it has not read what was known before a
+     * restart of the fleet: the list, which holds the blocked poison requests, and the versions of streams. While the
+     * store is down, instances serve by the settings of their peers.
      */
-    private static final long MAX_LIST_WAIT_MS = 2_000;
+    private static final long MAX_RECORDS_WAIT_MS = 2_000;
 
     private final Platform platform;
     private final InstanceCore core;
@@ -70,12 +70,10 @@
                 (worker, metrics) -> components.add(
                         UndertowTargetClient.start(worker, platform.targets(), platform.protocol(), metrics)),
                 new InstanceCore.AddressOptions(platform.callers().times().addressLifetimeMs(), platform.addresses()));
+        KeyValueStore ownStore = platform.store().apply(core);
+        core.persistStreamsIn(ownStore);
         SharedWatchStore store = components.add(SharedWatchStore.start(
-                platform.store().apply(core),
-                core.self(),
-                core.peers(),
-                core.clock(),
-                core.worker().getIoThread()));
+                ownStore, core.self(), core.peers(), core.clock(), core.worker().getIoThread()));
         core.persistCrashesIn(store);
         this.settings = ActiveFleetSettings.create(core.decisions());
         this.callers = components.add(ForwardServer.start(
@@ -211,8 +209,13 @@
         if (settings.routed().version() == 0) {
             return Health.notReady("no settings yet");
         }
-        boolean awaitsList = !listRead && core.clock().getAsLong() - settingsSinceMs < MAX_LIST_WAIT_MS;
-        return awaitsList ? Health.notReady("no list of blocked requests yet") : Health.READY;
+        boolean awaitsRecords = core.clock().getAsLong() - settingsSinceMs < MAX_RECORDS_WAIT_MS;
+        if (awaitsRecords && !listRead) {
+            return Health.notReady("no list of blocked requests yet");
+        }
+        return awaitsRecords && !core.hasRestoredStreams()
+                ? Health.notReady("no versions of streams yet")
+                : Health.READY;
     }
 
     /** Returns the state of the instance's decisions, which may be some milliseconds old. */
--- a/daemon/src/main/java/org/marjoramswitch/daemon/InstanceCore.java
+++ b/daemon/src/main/java/org/marjoramswitch/daemon/InstanceCore.java
@@ -20,6 +20,7 @@
 import org.marjoramswitch.daemon.fleet.CustomerSpread;
 import org.marjoramswitch.daemon.fleet.FleetDirectory;
 import org.marjoramswitch.daemon.fleet.PoisonRequestStore;
+import org.marjoramswitch.daemon.fleet.StreamRecordStore;
 import org.marjoramswitch.daemon.log.KeyValueLog;
 import org.marjoramswitch.daemon.membership.MembershipLoop;
 import org.marjoramswitch.daemon.peer.PeerLinks;
@@ -76,6 +77,8 @@
     private volatile Consumer<FleetView> viewListener = view -> {};
     /** Null only during the start, before any request is sent to a target. */
     private volatile @Nullable PoisonRequestStore poisonRequestStore;
+    /** Null on instances whose streams have no versions. */
+    private volatile @Nullable StreamRecordStore streamRecordStore;
 
     private volatile long generation;
 
@@ -98,7 +101,7 @@
                 .targets(targetClients.start(worker, metrics))
                 .observer(startRecorder(RecordingHeader.of(self, options)))
                 .peerDisconnector(peers::disconnect)
-                .crashPersister(this::persistCrashes)
+                .persister(this::persist)
                 .start());
         this.directory = createDirectory(addresses);
         this.drain = components.add(Drain.of(
@@ -228,15 +231,38 @@
 
     /** Persists the crash counts of poison requests in the key-value store from now on. */
     void persistCrashesIn(KeyValueStore store) {
-        PoisonRequestStore.Delay delay =
-                (delayMs, task) -> worker.getIoThread().executeAfter(task, delayMs, MILLISECONDS);
-        poisonRequestStore = PoisonRequestStore.of(store, decisions, System::currentTimeMillis, delay);
+        poisonRequestStore = PoisonRequestStore.of(store, decisions, System::currentTimeMillis, this::after);
     }
 
-    private void persistCrashes(Action.KeepCrashes kept) {
-        PoisonRequestStore current = poisonRequestStore;
-        if (current != null) {
-            current.save(kept);
+    /** Restores the versions of streams from the key-value store, and persists them there from now on. */
+    void persistStreamsIn(KeyValueStore store) {
+        streamRecordStore = StreamRecordStore.start(
+                store,
+                decisions,
+                new StreamRecordStore.Clocks(clock, System::currentTimeMillis),
+                this::after,
+                self.id().name() + '-' + self.incarnation());
+    }
+
+    /** Whether what former lifetimes persisted about streams has been read. */
+    boolean hasRestoredStreams() {
+        StreamRecordStore current = streamRecordStore;
+        return current != null && current.isRestored();
+    }
+
+    private void after(long delayMs, Runnable task) {
+        worker.getIoThread().executeAfter(task, delayMs, MILLISECONDS);
+    }
+
+    private void persist(Action.Persist persisted) {
+        PoisonRequestStore crashes = poisonRequestStore;
+        StreamRecordStore streams = streamRecordStore;
+        if (persisted instanceof Action.KeepCrashes kept && crashes != null) {
+            crashes.save(kept);
+        } else if (persisted instanceof Action.PersistVersions versions && streams != null) {
+            streams.save(versions);
+        } else if (persisted instanceof Action.PersistStreams begun && streams != null) {
+            streams.save(begun);
         }
     }
 
--- a/daemon/src/main/java/org/marjoramswitch/daemon/core/ActionRunner.java
+++ b/daemon/src/main/java/org/marjoramswitch/daemon/core/ActionRunner.java
@@ -30,7 +30,7 @@
     private final EventSink events;
     private final PeerSender peers;
     private final TargetClient targets;
-    private final Consumer<Action.KeepCrashes> crashPersister;
+    private final Consumer<Action.Persist> persister;
     private final CompletableFuture<Void> drained = new CompletableFuture<>();
     private FleetSettings settings = FleetSettings.NONE;
 
@@ -39,12 +39,12 @@
             EventSink events,
             PeerSender peers,
             TargetClient targets,
-            Consumer<Action.KeepCrashes> crashPersister) {
+            Consumer<Action.Persist> persister) {
         this.requests = requests;
         this.events = events;
         this.peers = peers;
         this.targets = targets;
-        this.crashPersister = crashPersister;
+        this.persister = persister;
     }
 
     static ActionRunner of(
@@ -52,8 +52,8 @@
             EventSink events,
             PeerSender peers,
             TargetClient targets,
-            Consumer<Action.KeepCrashes> crashPersister) {
-        return new ActionRunner(requests, events, peers, targets, crashPersister);
+            Consumer<Action.Persist> persister) {
+        return new ActionRunner(requests, events, peers, targets, persister);
     }
 
     CompletableFuture<Void> drained() {
@@ -84,8 +84,8 @@
             complete(complete.requestId());
         } else if (action instanceof Action.Fail fail) {
             fail(fail.requestId(), fail.failure());
-        } else if (action instanceof Action.KeepCrashes crashes) {
-            crashPersister.accept(crashes);
+        } else if (action instanceof Action.Persist persist) {
+            persister.accept(persist);
         } else if (action instanceof Action.Decided decided) {
             DECISIONS.info(decided.decision().event(), decided.decision().fields());
         } else if (action instanceof Action.Drained) {
--- a/daemon/src/main/java/org/marjoramswitch/daemon/core/DecisionLoop.java
+++ b/daemon/src/main/java/org/marjoramswitch/daemon/core/DecisionLoop.java
@@ -77,7 +77,7 @@
         this.peerDisconnector = builder.peerDisconnector;
         this.ring = EventRing.of(RING_PER_REQUEST * OpenRequests.maxOpen(builder.maxWaiting));
         this.requests = OpenRequests.of(builder.maxWaiting);
-        this.actions = ActionRunner.of(requests, this, builder.peers, builder.targets, builder.crashPersister);
+        this.actions = ActionRunner.of(requests, this, builder.peers, builder.targets, builder.persister);
         this.metrics = DecisionMetrics.of(builder.registry, ring, requests);
         this.thread = new Thread(this::run, "decisions");
     }
@@ -294,7 +294,7 @@
         };
         private EventObserver observer = EventObserver.NONE;
         private Consumer<InstanceId> peerDisconnector = peer -> {};
-        private Consumer<Action.KeepCrashes> crashPersister = crashes -> {};
+        private Consumer<Action.Persist> persister = persist -> {};
 
         private Builder(Decider decider, LongSupplier clockMs, int maxWaiting, MetricRegistry registry) {
             this.decider = decider;
@@ -324,9 +324,9 @@
             return this;
         }
 
-        /** @param persister stores a request's crash counts outside the process, so that they survive a restart; must not block */
-        public Builder crashPersister(Consumer<Action.KeepCrashes> persister) {
-            this.crashPersister = persister;
+        /** @param newPersister stores state outside the process, so that it survives a restart; must not block */
+        public Builder persister(Consumer<Action.Persist> newPersister) {
+            this.persister = newPersister;
             return this;
         }
 
--- a/daemon/src/main/java/org/marjoramswitch/daemon/fleet/PoisonRequestStore.java
+++ b/daemon/src/main/java/org/marjoramswitch/daemon/fleet/PoisonRequestStore.java
@@ -55,12 +55,6 @@
         return new PoisonRequestStore(store, decisions, wallClockMs, delay);
     }
 
-    /** Runs a task after a delay; the task is dropped if the instance has stopped by then. */
-    @FunctionalInterface
-    public interface Delay {
-        void after(long delayMs, Runnable task);
-    }
-
     /** Stores the crashes under one request; never blocks. */
     public void save(Action.KeepCrashes kept) {
         String key = FleetList.CRASHES_PREFIX + Long.toHexString(kept.digest());
--- a/daemon/src/main/java/org/marjoramswitch/daemon/platform/ForwardingKeyValueStore.java
+++ b/daemon/src/main/java/org/marjoramswitch/daemon/platform/ForwardingKeyValueStore.java
@@ -50,6 +50,11 @@
         return store.watch(prefix, afterRevision, listener);
     }
 
+    @Override
+    public boolean isSameHistory(long revision, long laterRevision) {
+        return store.isSameHistory(revision, laterRevision);
+    }
+
     @Override
     public long calls() {
         return store.calls();
--- a/daemon/src/main/java/org/marjoramswitch/daemon/platform/KeyValueStore.java
+++ b/daemon/src/main/java/org/marjoramswitch/daemon/platform/KeyValueStore.java
@@ -36,6 +36,11 @@
      */
     AutoCloseable watch(String prefix, long afterRevision, Consumer<WatchEvent> listener);
 
+    /** Whether the store has not been restored from an older copy between two of its revisions, as far as it reports. */
+    default boolean isSameHistory(long revision, long laterRevision) {
+        return true;
+    }
+
     /** Number of calls made so far; a watch call that waits for changes counts as one. */
     long calls();
 
--- a/kernel/src/main/java/org/marjoramswitch/kernel/InstanceKernel.java
+++ b/kernel/src/main/java/org/marjoramswitch/kernel/InstanceKernel.java
@@ -60,6 +60,7 @@
     private final StreamDirectory streams = StreamDirectory.create();
     private final ServedVersions servedVersions = ServedVersions.create();
     private final StreamReplication streamReplication;
+    private final StreamPersistence streamPersistence;
     private final Deque<PeerMessage> selfMessages = new ArrayDeque<>();
     private final SilentPeerDetector silentEntryDetector = SilentPeerDetector.create();
     private boolean draining;
@@ -72,7 +73,9 @@
         this.fleet = FleetState.of(FleetView.of(List.of(self)));
         this.entry = Entry.create(self.id(), options, fleet, streams);
         this.placements = PlacementArbiters.of(self.id(), fleet, options.placement(), streams, servedVersions);
-        this.streamReplication = StreamReplication.of(self.id(), fleet, streams, servedVersions);
+        this.streamPersistence = StreamPersistence.of(self.id(), fleet, streams, servedVersions);
+        this.streamReplication =
+                StreamReplication.of(self.id(), fleet, streams, servedVersions, streamPersistence::streamBegan);
     }
 
     public static InstanceKernel create(Member self) {
@@ -217,6 +220,8 @@
             RejectedDemandRouting.send(rejected.rejected(), fleet, sink);
         } else if (event instanceof Event.CrashesListed listed) {
             entry.crashesReported(new PeerMessage.CrashNews(listed.crashes(), List.of()), nowMs, sink);
+        } else if (event instanceof Event.StreamsRestored restored) {
+            streamPersistence.restored(restored, nowMs);
         } else if (event instanceof Event.TargetReported reported) {
             targetReported(reported, nowMs);
         } else if (event instanceof Event.PrefixCached cached) {
@@ -552,6 +557,7 @@
     private void tick(long nowMs, ActionSink sink) {
         entry.tick(nowMs, sink);
         streamReplication.tick(nowMs, sink);
+        streamPersistence.tick(nowMs, sink);
         disconnectSilentEntries(nowMs, sink);
         arbiters.values().removeIf(arbiter -> !arbiter.hasEntries());
         changedCells.addAll(arbiters.keySet());
--- a/kernel/src/main/java/org/marjoramswitch/kernel/StreamReplication.java
+++ b/kernel/src/main/java/org/marjoramswitch/kernel/StreamReplication.java
@@ -43,6 +43,7 @@
     private final FleetState fleet;
     private final StreamDirectory directory;
     private final ServedVersions versions;
+    private final ReportListener reports;
     /** Streams reported by entries that have not been forwarded yet. */
     private final Map<PoolId, Set<Long>> unsent = new TreeMap<>();
     /** For each cell, the arbiter that has been sent the pool's records. */
@@ -50,15 +51,33 @@
 
     private long nextMs;
 
-    private StreamReplication(InstanceId self, FleetState fleet, StreamDirectory directory, ServedVersions versions) {
+    private StreamReplication(
+            InstanceId self,
+            FleetState fleet,
+            StreamDirectory directory,
+            ServedVersions versions,
+            ReportListener reports) {
         this.self = self;
         this.fleet = fleet;
         this.directory = directory;
         this.versions = versions;
+        this.reports = reports;
     }
 
-    static StreamReplication of(InstanceId self, FleetState fleet, StreamDirectory directory, ServedVersions versions) {
-        return new StreamReplication(self, fleet, directory, versions);
+    /** @param reports notified of each stream that an entry reports to this instance */
+    static StreamReplication of(
+            InstanceId self,
+            FleetState fleet,
+            StreamDirectory directory,
+            ServedVersions versions,
+            ReportListener reports) {
+        return new StreamReplication(self, fleet, directory, versions, reports);
+    }
+
+    /** Receives the streams that entries report. */
+    @FunctionalInterface
+    interface ReportListener {
+        void streamBegan(PoolId pool, long streamKey);
     }
 
     /** Handles a peer's records; returns false for any other message. */
@@ -81,6 +100,7 @@
         if (!message.replicated()) {
             unsent.computeIfAbsent(message.pool(), missing -> new LinkedHashSet<>())
                     .add(beginning.streamKey());
+            reports.streamBegan(message.pool(), beginning.streamKey());
         }
     }
 
--- a/kernel/src/main/java/org/marjoramswitch/kernel/action/Action.java
+++ b/kernel/src/main/java/org/marjoramswitch/kernel/action/Action.java
@@ -5,8 +5,11 @@
 import org.marjoramswitch.kernel.error.Failure;
 import org.marjoramswitch.kernel.message.PeerMessage;
 import org.marjoramswitch.kernel.message.PeerMessage.RequestCrash;
+import org.marjoramswitch.kernel.message.PeerMessage.StreamBeginning;
 import org.marjoramswitch.kernel.model.InstanceId;
+import org.marjoramswitch.kernel.model.PoolId;
 import org.marjoramswitch.kernel.model.TargetId;
+import org.marjoramswitch.kernel.stream.PersistedVersions;
 
 /** An output of {@link org.marjoramswitch.kernel.InstanceKernel}, to be carried out by its caller. */
 public sealed interface Action {
@@ -49,8 +52,21 @@
     /** Ends a request with a failure. Each request ends with exactly one {@link Complete} or {@link Fail}. */
     record Fail(long requestId, Failure failure) implements Action {}
 
+    /** Stores state outside the process. */
+    sealed interface Persist extends Action {}
+
     /** Stores the crashes of a blocked poison request, so that they survive the exit of all instances. */
-    record KeepCrashes(long digest, List<RequestCrash> crashes) implements Action {}
+    record KeepCrashes(long digest, List<RequestCrash> crashes) implements Persist {}
+
+    /** Stores the software versions that have served, so that they survive the exit of all instances. */
+    record PersistVersions(PersistedVersions versions) implements Persist {}
+
+    /**
+     * Stores the beginnings of streams, so that they survive the exit of all instances.
+     *
+     * @param keptMs how long they may be needed
+     */
+    record PersistStreams(PoolId pool, List<StreamBeginning> beginnings, long keptMs) implements Persist {}
 
     /** Logs a decision. */
     record Decided(Decision decision) implements Action {}
--- a/kernel/src/main/java/org/marjoramswitch/kernel/event/Event.java
+++ b/kernel/src/main/java/org/marjoramswitch/kernel/event/Event.java
@@ -2,16 +2,19 @@
 
 import java.util.List;
 import java.util.Set;
+import org.jspecify.annotations.Nullable;
 import org.marjoramswitch.kernel.message.PeerMessage;
 import org.marjoramswitch.kernel.model.Evacuations;
 import org.marjoramswitch.kernel.model.FleetView;
 import org.marjoramswitch.kernel.model.InstanceId;
 import org.marjoramswitch.kernel.model.LoadReport;
+import org.marjoramswitch.kernel.model.PoolId;
 import org.marjoramswitch.kernel.model.RequestSpec;
 import org.marjoramswitch.kernel.model.TargetId;
 import org.marjoramswitch.kernel.model.TargetOutcome;
 import org.marjoramswitch.kernel.model.Usage;
 import org.marjoramswitch.kernel.settings.FleetSettings;
+import org.marjoramswitch.kernel.stream.PersistedVersions;
 
 /**
  * An input of {@link org.marjoramswitch.kernel.InstanceKernel}. Decisions depend only on the events and their times.
@@ -117,6 +120,16 @@
     /** Crashes of targets while running a request, as listed in the platform's key-value store. */
     record CrashesListed(List<PeerMessage.RequestCrash> crashes) implements Event {}
 
+    /**
+     * What the instances persisted about streams was read.
+     *
+     * @param versions null if none were persisted
+     */
+    record StreamsRestored(@Nullable PersistedVersions versions, List<PoolStreams> streams) implements Event {}
+
+    /** Part of {@link StreamsRestored}: the beginnings of streams of a pool. */
+    record PoolStreams(PoolId pool, List<PeerMessage.StreamBeginning> beginnings) {}
+
     /** A target reported its load. */
     record TargetReported(TargetId target, LoadReport report) implements Event {}
 
--- a/kernel/src/main/java/org/marjoramswitch/kernel/stream/ServedVersions.java
+++ b/kernel/src/main/java/org/marjoramswitch/kernel/stream/ServedVersions.java
@@ -2,6 +2,7 @@
 
 import java.util.ArrayList;
 import java.util.Collection;
+import java.util.Collections;
 import java.util.List;
 import java.util.Map;
 import java.util.Set;
@@ -12,6 +13,7 @@
 import org.marjoramswitch.kernel.message.PeerMessage.VersionHistory;
 import org.marjoramswitch.kernel.model.PoolId;
 import org.marjoramswitch.kernel.settings.TargetSettings;
+import org.marjoramswitch.kernel.stream.PersistedVersions.PersistedVersion;
 
 /**
  * Tracks which software versions have served each pool recently. A stream whose beginning is not known can be continued
@@ -19,7 +21,7 @@
  * a moment ago.
  *
  * <p>An instance that has just started has not seen which versions served before. It takes over the history of peers
- * that have been running for longer. Not thread-safe.
+ * that have been running for longer, or the last snapshot if there are no such peers. Not thread-safe.
  */
 public final class ServedVersions {
     /** Minimum of {@link #streamLifetimeMs}. */
@@ -71,15 +73,46 @@
             return null;
         }
         List<ServedVersion> versions = new ArrayList<>();
-        Set<PoolId> pools = new TreeSet<>(listed.keySet());
-        pools.addAll(lastServedMs.keySet());
-        for (PoolId pool : pools) {
+        for (PoolId pool : pools()) {
             recent(pool, nowMs)
                     .forEach((version, atMs) -> versions.add(new ServedVersion(pool, version, nowMs - atMs)));
         }
         return new VersionHistory(Math.max(0, nowMs - knownSinceMs), versions);
     }
 
+    /** A snapshot for instances that start after all others have crashed; null before the first list of targets. */
+    public @Nullable PersistedVersions snapshot(long nowMs) {
+        if (knownSinceMs == Long.MAX_VALUE) {
+            return null;
+        }
+        List<PersistedVersion> versions = new ArrayList<>();
+        for (PoolId pool : pools()) {
+            Set<String> listedVersions = listed.getOrDefault(pool, Set.of());
+            recent(pool, nowMs)
+                    .forEach((version, atMs) -> versions.add(
+                            new PersistedVersion(pool, version, listedVersions.contains(version), nowMs - atMs)));
+        }
+        return new PersistedVersions(Math.max(0, nowMs - knownSinceMs), streamLifetimeMs, versions);
+    }
+
+    /** Adds a snapshot; a version that was listed in it may have served until now. */
+    public void restore(PersistedVersions snapshot, long nowMs) {
+        snapshot.versions()
+                .forEach(version -> served(version.pool(), version.softwareVersion(), nowMs - version.ageMs()));
+        streamMayLast(snapshot.streamLifetimeMs());
+        knownSinceMs = Math.min(knownSinceMs, nowMs - snapshot.knownForMs());
+    }
+
+    /** The versions that are listed now, by pool. */
+    public Map<PoolId, Set<String>> listedVersions() {
+        return Collections.unmodifiableMap(listed);
+    }
+
+    /** How long a stream may last. */
+    public long streamLifetimeMs() {
+        return streamLifetimeMs;
+    }
+
     /** The version that alone has served the pool for as long as a stream lasts; null if this is not certain. */
     public @Nullable String onlyVersion(PoolId pool, long nowMs) {
         Set<String> recent = recent(pool, nowMs).keySet();
@@ -87,6 +120,12 @@
         return isKnown && recent.size() == 1 ? recent.iterator().next() : null;
     }
 
+    private Set<PoolId> pools() {
+        Set<PoolId> pools = new TreeSet<>(listed.keySet());
+        pools.addAll(lastServedMs.keySet());
+        return pools;
+    }
+
     /** The versions that have served the pool within a stream's lifetime, each with the time when it last did. */
     private Map<String, Long> recent(PoolId pool, long nowMs) {
         Map<String, Long> recent = new TreeMap<>(lastServedMs.getOrDefault(pool, Map.of()));
--- a/kernel/src/main/java/org/marjoramswitch/kernel/stream/StreamDirectory.java
+++ b/kernel/src/main/java/org/marjoramswitch/kernel/stream/StreamDirectory.java
@@ -48,6 +48,17 @@
         streams.put(beginning.streamKey(), new Beginning(beginning.softwareVersion(), keptUntilMs));
     }
 
+    /** Adds a record that was persisted by this or another instance, unless there is one already. */
+    public void restore(PoolId pool, StreamBeginning beginning, long nowMs) {
+        if (beginning.leftMs() <= 0) {
+            return;
+        }
+        Map<Long, Beginning> streams = byPool.computeIfAbsent(pool, missing -> new LinkedHashMap<>());
+        removeOldest(streams, nowMs);
+        streams.putIfAbsent(
+                beginning.streamKey(), new Beginning(beginning.softwareVersion(), nowMs + beginning.leftMs()));
+    }
+
     /** The software version at which the stream began; null if it is not known. */
     public @Nullable String versionOf(PoolId pool, long streamKey, long nowMs) {
         Beginning beginning = byPool.getOrDefault(pool, Map.of()).get(streamKey);
