Keep a running stream whose caller's progress timeout has passed until the caller disconnects

Cause: the check of the progress timeout goes by what was written to the caller and is made by the decision thread, which has read neither the target's socket nor the caller's. The caller starts its count later than the instance, by the way to it, so the instance is always the first to give up.

Change: when the timeout has passed, the caller's connection is read. A caller that has given up has closed it, which ends the request as before. Waiting requests end as before. The log line is caller_overdue.

--- a/daemon/src/main/java/org/marjoramswitch/daemon/core/ActionRunner.java
+++ b/daemon/src/main/java/org/marjoramswitch/daemon/core/ActionRunner.java
@@ -147,9 +147,14 @@
 
     private void reportProgress(long requestId) {
         OpenRequest request = requests.find(requestId);
-        if (request != null) {
-            events.offer(new Event.ProgressReported(requestId, request.sinceProgressMs(System.nanoTime())));
+        if (request == null) {
+            return;
         }
+        request.checkCaller(gone -> {
+            if (!gone) {
+                events.offer(new Event.ProgressReported(requestId, request.sinceProgressMs(System.nanoTime())));
+            }
+        });
     }
 
     private void complete(long requestId) {
--- a/kernel/src/main/java/org/marjoramswitch/kernel/action/Action.java
+++ b/kernel/src/main/java/org/marjoramswitch/kernel/action/Action.java
@@ -41,8 +41,9 @@
     record CancelAttempt(long requestId, TargetId target) implements Action {}
 
     /**
-     * Queries when the caller was last sent a part of the response; answered by {@link
-     * org.marjoramswitch.kernel.event.Event.ProgressReported}.
+     * Reads the caller's connection, then queries when the caller was last sent a part of the response; answered by
+     * {@link org.marjoramswitch.kernel.event.Event.ProgressReported}, or by {@link
+     * org.marjoramswitch.kernel.event.Event.CallerGone} if the caller has disconnected.
      */
     record QueryProgress(long requestId) implements Action {}
 
--- a/kernel/src/main/java/org/marjoramswitch/kernel/entry/Entry.java
+++ b/kernel/src/main/java/org/marjoramswitch/kernel/entry/Entry.java
@@ -722,12 +722,20 @@
             }
             // Parts of the response are written to the caller outside of the kernel. The query may be lost with its
             // reply, so it is repeated.
-            timeouts.set(request, Math.min(request.spec().deadlineMs(), nowMs + PROGRESS_QUERY_INTERVAL_MS));
+            queryProgressLater(request, nowMs);
             sink.accept(new Action.QueryProgress(request.spec().requestId()));
         }
     }
 
-    /** Ends a request whose caller has received nothing for its progress timeout. */
+    private void queryProgressLater(EntryRequest request, long nowMs) {
+        timeouts.set(request, Math.min(request.spec().deadlineMs(), nowMs + PROGRESS_QUERY_INTERVAL_MS));
+    }
+
+    /**
+     * Ends a waiting request whose caller has received nothing for its progress timeout. A running one continues: the
+     * caller's connection has been read and is open, so it is owed the response, of which parts may lie unread or
+     * unwritten here.
+     */
     public void progressReported(long requestId, long sinceProgressMs, long nowMs, ActionSink sink) {
         EntryRequest request = requests.get(requestId);
         if (request == null) {
@@ -735,10 +743,16 @@
         }
         request.progressReported(sinceProgressMs, nowMs);
         timeouts.set(request, request.waitsUntilMs());
-        if (request.waitsUntilMs() <= nowMs) {
-            sink.accept(EntryLog.callerTimedOut(request, nowMs));
-            timedOut(request, sink);
+        if (request.waitsUntilMs() > nowMs) {
+            return;
+        }
+        if (request.target() != null) {
+            sink.accept(EntryLog.callerOverdue(request, nowMs));
+            queryProgressLater(request, nowMs);
+            return;
         }
+        sink.accept(EntryLog.callerTimedOut(request, nowMs));
+        timedOut(request, sink);
     }
 
     private void timedOut(EntryRequest request, ActionSink sink) {
--- a/kernel/src/main/java/org/marjoramswitch/kernel/entry/EntryLog.java
+++ b/kernel/src/main/java/org/marjoramswitch/kernel/entry/EntryLog.java
@@ -66,8 +66,17 @@
 
     /** Logs that a caller has received no part of its response for its progress timeout. */
     static Action callerTimedOut(EntryRequest request, long nowMs) {
+        return withoutProgress("caller_timed_out", request, nowMs);
+    }
+
+    /** The caller of a running request has received nothing for its progress timeout, and has not disconnected. */
+    static Action callerOverdue(EntryRequest request, long nowMs) {
+        return withoutProgress("caller_overdue", request, nowMs);
+    }
+
+    private static Action withoutProgress(String event, EntryRequest request, long nowMs) {
         return new Action.Decided(Decision.of(
-                "caller_timed_out",
+                event,
                 "request",
                 request.spec().requestId(),
                 "customer",
