Read the sockets before a target counts as silent

Cause: a deadline that had passed was judged again after 1 ms, in the next turn of its I/O thread. The thread runs tasks and timers that become due while it runs others before it handles its sockets, so the second timer fired first as well whenever the tasks in between took longer than that.

Change: ReadBarrier, a pipe that is always writable and is handled together with the sockets. Once it was handled twice, all sockets that were readable have been read. It is armed only when a deadline has passed.

--- a/daemon/src/main/java/org/marjoramswitch/daemon/target/HttpAttempt.java
+++ b/daemon/src/main/java/org/marjoramswitch/daemon/target/HttpAttempt.java
@@ -91,7 +91,8 @@
         this.listener = listener;
         this.thread = thread;
         this.startedAtMs = connector.nowMs();
-        this.deadline = ProgressDeadline.of(thread, connector::nowMs, spec.progressTimeoutMs(), this::onSilence);
+        this.deadline = ProgressDeadline.of(
+                thread, connector.readBarrier(thread), connector::nowMs, spec.progressTimeoutMs(), this::onSilence);
         this.stallPolicy = EngineStallPolicy.of(spec.call().streaming());
         this.delivery = new ResponseDelivery(listener);
         this.log = new AttemptLog(spec);
--- a/daemon/src/main/java/org/marjoramswitch/daemon/target/ProgressDeadline.java
+++ b/daemon/src/main/java/org/marjoramswitch/daemon/target/ProgressDeadline.java
@@ -10,35 +10,35 @@
  * Notifies a listener when there was no progress for the timeout. A single timer checks the time of the last progress
  * and is rescheduled for the remaining time, so that progress only stores a timestamp. Confined to its I/O thread.
  *
- * <p>An I/O thread runs its timers before it reads its sockets. If it is behind, bytes may have arrived long before the
- * timer fires, so the listener is called only if the sockets have been read once more without progress.
+ * <p>If the I/O thread is behind, or the process was paused, bytes may have arrived long before the timer fires, so the
+ * listener is called only if the sockets have been read once more without progress, see {@link ReadBarrier}.
  */
 final class ProgressDeadline {
-    /** The shortest delay after which a timer fires in the next turn of its thread, behind the sockets of this one. */
-    private static final long NEXT_TURN_MS = 1;
-
     private final XnioIoThread thread;
+    private final ReadBarrier barrier;
     private final LongSupplier clockMs;
     private final long timeoutMs;
     private final Runnable listener;
     private long lastProgressMs;
     private long progressCount;
-    /** The progress count when the timeout was last found to have elapsed. */
-    private long overdueAtCount = -1;
-
     private XnioExecutor.@Nullable Key timer;
     private long dueAtMs;
     private long firedLateMs;
+    private boolean stopped;
 
-    private ProgressDeadline(XnioIoThread thread, LongSupplier clockMs, long timeoutMs, Runnable listener) {
+    private ProgressDeadline(
+            XnioIoThread thread, ReadBarrier barrier, LongSupplier clockMs, long timeoutMs, Runnable listener) {
         this.thread = thread;
+        this.barrier = barrier;
         this.clockMs = clockMs;
         this.timeoutMs = timeoutMs;
         this.listener = listener;
     }
 
-    static ProgressDeadline of(XnioIoThread thread, LongSupplier clockMs, long timeoutMs, Runnable listener) {
-        return new ProgressDeadline(thread, clockMs, timeoutMs, listener);
+    /** @param barrier the barrier of the I/O thread */
+    static ProgressDeadline of(
+            XnioIoThread thread, ReadBarrier barrier, LongSupplier clockMs, long timeoutMs, Runnable listener) {
+        return new ProgressDeadline(thread, barrier, clockMs, timeoutMs, listener);
     }
 
     /** Starts the deadline, or restarts it after the listener was called. */
@@ -75,6 +75,7 @@
     }
 
     void stop() {
+        stopped = true;
         XnioExecutor.Key armed = timer;
         if (armed != null) {
             armed.remove();
@@ -82,6 +83,7 @@
     }
 
     private void arm(long delayMs) {
+        stopped = false;
         dueAtMs = clockMs.getAsLong() + delayMs;
         timer = thread.executeAfter(this::check, delayMs, TimeUnit.MILLISECONDS);
     }
@@ -91,17 +93,22 @@
         firedLateMs = nowMs - dueAtMs;
         long remainingMs = lastProgressMs + timeoutMs - nowMs;
         if (remainingMs > 0) {
-            overdueAtCount = -1;
             arm(remainingMs);
             return;
         }
-        if (overdueAtCount != progressCount) {
-            overdueAtCount = progressCount;
-            arm(NEXT_TURN_MS);
+        timer = null;
+        long countBeforeReads = progressCount;
+        barrier.afterReads(() -> confirm(countBeforeReads));
+    }
+
+    private void confirm(long countBeforeReads) {
+        if (stopped || timer != null) {
+            return;
+        }
+        if (progressCount != countBeforeReads) {
+            arm(Math.max(1, lastProgressMs + timeoutMs - clockMs.getAsLong()));
             return;
         }
-        overdueAtCount = -1;
-        timer = null;
         listener.run();
     }
 }
--- a/daemon/src/main/java/org/marjoramswitch/daemon/target/TargetConnector.java
+++ b/daemon/src/main/java/org/marjoramswitch/daemon/target/TargetConnector.java
@@ -8,6 +8,8 @@
 import java.io.IOException;
 import java.net.InetSocketAddress;
 import java.security.SecureRandom;
+import java.util.Map;
+import java.util.concurrent.ConcurrentHashMap;
 import java.util.concurrent.TimeUnit;
 import java.util.concurrent.atomic.AtomicBoolean;
 import java.util.concurrent.atomic.AtomicLong;
@@ -41,6 +43,7 @@
     private final ConnectionPool pool;
     private final String idPrefix = Long.toString(ID_SEED.nextLong() >>> 1, 36) + "-";
     private final AtomicLong lastId = new AtomicLong();
+    private final Map<XnioIoThread, ReadBarrier> readBarriers = new ConcurrentHashMap<>();
 
     TargetConnector(XnioWorker worker, TargetClientOptions options, TargetProtocol protocol, TargetMetrics metrics) {
         this.worker = worker;
@@ -80,6 +83,11 @@
         return pool;
     }
 
+    /** The barrier of an I/O thread of the worker. */
+    ReadBarrier readBarrier(XnioIoThread thread) {
+        return readBarriers.computeIfAbsent(thread, ReadBarrier::of);
+    }
+
     XnioIoThread anyThread() {
         return worker.getIoThread();
     }
--- a/daemon/src/test/java/org/marjoramswitch/daemon/target/ProgressDeadlineTest.java
+++ b/daemon/src/test/java/org/marjoramswitch/daemon/target/ProgressDeadlineTest.java
@@ -55,8 +55,8 @@
         CountDownLatch blocked = new CountDownLatch(1);
         try (Socket target = server.accept()) {
             thread.execute(() -> {
-                ProgressDeadline deadline =
-                        ProgressDeadline.of(thread, clockMs::get, TIMEOUT_MS, () -> events.add("silent"));
+                ProgressDeadline deadline = ProgressDeadline.of(
+                        thread, ReadBarrier.of(thread), clockMs::get, TIMEOUT_MS, () -> events.add("silent"));
                 deadline.start();
                 connection.getSourceChannel().setReadListener(source -> read(source, deadline));
                 connection.getSourceChannel().resumeReads();
