--- a/kernel/src/test/java/org/marjoramswitch/kernel/PlacementFleet.java
+++ b/kernel/src/test/java/org/marjoramswitch/kernel/PlacementFleet.java
@@ -52,6 +52,9 @@
     final Deque<Sent> wire = new ArrayDeque<>();
     final List<Action.Dispatch> dispatched = new ArrayList<>();
     final List<Action.CancelAttempt> cancelled = new ArrayList<>();
+    /** Requests whose callers have disconnected, which is noticed when their connections are read. */
+    final Set<Long> disconnected = new HashSet<>();
+
     final Map<Long, Action> ends = new TreeMap<>();
     /** When a request's caller was last sent a part of the response. */
     final Map<Long, Long> callerProgress = new TreeMap<>();
@@ -261,7 +264,15 @@
             dispatched.add(dispatch);
         } else if (action instanceof Action.CancelAttempt cancel) {
             cancelled.add(cancel);
+        } else if (action instanceof Action.ExpireAttempt expire) {
+            cancelled.add(new Action.CancelAttempt(expire.requestId(), expire.target()));
+            progressReports.add(
+                    () -> apply(at, new Event.TargetEnded(expire.requestId(), TargetOutcome.CANCELLED, Usage.NONE)));
         } else if (action instanceof Action.QueryProgress query) {
+            if (disconnected.contains(query.requestId())) {
+                progressReports.add(() -> apply(at, new Event.CallerGone(query.requestId())));
+                return;
+            }
             long progressedAtMs = callerProgress.getOrDefault(query.requestId(), Event.NO_PROGRESS);
             long agoMs = progressedAtMs == Event.NO_PROGRESS ? Event.NO_PROGRESS : nowMs - progressedAtMs;
             progressReports.add(() -> apply(at, new Event.ProgressReported(query.requestId(), agoMs)));
