Deliver a response that arrived before the deadline of its request

Callers received a cut response although its target had completed it before the route's timeout: the process stood still or lagged while the remainder arrived, and on waking up the deadline came before the sockets. Most of twelve responses are cut in ProgressTimeoutProcessTest#responseThatWasCompletedBeforeItsDeadlineIsDelivered on the landed code.

Class: the one of the progress timeout, a timer that judges by bytes that nobody has read.

Change: at the deadline the attempt reads what has arrived and ends once a read of the sockets brings nothing more, after 400 ms at the latest. A response that is whole by then completes the request; otherwise it ends with REQUEST_TIMEOUT as before.

The test passes now, once.

--- a/daemon/src/main/java/org/marjoramswitch/daemon/core/ActionRunner.java
+++ b/daemon/src/main/java/org/marjoramswitch/daemon/core/ActionRunner.java
@@ -78,6 +78,8 @@
             dispatch(dispatch);
         } else if (action instanceof Action.CancelAttempt cancel) {
             cancel(cancel.requestId());
+        } else if (action instanceof Action.ExpireAttempt expire) {
+            expire(expire.requestId());
         } else if (action instanceof Action.QueryProgress query) {
             reportProgress(query.requestId());
         } else if (action instanceof Action.Complete complete) {
@@ -145,6 +147,13 @@
         }
     }
 
+    private void expire(long requestId) {
+        OpenRequest request = requests.find(requestId);
+        if (request != null) {
+            request.expireRunning();
+        }
+    }
+
     private void reportProgress(long requestId) {
         OpenRequest request = requests.find(requestId);
         if (request == null) {
--- a/daemon/src/main/java/org/marjoramswitch/daemon/core/OpenRequest.java
+++ b/daemon/src/main/java/org/marjoramswitch/daemon/core/OpenRequest.java
@@ -133,6 +133,14 @@
         }
     }
 
+    /** Ends the running attempt, if any, once the parts of its response that have arrived were read. */
+    void expireRunning() {
+        Attempt running = runningAttempt;
+        if (running != null) {
+            running.expire();
+        }
+    }
+
     /** Checks whether the caller has disconnected, according to an earlier report or to its connection. */
     void checkCaller(CallerCheck.Result result) {
         if (callerGone.get()) {
--- a/daemon/src/main/java/org/marjoramswitch/daemon/exchange/TargetClient.java
+++ b/daemon/src/main/java/org/marjoramswitch/daemon/exchange/TargetClient.java
@@ -15,6 +15,11 @@
     interface Attempt {
         /** Aborts the attempt. Its listener still receives an end, CANCELLED unless another outcome came first. */
         void cancel();
+
+        /** As {@link #cancel}, but first reads the parts of the response that have already arrived. */
+        default void expire() {
+            cancel();
+        }
     }
 
     /** Receives the events of one attempt in order, on one thread at a time; exactly one {@code onEnd} comes last. */
--- a/daemon/src/main/java/org/marjoramswitch/daemon/target/HttpAttempt.java
+++ b/daemon/src/main/java/org/marjoramswitch/daemon/target/HttpAttempt.java
@@ -125,6 +125,26 @@
         thread.execute(() -> end(TargetOutcome.CANCELLED));
     }
 
+    @Override
+    public void expire() {
+        onOwnThread(this::endOnceRead);
+    }
+
+    /** Ends the attempt once a read of the sockets has brought nothing more. */
+    private void endOnceRead() {
+        if (ended) {
+            return;
+        }
+        long progressCount = deadline.progressCount();
+        connector.readBarrier(thread).afterReads(() -> {
+            if (deadline.progressCount() == progressCount) {
+                end(TargetOutcome.CANCELLED);
+            } else {
+                endOnceRead();
+            }
+        });
+    }
+
     private void begin(@Nullable ClientConnection reused) {
         deadline.start();
         if (reused == null) {
--- a/kernel/src/main/java/org/marjoramswitch/kernel/action/Action.java
+++ b/kernel/src/main/java/org/marjoramswitch/kernel/action/Action.java
@@ -40,6 +40,12 @@
     /** Cancels the running attempt, whose end must still be reported to the kernel. */
     record CancelAttempt(long requestId, TargetId target) implements Action {}
 
+    /**
+     * Ends the running attempt of a request whose deadline has passed, once the parts of its response that have already
+     * arrived were read. Its end must still be reported to the kernel.
+     */
+    record ExpireAttempt(long requestId, TargetId target) implements Action {}
+
     /**
      * Reads the caller's connection, then queries when the caller was last sent a part of the response; answered by
      * {@link org.marjoramswitch.kernel.event.Event.ProgressReported}, or by {@link
--- a/kernel/src/main/java/org/marjoramswitch/kernel/entry/Entry.java
+++ b/kernel/src/main/java/org/marjoramswitch/kernel/entry/Entry.java
@@ -68,6 +68,9 @@
 
     private static final long PROGRESS_QUERY_INTERVAL_MS = 500;
 
+    /** How long a request may end after its deadline, while what has arrived of its response is read. */
+    private static final long MAX_LAST_READ_MS = 400;
+
     private final KernelOptions options;
     private final FleetState fleet;
     private final InstanceId self;
@@ -655,6 +658,10 @@
             complete(request, sink);
             return;
         }
+        if (outcome == TargetOutcome.CANCELLED && request.isExpired() && !request.callerGone()) {
+            fail(request, ErrorType.REQUEST_TIMEOUT, 0, String.valueOf(request.target()), sink);
+            return;
+        }
         if (outcome == TargetOutcome.CANCELLED || request.callerGone()) {
             fail(request, ErrorType.CALLER_GONE, 0, "", sink);
             return;
@@ -717,7 +724,7 @@
     private void expire(long nowMs, ActionSink sink) {
         for (EntryRequest request : timeouts.takeDue(nowMs)) {
             if (request.spec().deadlineMs() <= nowMs) {
-                timedOut(request, sink);
+                timedOut(request, nowMs, sink);
                 continue;
             }
             // Parts of the response are written to the caller outside of the kernel. The query may be lost with its
@@ -752,12 +759,12 @@
             return;
         }
         sink.accept(EntryLog.callerTimedOut(request, nowMs));
-        timedOut(request, sink);
+        timedOut(request, nowMs, sink);
     }
 
-    private void timedOut(EntryRequest request, ActionSink sink) {
+    private void timedOut(EntryRequest request, long nowMs, ActionSink sink) {
         if (request.target() != null) {
-            cancelTimedOut(request, sink);
+            expireRunning(request, nowMs, sink);
             return;
         }
         PoolQueues pool = pool(request.spec().pool());
@@ -767,12 +774,20 @@
         fail(request, ErrorType.WAIT_TIMEOUT, retryAfterMs, "", sink);
     }
 
-    /** Cancels a running placed request whose caller has timed out, so that the target does not spend time on it. */
-    private void cancelTimedOut(EntryRequest request, ActionSink sink) {
+    /**
+     * Ends a running placed request whose deadline has passed, so that the target does not spend time on it. A response
+     * that has arrived completely is still delivered.
+     */
+    private void expireRunning(EntryRequest request, long nowMs, ActionSink sink) {
         TargetId target = request.target();
         if (request.spec().placement() == null || target == null) {
             return;
         }
+        if (request.markExpired()) {
+            timeouts.set(request, nowMs + MAX_LAST_READ_MS);
+            sink.accept(new Action.ExpireAttempt(request.spec().requestId(), target));
+            return;
+        }
         sink.accept(new Action.CancelAttempt(request.spec().requestId(), target));
         placements.attemptEnded(request, PlacementEnd.GIVEN_UP, sink);
         request.markMayHaveRun();
--- a/kernel/src/main/java/org/marjoramswitch/kernel/entry/EntryRequest.java
+++ b/kernel/src/main/java/org/marjoramswitch/kernel/entry/EntryRequest.java
@@ -31,6 +31,7 @@
     private long costTokens;
     private long reportedTokens;
     private boolean callerGone;
+    private boolean expired;
     /** When the running attempt's response began; {@link #NOT_BEGUN} before. */
     private long responseBeganAtMs = NOT_BEGUN;
 
@@ -151,6 +152,18 @@
         callerGone = true;
     }
 
+    /** Whether the request's deadline passed during an attempt, which is about to end. */
+    boolean isExpired() {
+        return expired;
+    }
+
+    /** Returns true only on the first call. */
+    boolean markExpired() {
+        boolean first = !expired;
+        expired = true;
+        return first;
+    }
+
     Set<TargetId> failedTargets() {
         return failedAt;
     }
