Keep waiting for a target that falls silent within its response if no other can continue it

A sound target that fell silent for 1.6 s within its response lost it: the response was cut after 1.2 s although the route allowed no further attempt, there was no other target, or the response could not be continued elsewhere (a plain service).

Cause: the attempt judged the silence by itself and ended; only then the kernel found that no retry was possible.

Change: once a response has begun, the attempt reports the silence (TargetSilent) and goes on. The kernel ends it only if another attempt is allowed, a target that may continue it exists, and a retry could be taken from the budget, which is reserved for it. Otherwise it asks again after the same time; the attempt ends with the deadline or the caller's close. Before its first byte a silent attempt ends as before: its connection may be dead, and the caller may try again. Granted requests, which have no deadline, are unchanged.

--- a/daemon/src/main/java/org/marjoramswitch/daemon/core/ActionRunner.java
+++ b/daemon/src/main/java/org/marjoramswitch/daemon/core/ActionRunner.java
@@ -80,6 +80,8 @@
             cancel(cancel.requestId());
         } else if (action instanceof Action.ExpireAttempt expire) {
             expire(expire.requestId());
+        } else if (action instanceof Action.EndSilentAttempt silent) {
+            endSilent(silent.requestId());
         } else if (action instanceof Action.QueryProgress query) {
             reportProgress(query.requestId());
         } else if (action instanceof Action.Complete complete) {
@@ -154,6 +156,13 @@
         }
     }
 
+    private void endSilent(long requestId) {
+        OpenRequest request = requests.find(requestId);
+        if (request != null) {
+            request.endSilentAttempt();
+        }
+    }
+
     private void reportProgress(long requestId) {
         OpenRequest request = requests.find(requestId);
         if (request == null) {
--- a/daemon/src/main/java/org/marjoramswitch/daemon/core/AttemptRelay.java
+++ b/daemon/src/main/java/org/marjoramswitch/daemon/core/AttemptRelay.java
@@ -84,6 +84,12 @@
         events.offer(new Event.TargetProgress(request.id(), outputTokens));
     }
 
+    @Override
+    public boolean onSilent() {
+        // A granted request has no deadline after which its attempt would end.
+        return request.spec().placement() != null && events.offer(new Event.TargetSilent(request.id()));
+    }
+
     @Override
     public void onEnd(TargetOutcome outcome, Usage usage) {
         // The end of a superseded attempt must not be taken for that of the current one: the kernel would free the
--- a/daemon/src/main/java/org/marjoramswitch/daemon/core/EventClass.java
+++ b/daemon/src/main/java/org/marjoramswitch/daemon/core/EventClass.java
@@ -40,6 +40,7 @@
     private static boolean isHint(Event event) {
         return event instanceof Event.TargetProgress
                 || event instanceof Event.TargetAnswering
+                || event instanceof Event.TargetSilent
                 || event instanceof Event.ProgressReported
                 || event instanceof Event.TargetReported
                 || event instanceof Event.PrefixCached
--- a/daemon/src/main/java/org/marjoramswitch/daemon/core/OpenRequest.java
+++ b/daemon/src/main/java/org/marjoramswitch/daemon/core/OpenRequest.java
@@ -141,6 +141,14 @@
         }
     }
 
+    /** Ends the running attempt, if any, unless its target has sent something since it was reported as silent. */
+    void endSilentAttempt() {
+        Attempt running = runningAttempt;
+        if (running != null) {
+            running.endSilent();
+        }
+    }
+
     /** Checks whether the caller has disconnected, according to an earlier report or to its connection. */
     void checkCaller(CallerCheck.Result result) {
         if (callerGone.get()) {
--- a/daemon/src/main/java/org/marjoramswitch/daemon/exchange/TargetClient.java
+++ b/daemon/src/main/java/org/marjoramswitch/daemon/exchange/TargetClient.java
@@ -20,6 +20,9 @@
         default void expire() {
             cancel();
         }
+
+        /** Ends the attempt as silent, unless the target has sent something since {@link AttemptListener#onSilent}. */
+        default void endSilent() {}
     }
 
     /** Receives the events of one attempt in order, on one thread at a time; exactly one {@code onEnd} comes last. */
@@ -42,6 +45,15 @@
         /** The response holds {@code outputTokens} tokens so far. */
         void onProgress(long outputTokens);
 
+        /**
+         * The target has sent nothing for its progress timeout, after its response began.
+         *
+         * @return true if the attempt goes on until {@link Attempt#endSilent} is called, false if it is to end now
+         */
+        default boolean onSilent() {
+            return false;
+        }
+
         /**
          * The attempt has ended. A response counts as started from the first {@code onBytes}; before that the outcomes
          * named BEFORE_ANSWER apply. The outcome is REFUSED if nothing was sent or if the target reported that it did
--- a/daemon/src/main/java/org/marjoramswitch/daemon/target/HttpAttempt.java
+++ b/daemon/src/main/java/org/marjoramswitch/daemon/target/HttpAttempt.java
@@ -82,6 +82,9 @@
     /** Whether the request waits for the check of its caller, during which the target is not responsible for progress. */
     private boolean checkingCaller;
 
+    /** The deadline's progress count when the target was last reported as silent. */
+    private long silentAtCount = -1;
+
     private boolean ended;
 
     private HttpAttempt(TargetConnector connector, AttemptSpec spec, AttemptListener listener, XnioIoThread thread) {
@@ -130,6 +133,15 @@
         onOwnThread(this::endOnceRead);
     }
 
+    @Override
+    public void endSilent() {
+        onOwnThread(() -> {
+            if (deadline.progressCount() == silentAtCount) {
+                end(silentOutcome());
+            }
+        });
+    }
+
     /** Ends the attempt once a read of the sockets has brought nothing more. */
     private void endOnceRead() {
         if (ended) {
@@ -389,6 +401,9 @@
         } else if (spec.isQueryable()) {
             long progressCount = deadline.progressCount();
             EngineState.query(connector, spec, thread, state -> onEngineState(state, progressCount));
+        } else if (delivery.hasDelivered() && listener.onSilent()) {
+            silentAtCount = deadline.progressCount();
+            deadline.repeat();
         } else {
             end(silentOutcome());
         }
--- a/daemon/src/main/java/org/marjoramswitch/daemon/target/ProgressDeadline.java
+++ b/daemon/src/main/java/org/marjoramswitch/daemon/target/ProgressDeadline.java
@@ -47,6 +47,11 @@
         arm(timeoutMs);
     }
 
+    /** Calls the listener again after the timeout, unless there is progress; called after the listener was called. */
+    void repeat() {
+        arm(timeoutMs);
+    }
+
     void progress() {
         progressCount++;
         lastProgressMs = clockMs.getAsLong();
--- a/kernel/src/main/java/org/marjoramswitch/kernel/InstanceKernel.java
+++ b/kernel/src/main/java/org/marjoramswitch/kernel/InstanceKernel.java
@@ -198,6 +198,8 @@
             entry.responseStarted(answering.requestId(), nowMs, sink);
         } else if (event instanceof Event.TargetEnded ended) {
             entry.attemptEnded(ended, nowMs, sink);
+        } else if (event instanceof Event.TargetSilent silent) {
+            entry.targetSilent(silent.requestId(), nowMs, sink);
         } else if (event instanceof Event.ProgressReported reported) {
             entry.progressReported(reported.requestId(), reported.sinceProgressMs(), nowMs, sink);
         } else if (event instanceof Event.PeerReceived received) {
--- a/kernel/src/main/java/org/marjoramswitch/kernel/action/Action.java
+++ b/kernel/src/main/java/org/marjoramswitch/kernel/action/Action.java
@@ -46,6 +46,9 @@
      */
     record ExpireAttempt(long requestId, TargetId target) implements Action {}
 
+    /** Ends the running attempt unless its target has sent something since it was reported as silent. */
+    record EndSilentAttempt(long requestId, TargetId target) implements Action {}
+
     /**
      * Reads the caller's connection, then queries when the caller was last sent a part of the response; answered by
      * {@link org.marjoramswitch.kernel.event.Event.ProgressReported}, or by {@link
--- a/kernel/src/main/java/org/marjoramswitch/kernel/entry/AttemptRules.java
+++ b/kernel/src/main/java/org/marjoramswitch/kernel/entry/AttemptRules.java
@@ -33,6 +33,14 @@
         return request.spec().repeatable() || !request.mayHaveRun();
     }
 
+    /** Whether another attempt may follow the running one, within the response of which its target has fallen silent. */
+    static boolean mayReplaceRunning(EntryRequest request, long nowMs) {
+        PlacementSpec placement = request.spec().placement();
+        return placement != null
+                && request.executions() + 1 < placement.attempts()
+                && mayRetry(request, TargetOutcome.SILENT_IN_ANSWER, nowMs);
+    }
+
     static ErrorType errorOf(TargetOutcome outcome) {
         return switch (outcome) {
             case REFUSED -> ErrorType.TARGET_REFUSED;
--- a/kernel/src/main/java/org/marjoramswitch/kernel/entry/Entry.java
+++ b/kernel/src/main/java/org/marjoramswitch/kernel/entry/Entry.java
@@ -326,6 +326,36 @@
         demand.send(link, new PeerMessage.Progress(link.cell(), request.sequence(), request.costTokens()), sink);
     }
 
+    /**
+     * Ends an attempt whose target has fallen silent within its response, if another target may continue the response.
+     * Otherwise the attempt goes on: a sound target may be silent for a while, and the caller may wait longer.
+     */
+    public void targetSilent(long requestId, long nowMs, ActionSink sink) {
+        EntryRequest request = requests.get(requestId);
+        TargetId target = request == null ? null : request.target();
+        if (request == null || target == null) {
+            return;
+        }
+        boolean replaced = mayContinueElsewhere(request, nowMs);
+        sink.accept(EntryLog.targetSilent(request, target, replaced));
+        if (replaced) {
+            sink.accept(new Action.EndSilentAttempt(requestId, target));
+        }
+    }
+
+    private boolean mayContinueElsewhere(EntryRequest request, long nowMs) {
+        if (blockedForMs(request, nowMs) > 0
+                || !AttemptRules.mayReplaceRunning(request, nowMs)
+                || !placements.hasAlternative(request, nowMs)) {
+            return false;
+        }
+        if (!request.hasReservedRetry()
+                && takeRetry(request, pool(request.spec().pool()), nowMs)) {
+            request.reserveRetry();
+        }
+        return request.hasReservedRetry();
+    }
+
     /** Reports the cost of an ended attempt to its arbiter, and completes, retries or fails the request. */
     public void attemptEnded(Event.TargetEnded ended, long nowMs, ActionSink sink) {
         EntryRequest request = requests.get(ended.requestId());
@@ -673,7 +703,7 @@
             enqueue(request, nowMs, sink);
             return;
         }
-        if (mayRetry && takeRetry(request, pool, nowMs)) {
+        if (mayRetry && (request.takeReservedRetry() || takeRetry(request, pool, nowMs))) {
             request.attemptFailed();
             enqueue(request, nowMs, sink);
             return;
--- a/kernel/src/main/java/org/marjoramswitch/kernel/entry/EntryLog.java
+++ b/kernel/src/main/java/org/marjoramswitch/kernel/entry/EntryLog.java
@@ -74,6 +74,20 @@
         return withoutProgress("caller_overdue", request, nowMs);
     }
 
+    /** @param replaced whether another target may continue the response */
+    static Action targetSilent(EntryRequest request, TargetId target, boolean replaced) {
+        return new Action.Decided(Decision.of(
+                "target_silent",
+                "request",
+                request.spec().requestId(),
+                "target",
+                target,
+                "attempts",
+                request.attempts(),
+                "replaced",
+                replaced));
+    }
+
     private static Action withoutProgress(String event, EntryRequest request, long nowMs) {
         return new Action.Decided(Decision.of(
                 event,
--- a/kernel/src/main/java/org/marjoramswitch/kernel/entry/EntryRequest.java
+++ b/kernel/src/main/java/org/marjoramswitch/kernel/entry/EntryRequest.java
@@ -32,6 +32,8 @@
     private long reportedTokens;
     private boolean callerGone;
     private boolean expired;
+    /** Whether a retry was taken from the budget in advance. */
+    private boolean retryReserved;
     /** When the running attempt's response began; {@link #NOT_BEGUN} before. */
     private long responseBeganAtMs = NOT_BEGUN;
 
@@ -164,6 +166,21 @@
         return first;
     }
 
+    boolean hasReservedRetry() {
+        return retryReserved;
+    }
+
+    void reserveRetry() {
+        retryReserved = true;
+    }
+
+    /** Whether a retry was reserved; it is used up. */
+    boolean takeReservedRetry() {
+        boolean reserved = retryReserved;
+        retryReserved = false;
+        return reserved;
+    }
+
     Set<TargetId> failedTargets() {
         return failedAt;
     }
--- a/kernel/src/main/java/org/marjoramswitch/kernel/entry/Placements.java
+++ b/kernel/src/main/java/org/marjoramswitch/kernel/entry/Placements.java
@@ -98,6 +98,25 @@
         return placement != null && placement.excluded.contains(target);
     }
 
+    /** Whether a target other than the current one and those that have failed could continue the request. */
+    boolean hasAlternative(EntryRequest request, long nowMs) {
+        PlacementRequest placement = byRequest.get(request.spec().requestId());
+        if (placement == null) {
+            return false;
+        }
+        Set<TargetId> excluded = targetBackoffs.backedOffTargets(nowMs);
+        return targets(placement.cell).stream()
+                .filter(target -> !target.equals(request.target()) && !excluded.contains(target))
+                .filter(target -> !request.failedTargets().contains(target))
+                .anyMatch(target -> hasVersion(target, request.streamVersion()));
+    }
+
+    private boolean hasVersion(TargetId target, @Nullable String version) {
+        TargetSettings settings = fleet.settings().targets().get(target);
+        return version == null
+                || (settings != null && settings.softwareVersion().equals(version));
+    }
+
     /** Re-sends placement requests that excluded targets in backoff, now that a backoff has elapsed. */
     void backoffEnded(long nowMs, ActionSink sink) {
         for (PlacementRequest placement : List.copyOf(byId.values())) {
--- a/kernel/src/main/java/org/marjoramswitch/kernel/event/Event.java
+++ b/kernel/src/main/java/org/marjoramswitch/kernel/event/Event.java
@@ -57,6 +57,9 @@
         }
     }
 
+    /** The target of the running attempt has sent nothing for its progress timeout, after its response began. */
+    record TargetSilent(long requestId) implements Event {}
+
     /**
      * Responds to {@link org.marjoramswitch.kernel.action.Action.QueryProgress}.
      *
