--- a/kernel/src/main/java/org/marjoramswitch/kernel/entry/Entry.java
+++ b/kernel/src/main/java/org/marjoramswitch/kernel/entry/Entry.java
@@ -337,7 +337,7 @@
             return;
         }
         boolean replaced = mayContinueElsewhere(request, nowMs);
-        sink.accept(EntryLog.targetSilent(request, target, replaced));
+        sink.accept(EntryLog.responseStalled(request, target, replaced));
         if (replaced) {
             sink.accept(new Action.EndSilentAttempt(requestId, target));
         }
@@ -779,6 +779,9 @@
             return;
         }
         request.progressReported(sinceProgressMs, nowMs);
+        if (request.isExpired()) {
+            return;
+        }
         timeouts.set(request, request.waitsUntilMs());
         if (request.waitsUntilMs() > nowMs) {
             return;
--- a/kernel/src/main/java/org/marjoramswitch/kernel/entry/EntryLog.java
+++ b/kernel/src/main/java/org/marjoramswitch/kernel/entry/EntryLog.java
@@ -75,9 +75,9 @@
     }
 
     /** @param replaced whether another target may continue the response */
-    static Action targetSilent(EntryRequest request, TargetId target, boolean replaced) {
+    static Action responseStalled(EntryRequest request, TargetId target, boolean replaced) {
         return new Action.Decided(Decision.of(
-                "target_silent",
+                "response_stalled",
                 "request",
                 request.spec().requestId(),
                 "target",
