--- a/kernel/src/test/java/org/marjoramswitch/kernel/PlacementFleet.java
+++ b/kernel/src/test/java/org/marjoramswitch/kernel/PlacementFleet.java
@@ -52,6 +52,8 @@
     final Deque<Sent> wire = new ArrayDeque<>();
     final List<Action.Dispatch> dispatched = new ArrayList<>();
     final List<Action.CancelAttempt> cancelled = new ArrayList<>();
+    /** Requests whose running attempts were ended because their targets were silent. */
+    final List<Long> endedAsSilent = new ArrayList<>();
     /** Requests whose callers have disconnected, which is noticed when their connections are read. */
     final Set<Long> disconnected = new HashSet<>();
 
@@ -268,6 +270,8 @@
             cancelled.add(new Action.CancelAttempt(expire.requestId(), expire.target()));
             progressReports.add(
                     () -> apply(at, new Event.TargetEnded(expire.requestId(), TargetOutcome.CANCELLED, Usage.NONE)));
+        } else if (action instanceof Action.EndSilentAttempt silent) {
+            endedAsSilent.add(silent.requestId());
         } else if (action instanceof Action.QueryProgress query) {
             if (disconnected.contains(query.requestId())) {
                 progressReports.add(() -> apply(at, new Event.CallerGone(query.requestId())));
--- /dev/null
+++ b/kernel/src/test/java/org/marjoramswitch/kernel/StalledResponseTest.java
@@ -0,0 +1,74 @@
+package org.marjoramswitch.kernel;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertNull;
+
+import java.util.List;
+import org.junit.jupiter.api.Test;
+import org.marjoramswitch.kernel.event.Event;
+import org.marjoramswitch.kernel.model.TargetOutcome;
+
+/** Responses that have begun and whose targets then fall silent. */
+class StalledResponseTest extends PlacementFleet {
+    /** Guards against waiting for a silent target although another one may continue the response. */
+    @Test
+    void responseIsContinuedByAnotherTarget() {
+        long request = stalled(true, 2);
+        assertEquals(List.of(request), endedAsSilent);
+        end(request, TargetOutcome.SILENT_IN_ANSWER);
+        advance(20);
+        assertEquals(2, dispatched.size());
+    }
+
+    /** Guards against ending a response that no further attempt may continue. */
+    @Test
+    void responseGoesOnIfItsAttemptsAreUsedUp() {
+        assertGoesOn(stalled(true, 1));
+    }
+
+    /** Guards against ending a response that cannot be continued. */
+    @Test
+    void responseGoesOnIfItIsNotResumable() {
+        assertGoesOn(stalled(false, 2));
+    }
+
+    /** Guards against ending a response although its target is the only one. */
+    @Test
+    void responseGoesOnIfThereIsNoOtherTarget() {
+        targets("t1");
+        assertGoesOn(stalled(true, 2));
+    }
+
+    /** Guards against ending a response whose retry the budget does not allow. */
+    @Test
+    void responseGoesOnIfTheRetryBudgetIsSpent() {
+        while (endedAsSilent.size() == dispatched.size()) {
+            stalled(true, 2);
+        }
+        assertGoesOn(requests);
+    }
+
+    /** Guards against taking a retry from the budget each time that a target is reported as silent. */
+    @Test
+    void retryIsTakenOnce() {
+        long first = stalled(true, 2);
+        for (int i = 0; i < 100; i++) {
+            apply(entry, new Event.TargetSilent(first));
+        }
+        long second = stalled(true, 2);
+        assertEquals(1, endedAsSilent.stream().filter(ended -> ended == second).count());
+    }
+
+    private long stalled(boolean resumable, int attempts) {
+        long request = arrive(true, attempts, resumable);
+        apply(entry, new Event.TargetAnswering(request));
+        apply(entry, new Event.TargetSilent(request));
+        return request;
+    }
+
+    private void assertGoesOn(long request) {
+        assertEquals(0, endedAsSilent.stream().filter(ended -> ended == request).count());
+        advance(1_000);
+        assertNull(ends.get(request));
+    }
+}
