Keep the time for the last read if a report of progress follows the deadline

A response that had arrived before its deadline could still be cut. After the deadline an attempt has 400 ms to read what has arrived; a report of the caller's progress that was under way replaced this limit by the deadline, which had passed, so the next tick cancelled the attempt. On an I/O thread that is behind, the check of the caller and the last read are both due at that moment.

Reports of expired requests are ignored: their end is decided already.

CallerTimeoutTest.reportAfterTheDeadlineDoesNotShortenTheLastRead failed before (a CancelAttempt 10 ms after the ExpireAttempt) and passes now.

--- a/kernel/src/main/java/org/marjoramswitch/kernel/entry/Entry.java
+++ b/kernel/src/main/java/org/marjoramswitch/kernel/entry/Entry.java
@@ -775,7 +775,7 @@
      */
     public void progressReported(long requestId, long sinceProgressMs, long nowMs, ActionSink sink) {
         EntryRequest request = requests.get(requestId);
-        if (request == null) {
+        if (request == null || request.isExpired()) {
             return;
         }
         request.progressReported(sinceProgressMs, nowMs);
--- a/kernel/src/test/java/org/marjoramswitch/kernel/CallerTimeoutTest.java
+++ b/kernel/src/test/java/org/marjoramswitch/kernel/CallerTimeoutTest.java
@@ -200,6 +200,24 @@
                 cancelled.stream().map(Action.CancelAttempt::requestId).toList());
     }
 
+    /** Guards against cancelling an expired run before its response was read, because a report of progress arrives late. */
+    @Test
+    void reportAfterTheDeadlineDoesNotShortenTheLastRead() {
+        long request = arrive(true, ATTEMPTS, true);
+        InstanceKernel kernel = Objects.requireNonNull(kernels.get(entry));
+        nowMs += CALLER_TIMEOUT_MS;
+        kernel.apply(new Event.Tick(), nowMs);
+        kernel.apply(new Event.ProgressReported(request, PROGRESS_TIMEOUT_MS + 100), nowMs);
+        nowMs += 10;
+        assertEquals(
+                List.of(),
+                kernel.apply(new Event.Tick(), nowMs).stream()
+                        .filter(Action.CancelAttempt.class::isInstance)
+                        .toList());
+        apply(entry, new Event.TargetEnded(request, TargetOutcome.COMPLETED, Usage.NONE));
+        assertTrue(ends.get(request) instanceof Action.Complete);
+    }
+
     /** Guards against ending plain requests, whose callers wait until their deadline. */
     @Test
     void requestWithoutAProgressTimeoutRunsUntilItsDeadline() {
