Search the replacement of a silent target among those of its version

A stream whose target fell silent was ended although no other target had its version, so it could not be continued. The report of a response's first byte is a hint that is dropped while the ring of events is filled to a quarter; without it the version of the stream is not set, and any target counted as a replacement.

Silence within a response is proof that the response has begun, as the end of an attempt is in attemptEnded.

SilentTargetTest.streamIsKeptIfNoOtherTargetHasItsVersion failed before (EndSilentAttempt) and passes now.

--- a/kernel/src/main/java/org/marjoramswitch/kernel/entry/Entry.java
+++ b/kernel/src/main/java/org/marjoramswitch/kernel/entry/Entry.java
@@ -336,6 +336,8 @@
         if (request == null || target == null) {
             return;
         }
+        // The report of the response's first byte may have been lost in a full ring.
+        request.streamStarted();
         boolean replaced = mayContinueElsewhere(request, nowMs);
         sink.accept(EntryLog.targetSilent(request, target, replaced));
         if (replaced) {
