--- a/kernel/src/main/java/org/marjoramswitch/kernel/entry/Entry.java
+++ b/kernel/src/main/java/org/marjoramswitch/kernel/entry/Entry.java
@@ -336,6 +336,8 @@
         if (request == null || target == null) {
             return;
         }
+        // The report of the response's first byte may have been lost in a full ring.
+        request.streamStarted();
         boolean replaced = mayContinueElsewhere(request, nowMs);
         sink.accept(EntryLog.responseStalled(request, target, replaced));
         if (replaced) {
@@ -351,7 +353,7 @@
         }
         if (!request.hasReservedRetry()
                 && takeRetry(request, pool(request.spec().pool()), nowMs)) {
-            request.reserveRetry();
+            request.reserveRetry(nowMs);
         }
         return request.hasReservedRetry();
     }
@@ -731,9 +733,16 @@
     }
 
     private void complete(EntryRequest request, ActionSink sink) {
+        remove(request);
+        sink.accept(new Action.Complete(request.spec().requestId()));
+    }
+
+    private void remove(EntryRequest request) {
         requests.remove(request.spec().requestId());
         timeouts.remove(request);
-        sink.accept(new Action.Complete(request.spec().requestId()));
+        if (request.takeReservedRetry()) {
+            pool(request.spec().pool()).windowedRetryBudget().giveBack(request.retryReservedAtMs());
+        }
     }
 
     private boolean takeRetry(EntryRequest request, PoolQueues pool, long nowMs) {
@@ -745,8 +754,7 @@
     }
 
     private void fail(EntryRequest request, ErrorType type, long retryAfterMs, String detail, ActionSink sink) {
-        requests.remove(request.spec().requestId());
-        timeouts.remove(request);
+        remove(request);
         RunState run = request.mayHaveRun() ? RunState.UNKNOWN : RunState.NOT_RUN;
         sink.accept(new Action.Fail(request.spec().requestId(), new Failure(type, run, retryAfterMs, detail)));
     }
@@ -775,7 +783,7 @@
      */
     public void progressReported(long requestId, long sinceProgressMs, long nowMs, ActionSink sink) {
         EntryRequest request = requests.get(requestId);
-        if (request == null) {
+        if (request == null || request.isExpired()) {
             return;
         }
         request.progressReported(sinceProgressMs, nowMs);
