--- a/kernel/src/test/java/org/marjoramswitch/kernel/PlacementFleet.java
+++ b/kernel/src/test/java/org/marjoramswitch/kernel/PlacementFleet.java
@@ -62,6 +62,9 @@
     /** Progress timeout of the callers of new requests; 0 if they wait until their deadline. */
     long progressTimeoutMs;
 
+    /** How long callers of new requests wait for a complete response. */
+    long callerTimeoutMs = CALLER_TIMEOUT_MS;
+
     /** How long before their arrival at the kernel new requests were read. */
     long readDelayMs;
 
@@ -113,6 +116,27 @@
         });
     }
 
+    /** Stops all instances at once; their state and all messages are lost. */
+    void crashAll() {
+        wire.clear();
+        progressReports.clear();
+        frozen.addAll(INSTANCES);
+    }
+
+    /** Starts all instances after {@link #crashAll}, without their state. */
+    void startAll(FleetSettings settings) {
+        INSTANCES.forEach(id -> incarnations.merge(id, 1L, Long::sum));
+        INSTANCES.forEach(id -> boot(member(id)));
+        frozen.clear();
+        INSTANCES.forEach(id -> apply(id, new Event.SettingsAccepted(settings)));
+        shareView();
+        for (InstanceId id : INSTANCES) {
+            INSTANCES.stream()
+                    .filter(other -> !other.equals(id))
+                    .forEach(other -> apply(id, new Event.PeerLinkChanged(other, true)));
+        }
+    }
+
     Member member(InstanceId id) {
         return Member.of(id, incarnations.getOrDefault(id, 1L), DATA_CENTRE, false);
     }
@@ -167,7 +191,7 @@
     private long arrive(PlacementSpec placement, boolean repeatable, long digest) {
         requests++;
         RequestSpec spec = new RequestSpec(
-                requests, CUSTOMER, POOL, 1, repeatable, 20, 5, 0, nowMs + CALLER_TIMEOUT_MS, placement, digest);
+                requests, CUSTOMER, POOL, 1, repeatable, 20, 5, 0, nowMs + callerTimeoutMs, placement, digest);
         apply(entry, new Event.RequestArrived(spec.withProgressTimeout(progressTimeoutMs, nowMs - readDelayMs)));
         return requests;
     }
