--- a/kernel/src/test/java/org/marjoramswitch/kernel/StreamVersionFleetTest.java
+++ b/kernel/src/test/java/org/marjoramswitch/kernel/StreamVersionFleetTest.java
@@ -8,18 +8,24 @@
 import java.util.List;
 import java.util.Map;
 import java.util.Objects;
+import java.util.Set;
 import java.util.TreeMap;
+import java.util.TreeSet;
+import org.jspecify.annotations.Nullable;
 import org.junit.jupiter.api.BeforeEach;
 import org.junit.jupiter.api.Test;
 import org.marjoramswitch.kernel.action.Action;
 import org.marjoramswitch.kernel.error.ErrorType;
 import org.marjoramswitch.kernel.event.Event;
 import org.marjoramswitch.kernel.message.PeerMessage;
+import org.marjoramswitch.kernel.message.PeerMessage.StreamBeginning;
 import org.marjoramswitch.kernel.model.InstanceId;
 import org.marjoramswitch.kernel.model.PlacementSpec;
 import org.marjoramswitch.kernel.model.RunState;
 import org.marjoramswitch.kernel.model.StreamSpec;
 import org.marjoramswitch.kernel.model.TargetOutcome;
+import org.marjoramswitch.kernel.stream.PersistedVersions;
+import org.marjoramswitch.kernel.stream.PersistedVersions.PersistedVersion;
 
 /** Tests at which targets streams continue in a fleet of three kernels whose targets have two software versions. */
 class StreamVersionFleetTest extends PlacementFleet {
@@ -33,6 +39,7 @@
 
     private Map<String, String> current = MIXED;
     private final List<InstanceId> reportedTo = new ArrayList<>();
+    private final Set<String> persistedVersions = new TreeSet<>();
     private InstanceId third = INSTANCES.get(0);
 
     @BeforeEach
@@ -149,6 +156,9 @@
                 && !began.replicated()) {
             reportedTo.add(send.to());
         }
+        if (action instanceof Action.PersistVersions persisted) {
+            persisted.versions().versions().forEach(version -> persistedVersions.add(version.softwareVersion()));
+        }
     }
 
     /** Guards against a chain of crashes after which no instance has seen the streams begin. */
@@ -203,6 +213,69 @@
         assertRejected(arrive(true, 2, true, 0, StreamSpec.resuming(1, 99)));
     }
 
+    /** Guards against joining two versions if the one that began a stream is known from a persisted stream only. */
+    @Test
+    void unknownStreamIsRejectedIfAnotherVersionBeganAPersistedStream() {
+        crashAll();
+        current = OLD_ONLY;
+        startAll(settings(OLD_ONLY));
+        StreamBeginning persisted = new StreamBeginning(5, "v2", HISTORY_MS);
+        restoreAll(snapshot("v1"), List.of(persisted));
+        assertRejected(arrive(true, 2, true, 0, StreamSpec.resuming(1, 99)));
+    }
+
+    /** Guards against joining two versions if a stream has been persisted twice, since it began again at the second. */
+    @Test
+    void streamPersistedAtTwoVersionsIsRejected() {
+        crashAll();
+        startAll(settings(MIXED));
+        restoreAll(
+                snapshot("v1"),
+                List.of(
+                        new StreamBeginning(5, "v1", 20_000),
+                        new StreamBeginning(5, "v2", 10_000),
+                        new StreamBeginning(6, "v1", 20_000)));
+        assertRejected(arrive(true, 2, true, 0, StreamSpec.resuming(1, 5)));
+        assertEquals("v1", versionOf(arrive(true, 2, true, 0, StreamSpec.resuming(2, 6))));
+    }
+
+    /** Guards against taking a version for the only one if streams last longer than any that has been seen yet. */
+    @Test
+    void unknownStreamOfALongLastingRouteIsRejected() {
+        callerTimeoutMs = 2 * HISTORY_MS;
+        crashAll();
+        current = OLD_ONLY;
+        startAll(settings(OLD_ONLY));
+        advance(HISTORY_MS);
+        assertRejected(arrive(true, 2, true, 0, StreamSpec.resuming(1, 99)));
+        advance(HISTORY_MS);
+        assertTrue(isRunning(arrive(true, 2, true, 0, StreamSpec.resuming(2, 99))));
+    }
+
+    /** Guards against a snapshot that lacks a version which the instance that writes it has not listed itself. */
+    @Test
+    void versionThatAPeerHasListedIsPersisted() {
+        list(OLD_ONLY);
+        advance(HISTORY_MS);
+        restoreAll(null, List.of());
+        advance(REPLICATION_MS);
+        PeerMessage.VersionHistory history =
+                new PeerMessage.VersionHistory(HISTORY_MS, List.of(new PeerMessage.ServedVersion(POOL, "v2", 0)));
+        apply(arbiter, new Event.PeerReceived(third, 1, history));
+        advance(REPLICATION_MS);
+        assertTrue(persistedVersions.contains("v2"), "persisted " + persistedVersions);
+    }
+
+    private void restoreAll(@Nullable PersistedVersions versions, List<StreamBeginning> streams) {
+        INSTANCES.forEach(id ->
+                apply(id, new Event.StreamsRestored(versions, List.of(new Event.PoolStreams(POOL, streams)))));
+    }
+
+    /** A snapshot in which this version alone has served for longer than any stream lasts. */
+    private static PersistedVersions snapshot(String version) {
+        return new PersistedVersions(2 * HISTORY_MS, 30_000, List.of(new PersistedVersion(POOL, version, true, 0)));
+    }
+
     /** Guards against holding a request until its deadline after the last target of its version has left. */
     @Test
     void waitingStreamIsRejectedWhenItsVersionLeaves() {
