Do not resume a stream that was persisted at two versions

Callers that repeat a request begin its stream again, maybe at another version, and the batches of beginnings have no order: the record that was read first counted, and the stream could be joined. Two persisted records that differ make the version unknown. A stream that began after the start still replaces what was read.

streamPersistedAtTwoVersionsIsRejected failed before and passes.

--- a/kernel/src/main/java/org/marjoramswitch/kernel/stream/StreamDirectory.java
+++ b/kernel/src/main/java/org/marjoramswitch/kernel/stream/StreamDirectory.java
@@ -45,24 +45,27 @@
         long keptUntilMs = nowMs + Math.max(MIN_KEPT_MS, beginning.leftMs());
         // Removed first, so that a new record is the last one in the order of insertion.
         streams.remove(beginning.streamKey());
-        streams.put(beginning.streamKey(), new Beginning(beginning.softwareVersion(), keptUntilMs));
+        streams.put(beginning.streamKey(), new Beginning(beginning.softwareVersion(), keptUntilMs, false));
     }
 
-    /** Adds a record that was persisted by this or another instance, unless there is one already. */
+    /**
+     * Adds a record that was persisted by this or another instance, unless a stream that began since has replaced it.
+     * Persisted records have no order: if two of them differ in the version, the stream's version is not known.
+     */
     public void restore(PoolId pool, StreamBeginning beginning, long nowMs) {
         if (beginning.leftMs() <= 0) {
             return;
         }
         Map<Long, Beginning> streams = byPool.computeIfAbsent(pool, missing -> new LinkedHashMap<>());
         removeOldest(streams, nowMs);
-        streams.putIfAbsent(
-                beginning.streamKey(), new Beginning(beginning.softwareVersion(), nowMs + beginning.leftMs()));
+        Beginning restored = new Beginning(beginning.softwareVersion(), nowMs + beginning.leftMs(), true);
+        streams.merge(beginning.streamKey(), restored, Beginning::restoredWith);
     }
 
     /** The software version at which the stream began; null if it is not known. */
     public @Nullable String versionOf(PoolId pool, long streamKey, long nowMs) {
         Beginning beginning = byPool.getOrDefault(pool, Map.of()).get(streamKey);
-        return beginning == null || beginning.keptUntilMs() <= nowMs ? null : beginning.softwareVersion();
+        return beginning == null || !beginning.isKnown(nowMs) ? null : beginning.softwareVersion();
     }
 
     /** The number of records, including some that have expired. */
@@ -90,7 +93,7 @@
         List<StreamBeginning> beginnings = new ArrayList<>();
         for (long key : streamKeys) {
             Beginning beginning = streams.get(key);
-            if (beginning != null && beginning.keptUntilMs() > nowMs) {
+            if (beginning != null && beginning.isKnown(nowMs)) {
                 beginnings.add(new StreamBeginning(key, beginning.softwareVersion(), beginning.keptUntilMs() - nowMs));
             }
         }
@@ -108,5 +111,19 @@
         }
     }
 
-    private record Beginning(String softwareVersion, long keptUntilMs) {}
+    private record Beginning(String softwareVersion, long keptUntilMs, boolean restored) {
+        private static final String AMBIGUOUS = "";
+
+        private boolean isKnown(long nowMs) {
+            return keptUntilMs > nowMs && !softwareVersion.equals(AMBIGUOUS);
+        }
+
+        private Beginning restoredWith(Beginning other) {
+            if (!restored) {
+                return this;
+            }
+            String version = softwareVersion.equals(other.softwareVersion) ? softwareVersion : AMBIGUOUS;
+            return new Beginning(version, Math.max(keptUntilMs, other.keptUntilMs), true);
+        }
+    }
 }
