Count the time of a resumed request as the lifetime of its stream

A stream of a route with a longer timeout, resumed later than that, was continued at the only version that had been seen since, which need not be the one that began it. The resumed request has the same timeout and is now counted first.

unknownStreamOfALongLastingRouteIsRejected failed before and passes.

--- a/kernel/src/main/java/org/marjoramswitch/kernel/PlacementArbiters.java
+++ b/kernel/src/main/java/org/marjoramswitch/kernel/PlacementArbiters.java
@@ -117,6 +117,8 @@
         if (recorded != null || (named && !fleet.unreachable().isEmpty())) {
             return recorded;
         }
+        // A stream of this route may last as long as this request, also if none has been seen since the start.
+        servedVersions.streamMayLast(place.deadlineLeftMs());
         return servedVersions.onlyVersion(pool, nowMs);
     }
 
