Take the versions of persisted streams for versions that have served

Each persisted stream now counts as served by its version when it began.

unknownStreamIsRejectedIfAnotherVersionBeganAPersistedStream failed before and passes.

--- a/kernel/src/main/java/org/marjoramswitch/kernel/StreamPersistence.java
+++ b/kernel/src/main/java/org/marjoramswitch/kernel/StreamPersistence.java
@@ -75,9 +75,17 @@
         if (snapshot != null) {
             versions.restore(snapshot, nowMs);
         }
-        read.streams()
-                .forEach(streams ->
-                        streams.beginnings().forEach(beginning -> directory.restore(streams.pool(), beginning, nowMs)));
+        for (Event.PoolStreams streams : read.streams()) {
+            streams.beginnings().forEach(beginning -> restored(streams.pool(), beginning, nowMs));
+        }
+    }
+
+    /** The version of a stream may have come and left without a snapshot that names it. */
+    private void restored(PoolId pool, StreamBeginning beginning, long nowMs) {
+        directory.restore(pool, beginning, nowMs);
+        versions.streamMayLast(beginning.leftMs());
+        long leastAgeMs = versions.streamLifetimeMs() - beginning.leftMs();
+        versions.served(pool, beginning.softwareVersion(), nowMs - leastAgeMs);
     }
 
     /** An entry has reported a stream to this instance. */
