--- a/kernel/src/main/java/org/marjoramswitch/kernel/StreamPersistence.java
+++ b/kernel/src/main/java/org/marjoramswitch/kernel/StreamPersistence.java
@@ -109,7 +109,7 @@
     }
 
     private void writeSnapshot(long nowMs, ActionSink sink) {
-        SnapshotState current = SnapshotState.of(versions);
+        SnapshotState current = SnapshotState.of(versions, nowMs);
         if (!isSnapshotWriter() || (current.equals(snapshotState) && nowMs < nextRefreshMs)) {
             return;
         }
@@ -162,12 +162,17 @@
         }
     }
 
-    /** The part of a snapshot that does not change with time alone. */
-    private record SnapshotState(Map<PoolId, Set<String>> listed, long streamLifetimeMs) {
-        private static SnapshotState of(ServedVersions versions) {
+    /**
+     * The part of a snapshot whose change is written at once. Versions that only a peer has listed belong to it: the
+     * instances read the list of targets at different times.
+     */
+    private record SnapshotState(
+            Map<PoolId, Set<String>> listed, Map<PoolId, Set<String>> recent, boolean known, long streamLifetimeMs) {
+        private static SnapshotState of(ServedVersions versions, long nowMs) {
             Map<PoolId, Set<String>> listed = new TreeMap<>();
             versions.listedVersions().forEach((pool, served) -> listed.put(pool, Set.copyOf(served)));
-            return new SnapshotState(listed, versions.streamLifetimeMs());
+            return new SnapshotState(
+                    listed, versions.recentVersions(nowMs), versions.isKnown(nowMs), versions.streamLifetimeMs());
         }
     }
 }
--- a/kernel/src/main/java/org/marjoramswitch/kernel/stream/ServedVersions.java
+++ b/kernel/src/main/java/org/marjoramswitch/kernel/stream/ServedVersions.java
@@ -108,6 +108,18 @@
         return Collections.unmodifiableMap(listed);
     }
 
+    /** The versions that may have begun a stream that is resumed now, by pool. */
+    public Map<PoolId, Set<String>> recentVersions(long nowMs) {
+        Map<PoolId, Set<String>> recent = new TreeMap<>();
+        pools().forEach(pool -> recent.put(pool, recent(pool, nowMs).keySet()));
+        return recent;
+    }
+
+    /** Whether the versions have been known for as long as a stream lasts. */
+    public boolean isKnown(long nowMs) {
+        return knownSinceMs <= nowMs - streamLifetimeMs;
+    }
+
     /** How long a stream may last. */
     public long streamLifetimeMs() {
         return streamLifetimeMs;
@@ -116,8 +128,7 @@
     /** The version that alone has served the pool for as long as a stream lasts; null if this is not certain. */
     public @Nullable String onlyVersion(PoolId pool, long nowMs) {
         Set<String> recent = recent(pool, nowMs).keySet();
-        boolean isKnown = knownSinceMs <= nowMs - streamLifetimeMs;
-        return isKnown && recent.size() == 1 ? recent.iterator().next() : null;
+        return isKnown(nowMs) && recent.size() == 1 ? recent.iterator().next() : null;
     }
 
     private Set<PoolId> pools() {
