--- a/daemon/src/main/java/org/marjoramswitch/daemon/fleet/StreamRecordStore.java
+++ b/daemon/src/main/java/org/marjoramswitch/daemon/fleet/StreamRecordStore.java
@@ -40,8 +40,6 @@
     private static final long LEASE_SHARED_MS = 30_000;
 
     private static final long MAX_LEASE_MS = 600_000;
-    /** Wall clocks of instances differ and may be stepped; served versions are kept for this much longer. */
-    private static final long CLOCK_MARGIN_MS = 5_000;
 
     private final KeyValueStore store;
     private final EventSink decisions;
@@ -139,7 +137,7 @@
             LOG.warn("stream_versions_outdated", "revision", snapshot.revision(), "storeRevision", revision);
             return null;
         }
-        return snapshot.versions().aged(Math.max(0, nowMs - snapshot.writtenAtMs() - CLOCK_MARGIN_MS));
+        return snapshot.versions().readAfter(nowMs - snapshot.writtenAtMs());
     }
 
     /** Stores the versions; never blocks. */
--- a/kernel/src/main/java/org/marjoramswitch/kernel/stream/PersistedVersions.java
+++ b/kernel/src/main/java/org/marjoramswitch/kernel/stream/PersistedVersions.java
@@ -14,12 +14,14 @@
         versions = List.copyOf(versions);
     }
 
-    /** The same snapshot after some time in which no instance may have been running. */
-    public PersistedVersions aged(long elapsedMs) {
-        return new PersistedVersions(
-                knownForMs + elapsedMs,
-                streamLifetimeMs,
-                versions.stream().map(version -> version.aged(elapsedMs)).toList());
+    /**
+     * The same snapshot, read by an instance that starts. Versions do not age, since wall clocks jump. Where all streams
+     * that can be resumed may have begun after the write, it does not tell how long the list has been followed.
+     *
+     * @param elapsedMs time since the write by the wall clocks of two instances, which may be negative
+     */
+    public PersistedVersions readAfter(long elapsedMs) {
+        return Math.abs(elapsedMs) < streamLifetimeMs ? this : new PersistedVersions(0, streamLifetimeMs, versions);
     }
 
     /**
@@ -28,9 +30,5 @@
      * @param listed whether a target of this version was listed at the time of the snapshot, and may have served since
      * @param ageMs time since a target of this version was last listed, 0 if one is listed
      */
-    public record PersistedVersion(PoolId pool, String softwareVersion, boolean listed, long ageMs) {
-        private PersistedVersion aged(long elapsedMs) {
-            return listed ? this : new PersistedVersion(pool, softwareVersion, false, ageMs + elapsedMs);
-        }
-    }
+    public record PersistedVersion(PoolId pool, String softwareVersion, boolean listed, long ageMs) {}
 }
--- a/kernel/src/test/java/org/marjoramswitch/kernel/StreamStore.java
+++ b/kernel/src/test/java/org/marjoramswitch/kernel/StreamStore.java
@@ -158,7 +158,7 @@
         }
         knownSnapshots.put(by, current.write());
         return current.era() == era
-                ? current.versions().aged(Math.max(0, nowMs - current.writtenAtMs() - 5_000))
+                ? current.versions().readAfter(nowMs - current.writtenAtMs())
                 : null;
     }
 
