--- a/daemon/src/main/java/org/marjoramswitch/daemon/fleet/StreamRecordCodec.java
+++ b/daemon/src/main/java/org/marjoramswitch/daemon/fleet/StreamRecordCodec.java
@@ -114,6 +114,10 @@
 
     private static Snapshot snapshot(JsonNode json) {
         List<PersistedVersion> versions = new ArrayList<>();
+        // Without its versions a snapshot would say that none has served.
+        if (!json.path("versions").isArray()) {
+            throw new IllegalArgumentException("versions is not an array");
+        }
         for (JsonNode version : json.path("versions")) {
             versions.add(new PersistedVersion(
                     PoolId.of(text(version, "pool")),
@@ -151,8 +155,8 @@
 
     private static long number(JsonNode json, String field) {
         JsonNode value = json.path(field);
-        if (!value.isIntegralNumber()) {
-            throw new IllegalArgumentException(field + " is not a whole number");
+        if (!value.isIntegralNumber() || !value.canConvertToLong() || value.asLong() < 0) {
+            throw new IllegalArgumentException(field + " is not a whole number of 0 or more");
         }
         return value.asLong();
     }
