--- a/daemon/src/main/java/org/marjoramswitch/daemon/fleet/StreamRecordStore.java
+++ b/daemon/src/main/java/org/marjoramswitch/daemon/fleet/StreamRecordStore.java
@@ -124,8 +124,16 @@
                 streams.stream().mapToInt(pool -> pool.beginnings().size()).sum(),
                 "versionsKnownForMs",
                 versions == null ? -1 : versions.knownForMs());
-        decisions.offer(new Event.StreamsRestored(versions, streams));
-        restored = true;
+        offerRestored(new Event.StreamsRestored(versions, streams));
+    }
+
+    /** The decision loop persists nothing before it has received this. */
+    private void offerRestored(Event.StreamsRestored event) {
+        if (decisions.offer(event)) {
+            restored = true;
+        } else {
+            delay.after(RETRY_MS, () -> offerRestored(event));
+        }
     }
 
     /**
@@ -163,8 +171,7 @@
         Entry current = answered.value();
         setLastRevision(answered.revision());
         if (current != null && !current.value().equals(knownSnapshot())) {
-            adopt(current);
-            return CompletableFuture.completedFuture(true);
+            return CompletableFuture.completedFuture(adopt(current));
         }
         PersistedVersions versions = takeUnwritten();
         if (versions == null) {
@@ -179,15 +186,21 @@
                 .thenApply(result -> isTrue(result) || restoreUnwritten(versions));
     }
 
-    /** Passes on another instance's snapshot; the decision loop saves its own again once it has added it. */
-    private void adopt(Entry current) {
-        takeUnwritten();
-        setKnownSnapshot(current.value());
+    /**
+     * Passes on another instance's snapshot; the decision loop saves its own again once it has added it. Returns false
+     * if the decision loop has refused it.
+     */
+    private boolean adopt(Entry current) {
         Snapshot snapshot = StreamRecordCodec.readSnapshot(current);
         PersistedVersions versions = snapshot == null
                 ? null
                 : versions(snapshot, lastRevision(), clocks.wallClockMs().getAsLong());
-        decisions.offer(new Event.StreamsRestored(versions, List.of()));
+        PersistedVersions replaced = takeUnwritten();
+        if (!decisions.offer(new Event.StreamsRestored(versions, List.of()))) {
+            return replaced == null || restoreUnwritten(replaced);
+        }
+        setKnownSnapshot(current.value());
+        return true;
     }
 
     private synchronized void onSnapshotWritten(boolean done, int attempt) {
