--- a/daemon/src/main/java/org/marjoramswitch/daemon/fleet/StreamRecordStore.java
+++ b/daemon/src/main/java/org/marjoramswitch/daemon/fleet/StreamRecordStore.java
@@ -1,8 +1,10 @@
 package org.marjoramswitch.daemon.fleet;
 
 import java.util.ArrayList;
+import java.util.LinkedHashSet;
 import java.util.List;
 import java.util.Map;
+import java.util.Set;
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.TimeUnit;
 import java.util.function.LongSupplier;
@@ -36,6 +38,8 @@
     private static final KeyValueLog LOG = KeyValueLog.of(StreamRecordStore.class);
     private static final long RETRY_MS = 250;
     private static final int MAX_ATTEMPTS = 40;
+    /** Bounds what is kept while no write is answered; a value that is no longer kept is read as another instance's. */
+    private static final int MAX_KNOWN_SNAPSHOTS = 64;
     /** Time during which batches share a lease, so that few leases are requested. */
     private static final long LEASE_SHARED_MS = 30_000;
 
@@ -47,7 +51,12 @@
     private final Delay delay;
     private final String batchPrefix;
     private volatile boolean restored;
-    private @Nullable String knownSnapshot;
+    /**
+     * The values of the snapshot that the decision loop knows: the one that was read or written last, and those whose
+     * write may have taken effect.
+     */
+    private final Set<String> knownSnapshots = new LinkedHashSet<>();
+
     private long lastRevision;
     /** The newest snapshot that has not been written; null if there is none. */
     private @Nullable PersistedVersions unwritten;
@@ -170,7 +179,7 @@
         }
         Entry current = answered.value();
         setLastRevision(answered.revision());
-        if (current != null && !current.value().equals(knownSnapshot())) {
+        if (current != null && !isKnownSnapshot(current.value())) {
             return CompletableFuture.completedFuture(adopt(current));
         }
         PersistedVersions versions = takeUnwritten();
@@ -180,10 +189,21 @@
         String value = StreamRecordCodec.write(
                 new Snapshot(versions, clocks.wallClockMs().getAsLong(), lastRevision()));
         long expectedRevision = current == null ? 0 : current.modRevision();
-        // A write whose response is lost may have taken effect.
-        setKnownSnapshot(value);
+        addKnownSnapshot(value);
         return store.compareAndSwap(Map.of(VERSIONS_KEY, expectedRevision), Map.of(VERSIONS_KEY, value), List.of(), 0)
-                .thenApply(result -> isTrue(result) || restoreUnwritten(versions));
+                .thenApply(result -> onReplaced(result, value) || restoreUnwritten(versions));
+    }
+
+    private boolean onReplaced(KeyValueResult<Boolean> result, String value) {
+        if (isTrue(result)) {
+            setKnownSnapshot(value);
+            return true;
+        }
+        // A write whose response is lost may have taken effect.
+        if (!(result instanceof KeyValueResult.OutcomeUnknown<Boolean>)) {
+            removeKnownSnapshot(value);
+        }
+        return false;
     }
 
     /**
@@ -264,12 +284,24 @@
         return batchPrefix + ++batchCount;
     }
 
-    private synchronized @Nullable String knownSnapshot() {
-        return knownSnapshot;
+    private synchronized boolean isKnownSnapshot(String value) {
+        return knownSnapshots.contains(value);
     }
 
     private synchronized void setKnownSnapshot(String value) {
-        knownSnapshot = value;
+        knownSnapshots.clear();
+        knownSnapshots.add(value);
+    }
+
+    private synchronized void addKnownSnapshot(String value) {
+        if (knownSnapshots.size() >= MAX_KNOWN_SNAPSHOTS) {
+            knownSnapshots.remove(knownSnapshots.iterator().next());
+        }
+        knownSnapshots.add(value);
+    }
+
+    private synchronized void removeKnownSnapshot(String value) {
+        knownSnapshots.remove(value);
     }
 
     private synchronized long lastRevision() {
