--- a/daemon/src/main/java/org/marjoramswitch/daemon/fleet/StreamRecordStore.java
+++ b/daemon/src/main/java/org/marjoramswitch/daemon/fleet/StreamRecordStore.java
@@ -1,8 +1,10 @@
 package org.marjoramswitch.daemon.fleet;
 
 import java.util.ArrayList;
+import java.util.LinkedHashSet;
 import java.util.List;
 import java.util.Map;
+import java.util.Set;
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.TimeUnit;
 import java.util.function.LongSupplier;
@@ -36,12 +38,12 @@
     private static final KeyValueLog LOG = KeyValueLog.of(StreamRecordStore.class);
     private static final long RETRY_MS = 250;
     private static final int MAX_ATTEMPTS = 40;
+    /** Bounds what is kept while no write is answered; a value that is no longer kept is read as another instance's. */
+    private static final int MAX_KNOWN_SNAPSHOTS = 64;
     /** Time during which batches share a lease, so that few leases are requested. */
     private static final long LEASE_SHARED_MS = 30_000;
 
     private static final long MAX_LEASE_MS = 600_000;
-    /** Wall clocks of instances differ and may be stepped; served versions are kept for this much longer. */
-    private static final long CLOCK_MARGIN_MS = 5_000;
 
     private final KeyValueStore store;
     private final EventSink decisions;
@@ -49,7 +51,12 @@
     private final Delay delay;
     private final String batchPrefix;
     private volatile boolean restored;
-    private @Nullable String knownSnapshot;
+    /**
+     * The values of the snapshot that the decision loop knows: the one that was read or written last, and those whose
+     * write may have taken effect.
+     */
+    private final Set<String> knownSnapshots = new LinkedHashSet<>();
+
     private long lastRevision;
     /** The newest snapshot that has not been written; null if there is none. */
     private @Nullable PersistedVersions unwritten;
@@ -126,8 +133,16 @@
                 streams.stream().mapToInt(pool -> pool.beginnings().size()).sum(),
                 "versionsKnownForMs",
                 versions == null ? -1 : versions.knownForMs());
-        decisions.offer(new Event.StreamsRestored(versions, streams));
-        restored = true;
+        offerRestored(new Event.StreamsRestored(versions, streams));
+    }
+
+    /** The decision loop persists nothing before it has received this. */
+    private void offerRestored(Event.StreamsRestored event) {
+        if (decisions.offer(event)) {
+            restored = true;
+        } else {
+            delay.after(RETRY_MS, () -> offerRestored(event));
+        }
     }
 
     /**
@@ -139,7 +154,7 @@
             LOG.warn("stream_versions_outdated", "revision", snapshot.revision(), "storeRevision", revision);
             return null;
         }
-        return snapshot.versions().aged(Math.max(0, nowMs - snapshot.writtenAtMs() - CLOCK_MARGIN_MS));
+        return snapshot.versions().readAfter(nowMs - snapshot.writtenAtMs());
     }
 
     /** Stores the versions; never blocks. */
@@ -164,9 +179,8 @@
         }
         Entry current = answered.value();
         setLastRevision(answered.revision());
-        if (current != null && !current.value().equals(knownSnapshot())) {
-            adopt(current);
-            return CompletableFuture.completedFuture(true);
+        if (current != null && !isKnownSnapshot(current.value())) {
+            return CompletableFuture.completedFuture(adopt(current));
         }
         PersistedVersions versions = takeUnwritten();
         if (versions == null) {
@@ -175,21 +189,38 @@
         String value = StreamRecordCodec.write(
                 new Snapshot(versions, clocks.wallClockMs().getAsLong(), lastRevision()));
         long expectedRevision = current == null ? 0 : current.modRevision();
-        // A write whose response is lost may have taken effect.
-        setKnownSnapshot(value);
+        addKnownSnapshot(value);
         return store.compareAndSwap(Map.of(VERSIONS_KEY, expectedRevision), Map.of(VERSIONS_KEY, value), List.of(), 0)
-                .thenApply(result -> isTrue(result) || restoreUnwritten(versions));
+                .thenApply(result -> onReplaced(result, value) || restoreUnwritten(versions));
     }
 
-    /** Passes on another instance's snapshot; the decision loop saves its own again once it has added it. */
-    private void adopt(Entry current) {
-        takeUnwritten();
-        setKnownSnapshot(current.value());
+    private boolean onReplaced(KeyValueResult<Boolean> result, String value) {
+        if (isTrue(result)) {
+            setKnownSnapshot(value);
+            return true;
+        }
+        // A write whose response is lost may have taken effect.
+        if (!(result instanceof KeyValueResult.OutcomeUnknown<Boolean>)) {
+            removeKnownSnapshot(value);
+        }
+        return false;
+    }
+
+    /**
+     * Passes on another instance's snapshot; the decision loop saves its own again once it has added it. Returns false
+     * if the decision loop has refused it.
+     */
+    private boolean adopt(Entry current) {
         Snapshot snapshot = StreamRecordCodec.readSnapshot(current);
         PersistedVersions versions = snapshot == null
                 ? null
                 : versions(snapshot, lastRevision(), clocks.wallClockMs().getAsLong());
-        decisions.offer(new Event.StreamsRestored(versions, List.of()));
+        PersistedVersions replaced = takeUnwritten();
+        if (!decisions.offer(new Event.StreamsRestored(versions, List.of()))) {
+            return replaced == null || restoreUnwritten(replaced);
+        }
+        setKnownSnapshot(current.value());
+        return true;
     }
 
     private synchronized void onSnapshotWritten(boolean done, int attempt) {
@@ -253,12 +284,24 @@
         return batchPrefix + ++batchCount;
     }
 
-    private synchronized @Nullable String knownSnapshot() {
-        return knownSnapshot;
+    private synchronized boolean isKnownSnapshot(String value) {
+        return knownSnapshots.contains(value);
     }
 
     private synchronized void setKnownSnapshot(String value) {
-        knownSnapshot = value;
+        knownSnapshots.clear();
+        knownSnapshots.add(value);
+    }
+
+    private synchronized void addKnownSnapshot(String value) {
+        if (knownSnapshots.size() >= MAX_KNOWN_SNAPSHOTS) {
+            knownSnapshots.remove(knownSnapshots.iterator().next());
+        }
+        knownSnapshots.add(value);
+    }
+
+    private synchronized void removeKnownSnapshot(String value) {
+        knownSnapshots.remove(value);
     }
 
     private synchronized long lastRevision() {
