--- a/kernel/src/main/java/org/marjoramswitch/kernel/entry/Entry.java
+++ b/kernel/src/main/java/org/marjoramswitch/kernel/entry/Entry.java
@@ -787,9 +787,6 @@
             return;
         }
         request.progressReported(sinceProgressMs, nowMs);
-        if (request.isExpired()) {
-            return;
-        }
         timeouts.set(request, request.waitsUntilMs());
         if (request.waitsUntilMs() > nowMs) {
             return;
