Return a reserved retry that was not used to the budget

If a silent target goes on before its attempt is ended, the retry that was reserved for the request stayed taken until the budget's window had passed. In the test two requests whose targets went on use up the budget of an instance; after that neither silent targets are replaced nor broken attempts retried.

A reserved retry is returned to the part of the window from which it was taken when its request ends without it.

SilentTargetTest.retryThatWasNotUsedIsAvailableAgain failed before (no replacement from the third request on) and passes now.

--- a/kernel/src/main/java/org/marjoramswitch/kernel/capacity/WindowedRetryBudget.java
+++ b/kernel/src/main/java/org/marjoramswitch/kernel/capacity/WindowedRetryBudget.java
@@ -62,6 +62,19 @@
         return true;
     }
 
+    /** Returns a retry that was taken at this time and not used. */
+    public void giveBack(long takenAtMs) {
+        Bucket taken = null;
+        for (Bucket bucket : buckets) {
+            if (bucket.sinceMs <= takenAtMs) {
+                taken = bucket;
+            }
+        }
+        if (taken != null) {
+            taken.retries = Math.max(0, taken.retries - 1);
+        }
+    }
+
     private Bucket bucket(Limits limits, long nowMs) {
         long widthMs = Math.max(1, limits.windowMs() / BUCKETS);
         while (!buckets.isEmpty() && buckets.peekFirst().sinceMs + widthMs <= nowMs - limits.windowMs()) {
--- a/kernel/src/main/java/org/marjoramswitch/kernel/entry/Entry.java
+++ b/kernel/src/main/java/org/marjoramswitch/kernel/entry/Entry.java
@@ -353,7 +353,7 @@
         }
         if (!request.hasReservedRetry()
                 && takeRetry(request, pool(request.spec().pool()), nowMs)) {
-            request.reserveRetry();
+            request.reserveRetry(nowMs);
         }
         return request.hasReservedRetry();
     }
@@ -733,9 +733,16 @@
     }
 
     private void complete(EntryRequest request, ActionSink sink) {
+        remove(request);
+        sink.accept(new Action.Complete(request.spec().requestId()));
+    }
+
+    private void remove(EntryRequest request) {
         requests.remove(request.spec().requestId());
         timeouts.remove(request);
-        sink.accept(new Action.Complete(request.spec().requestId()));
+        if (request.takeReservedRetry()) {
+            pool(request.spec().pool()).windowedRetryBudget().giveBack(request.retryReservedAtMs());
+        }
     }
 
     private boolean takeRetry(EntryRequest request, PoolQueues pool, long nowMs) {
@@ -747,8 +754,7 @@
     }
 
     private void fail(EntryRequest request, ErrorType type, long retryAfterMs, String detail, ActionSink sink) {
-        requests.remove(request.spec().requestId());
-        timeouts.remove(request);
+        remove(request);
         RunState run = request.mayHaveRun() ? RunState.UNKNOWN : RunState.NOT_RUN;
         sink.accept(new Action.Fail(request.spec().requestId(), new Failure(type, run, retryAfterMs, detail)));
     }
--- a/kernel/src/main/java/org/marjoramswitch/kernel/entry/EntryRequest.java
+++ b/kernel/src/main/java/org/marjoramswitch/kernel/entry/EntryRequest.java
@@ -34,6 +34,8 @@
     private boolean expired;
     /** Whether a retry was taken from the budget in advance. */
     private boolean retryReserved;
+
+    private long retryReservedAtMs;
     /** When the running attempt's response began; {@link #NOT_BEGUN} before. */
     private long responseBeganAtMs = NOT_BEGUN;
 
@@ -170,8 +172,14 @@
         return retryReserved;
     }
 
-    void reserveRetry() {
+    void reserveRetry(long nowMs) {
         retryReserved = true;
+        retryReservedAtMs = nowMs;
+    }
+
+    /** When a retry was last reserved. */
+    long retryReservedAtMs() {
+        return retryReservedAtMs;
     }
 
     /** Whether a retry was reserved; it is used up. */
--- a/kernel/src/test/java/org/marjoramswitch/kernel/SilentTargetTest.java
+++ b/kernel/src/test/java/org/marjoramswitch/kernel/SilentTargetTest.java
@@ -1,5 +1,6 @@
 package org.marjoramswitch.kernel;
 
+import static org.junit.jupiter.api.Assertions.assertEquals;
 import static org.junit.jupiter.api.Assertions.assertFalse;
 import static org.junit.jupiter.api.Assertions.assertTrue;
 
@@ -8,10 +9,12 @@
 import org.junit.jupiter.api.Test;
 import org.marjoramswitch.kernel.action.Action;
 import org.marjoramswitch.kernel.event.Event;
+import org.marjoramswitch.kernel.model.TargetOutcome;
 
 /** Targets that fall silent within a response. */
 class SilentTargetTest extends PlacementFleet {
     private static final int ATTEMPTS = 3;
+    private static final int SILENT_REQUESTS = 40;
 
     /** Guards against ending a stream that only its target can continue, because the report of its beginning was lost. */
     @Test
@@ -22,6 +25,21 @@
         assertFalse(isEndedAsSilent(request));
     }
 
+    /** Guards against spending the retry budget on targets that went on before their attempts were ended. */
+    @Test
+    void retryThatWasNotUsedIsAvailableAgain() {
+        for (int i = 0; i < SILENT_REQUESTS; i++) {
+            long request = arrive(true, ATTEMPTS, true);
+            apply(entry, new Event.TargetAnswering(request));
+            assertTrue(isEndedAsSilent(request), "request " + request);
+            end(request, TargetOutcome.COMPLETED);
+        }
+        long request = arrive(true, ATTEMPTS, true);
+        int sent = dispatched.size();
+        end(request, TargetOutcome.BROKEN_BEFORE_ANSWER);
+        assertEquals(sent + 1, dispatched.size());
+    }
+
     private boolean isEndedAsSilent(long request) {
         return Objects.requireNonNull(kernels.get(entry)).apply(new Event.TargetSilent(request), nowMs).stream()
                 .anyMatch(Action.EndSilentAttempt.class::isInstance);
