Read the sockets before an attempt is ended as silent by a decision

A response that had arrived was discarded and its request sent to another target, if it arrived between the report that the target is silent and the decision to replace it. On a lagging instance decisions are up to a second late, and the I/O thread handles the decision before its sockets.

The decision is carried out behind a read barrier, as the report is.

--- a/daemon/src/main/java/org/marjoramswitch/daemon/target/HttpAttempt.java
+++ b/daemon/src/main/java/org/marjoramswitch/daemon/target/HttpAttempt.java
@@ -135,11 +135,11 @@
 
     @Override
     public void endSilent() {
-        onOwnThread(() -> {
+        onOwnThread(() -> connector.readBarrier(thread).afterReads(() -> {
             if (deadline.progressCount() == silentAtCount) {
                 end(silentOutcome());
             }
-        });
+        }));
     }
 
     /** Ends the attempt once a read of the sockets has brought nothing more. */
--- a/testsuite/src/test/java/org/marjoramswitch/testsuite/target/TargetFixture.java
+++ b/testsuite/src/test/java/org/marjoramswitch/testsuite/target/TargetFixture.java
@@ -21,6 +21,7 @@
 import org.xnio.OptionMap;
 import org.xnio.Options;
 import org.xnio.Xnio;
+import org.xnio.XnioIoThread;
 import org.xnio.XnioWorker;
 
 /** Target client with one I/O thread, and the calls that the tests send. */
@@ -42,6 +43,11 @@
         client = UndertowTargetClient.start(worker, options, registry);
     }
 
+    /** The only I/O thread. */
+    XnioIoThread ioThread() {
+        return worker.getIoThread();
+    }
+
     static TargetSettings target(int port) {
         return new TargetSettings(
                 TargetId.of("target-1"), PoolId.of("pool"), "127.0.0.1", port, DataCentreId.of("dc"), 16, true);
