Handle opened connections before connecting times out

An attempt ended as refused although its connection had opened, if the I/O thread was busy or the process stopped for longer than the connect timeout: the timer fires before the thread sees that the connection is open. A sound target then counts as unreachable.

The timeout takes effect behind a read barrier.

BusyIoThreadTest.connectionThatOpenedInTimeIsUsed failed before (REFUSED) and passes now.

--- a/daemon/src/main/java/org/marjoramswitch/daemon/target/TargetConnector.java
+++ b/daemon/src/main/java/org/marjoramswitch/daemon/target/TargetConnector.java
@@ -129,7 +129,9 @@
         // A host that is down does not respond to a connect at all; without this limit the attempt would wait for the
         // operating system's timeout, which is minutes. A connection that opens after the timeout is closed.
         XnioExecutor.Key timeout = thread.executeAfter(
-                () -> settle(settled, null, listener), options.connectTimeoutMs(), TimeUnit.MILLISECONDS);
+                () -> readBarrier(thread).afterReads(() -> settle(settled, null, listener)),
+                options.connectTimeoutMs(),
+                TimeUnit.MILLISECONDS);
         connecting.addNotifier(
                 (future, ignored) -> thread.execute(() -> {
                     timeout.remove();
--- a/testsuite/src/test/java/org/marjoramswitch/testsuite/target/BusyIoThreadTest.java
+++ b/testsuite/src/test/java/org/marjoramswitch/testsuite/target/BusyIoThreadTest.java
@@ -23,6 +23,9 @@
     private static final long PROGRESS_TIMEOUT_MS = 300;
     private static final long LONG_TIMEOUT_MS = 15_000;
 
+    /** Longer than the time within which a connection must open. */
+    private static final long BUSY_MS = 1_500;
+
     private final CountDownLatch idle = new CountDownLatch(1);
     private TargetFixture fixture;
     private ServerSocket listening;
@@ -62,6 +65,20 @@
         }
     }
 
+    /** Guards against taking a target for unreachable whose connection opened while the I/O thread was busy. */
+    @Test
+    void connectionThatOpenedInTimeIsUsed() throws Exception {
+        RecordedAttempt recorded = new RecordedAttempt();
+        fixture.ioThread().execute(() -> {
+            fixture.start(listening.getLocalPort(), LONG_TIMEOUT_MS, fixture.serviceCall(), recorded);
+            fixture.ioThread().execute(() -> occupy(BUSY_MS));
+        });
+        try (Socket target = listening.accept()) {
+            write(target, "HTTP/1.1 200 OK\r\nContent-Length: 3\r\n\r\none");
+            assertEquals(TargetOutcome.COMPLETED, recorded.outcome());
+        }
+    }
+
     private static void write(Socket target, String text) throws IOException {
         target.getOutputStream().write(text.getBytes(StandardCharsets.ISO_8859_1));
     }
