Detect the close of a caller that has sent its next request

A run went on until its deadline after its caller had disconnected, if the caller had sent its next request on the connection before: the check of the caller did not read behind that request. Since a running request is no longer ended by the caller's progress timeout, nothing else ended the run while its target was silent.

A check reads behind the next request, as far as the buffer that holds it has room. Between checks such a connection is still not read, so the close is seen at the next check.

PlatformPathTest.callerThatDisconnectsAfterItsNextRequestCancelsItsRequestAtTheTarget failed before (the target could still write 3.5 s after its first event, with a progress timeout of 2 s) and passes now.

--- a/daemon/src/main/java/org/marjoramswitch/daemon/caller/CallerWatch.java
+++ b/daemon/src/main/java/org/marjoramswitch/daemon/caller/CallerWatch.java
@@ -5,6 +5,7 @@
 import io.undertow.server.protocol.http.HttpServerConnection;
 import io.undertow.util.AttachmentKey;
 import java.io.IOException;
+import java.nio.ByteBuffer;
 import org.jspecify.annotations.Nullable;
 import org.xnio.IoUtils;
 import org.xnio.conduits.ReadReadyHandler;
@@ -110,11 +111,11 @@
 
     /** Reads the input that has arrived, and notifies the listener if the caller has disconnected. */
     void readInput() {
-        // Bytes that are read now would be put back before those of the next request that were put back earlier.
-        if (stopped || connection.getExtraBytes() != null) {
+        if (stopped) {
             return;
         }
-        switch (readOnce(connection)) {
+        PooledByteBuffer next = connection.getExtraBytes();
+        switch (next == null ? readOnce(connection) : readBehind(connection, next.getBuffer())) {
             case ENDED -> {
                 stop();
                 listener.onInputEnded();
@@ -128,6 +129,24 @@
         }
     }
 
+    /** Reads input behind the bytes of the next request, as far as their buffer has room. */
+    private static Input readBehind(HttpServerConnection connection, ByteBuffer next) {
+        ByteBuffer room = next.duplicate().limit(next.capacity()).position(next.limit());
+        if (!room.hasRemaining()) {
+            return Input.NONE;
+        }
+        try {
+            int count = connection.getOriginalSourceConduit().read(room);
+            if (count <= 0) {
+                return count < 0 ? Input.ENDED : Input.NONE;
+            }
+            next.limit(next.limit() + count);
+            return Input.MORE;
+        } catch (IOException e) {
+            return Input.BROKEN;
+        }
+    }
+
     /** Reads the available input. Bytes of the next request are put back. */
     private static Input readOnce(HttpServerConnection connection) {
         PooledByteBuffer pooled = connection.getByteBufferPool().allocate();
