Keep a response that has begun if the target that continues it is silent at first

A caller that had received a part of its stream lost the rest if the target that continued it sent nothing for 1.2 s (an objective of 400 ms) and no further attempt was allowed, although the target was sound and the caller waits for two seconds after the last event. A target that continues a stream often reads the whole prompt first.

The silence of a target was reported only after bytes of the same attempt. Now what counts is whether the caller has received a part of the response, of whichever attempt. Before that an attempt ends by itself, as before.

SilentTargetPathTest.resumedResponseContinuesIfNoFurtherAttemptIsAllowed failed before (SILENT_BEFORE_ANSWER after 1,208 ms at the second target, response cut after the first event) and passes now, with SilentTargetPathTest 5 of 5; one run each, on a machine with other builds (load 26 and 17 on 8 cores).

--- a/daemon/src/main/java/org/marjoramswitch/daemon/core/AttemptRelay.java
+++ b/daemon/src/main/java/org/marjoramswitch/daemon/core/AttemptRelay.java
@@ -87,7 +87,9 @@
     @Override
     public boolean onSilent() {
         // A granted request has no deadline after which its attempt would end.
-        return request.spec().placement() != null && events.offer(new Event.TargetSilent(request.id()));
+        return request.spec().placement() != null
+                && (responding || request.hasResponseBegun())
+                && events.offer(new Event.TargetSilent(request.id()));
     }
 
     @Override
--- a/daemon/src/main/java/org/marjoramswitch/daemon/core/OpenRequest.java
+++ b/daemon/src/main/java/org/marjoramswitch/daemon/core/OpenRequest.java
@@ -284,6 +284,11 @@
         return fail(attempt > 0 ? Failure.unknown(type, detail) : Failure.notRun(type, 0, detail));
     }
 
+    /** Whether the caller has received a part of the response, maybe of an earlier attempt. */
+    synchronized boolean hasResponseBegun() {
+        return headDelivered;
+    }
+
     /** Whether the caller has received a complete response. */
     synchronized boolean isCompleted() {
         return completed;
--- a/daemon/src/main/java/org/marjoramswitch/daemon/exchange/TargetClient.java
+++ b/daemon/src/main/java/org/marjoramswitch/daemon/exchange/TargetClient.java
@@ -46,7 +46,7 @@
         void onProgress(long outputTokens);
 
         /**
-         * The target has sent nothing for its progress timeout, after its response began.
+         * The target has sent nothing for its progress timeout.
          *
          * @return true if the attempt goes on until {@link Attempt#endSilent} is called, false if it is to end now
          */
--- a/daemon/src/main/java/org/marjoramswitch/daemon/target/HttpAttempt.java
+++ b/daemon/src/main/java/org/marjoramswitch/daemon/target/HttpAttempt.java
@@ -401,7 +401,7 @@
         } else if (spec.isQueryable()) {
             long progressCount = deadline.progressCount();
             EngineState.query(connector, spec, thread, state -> onEngineState(state, progressCount));
-        } else if (delivery.hasDelivered() && listener.onSilent()) {
+        } else if (listener.onSilent()) {
             silentAtCount = deadline.progressCount();
             deadline.repeat();
         } else {
--- a/kernel/src/main/java/org/marjoramswitch/kernel/event/Event.java
+++ b/kernel/src/main/java/org/marjoramswitch/kernel/event/Event.java
@@ -57,7 +57,7 @@
         }
     }
 
-    /** The target of the running attempt has sent nothing for its progress timeout, after its response began. */
+    /** The target of the running attempt has sent nothing for its progress timeout, after the response began. */
     record TargetSilent(long requestId) implements Event {}
 
     /**
