Keep a batch of streams in the store for as long as its streams last

Batches of 30 s share a lease of at most 30 s more than the first one needs. A batch of streams that last longer was written under the same lease and disappeared before its streams ended, so that they were lost after a crash. A lease is now shared only if it outlasts the batch.

--- a/daemon/src/main/java/org/marjoramswitch/daemon/fleet/StreamRecordStore.java
+++ b/daemon/src/main/java/org/marjoramswitch/daemon/fleet/StreamRecordStore.java
@@ -64,7 +64,7 @@
     private boolean writingSnapshot;
     private long batchCount;
     private @Nullable CompletableFuture<Long> lease;
-    private long leaseUsableUntilMs;
+    private long leaseEndsAtMs;
 
     private StreamRecordStore(
             KeyValueStore store, EventSink decisions, Clocks clocks, Delay delay, String instanceLifetime) {
@@ -264,14 +264,15 @@
     private synchronized CompletableFuture<Long> lease(long keptMs) {
         long nowMs = clocks.monotonicMs().getAsLong();
         CompletableFuture<Long> current = lease;
-        if (current != null && nowMs < leaseUsableUntilMs) {
+        long neededMs = Math.min(keptMs, MAX_LEASE_MS - LEASE_SHARED_MS);
+        if (current != null && nowMs + neededMs < leaseEndsAtMs) {
             return current;
         }
-        long ttlMs = Math.min(MAX_LEASE_MS, keptMs + LEASE_SHARED_MS);
+        long ttlMs = neededMs + LEASE_SHARED_MS;
         CompletableFuture<Long> granted = store.grantLease(TimeUnit.MILLISECONDS.toSeconds(ttlMs))
                 .thenApply(result -> result instanceof KeyValueResult.Answered<Long> answered ? answered.value() : 0L);
         lease = granted;
-        leaseUsableUntilMs = nowMs + LEASE_SHARED_MS;
+        leaseEndsAtMs = nowMs + ttlMs;
         return granted;
     }
 
--- a/kernel/src/test/java/org/marjoramswitch/kernel/StreamStore.java
+++ b/kernel/src/test/java/org/marjoramswitch/kernel/StreamStore.java
@@ -157,9 +157,7 @@
             return null;
         }
         knownSnapshots.put(by, current.write());
-        return current.era() == era
-                ? current.versions().readAfter(nowMs - current.writtenAtMs())
-                : null;
+        return current.era() == era ? current.versions().readAfter(nowMs - current.writtenAtMs()) : null;
     }
 
     /** In an order of its own: the store's keys do not tell which batch is newer. */
