Do not forward a target's rejection that leaves open whether the request ran

Callers of routes whose requests may be executed once only (plain and streams that may not be resumed) got a target's 408, 429 or 503 without Not-Executed with its status and took it for "not run and never will be". They sent the request again, or dropped it as not executed, although the target may have run it.

Cause: FailureStatus maps the instance's own failures only. A response that does not state that the request was not started ends the attempt as completed, and ResponseRelay forwarded its status.

Change: on these routes RejectionGuard replaces a response with status 408, 421, 429 or 503 by a failure with an unknown run state: 502, TARGET_REFUSED, without the target's headers, so without its stamp. It acts on the head, so also where a rejection is too large to be buffered. The outcome for the kernel stays the same: reporting the attempt as broken would count as a crash of the target and block the request. Requests that may be repeated get the target's status, body and stamp unchanged, as before.

Checked and not affected: a request that broke off and was rejected then fails as unknown; a resumed response with another status counts as broken; callers of the standalone interface go by the run state of problems and not by the status.

--- a/daemon/src/main/java/org/marjoramswitch/daemon/caller/ForwardHandler.java
+++ b/daemon/src/main/java/org/marjoramswitch/daemon/caller/ForwardHandler.java
@@ -278,10 +278,12 @@
         long digest = RequestDigest.of(call.customer(), caller.http(), body);
         caller.setDigest(digest);
         long elapsedMs = head.hasElapsed() ? head.elapsedMs() : elapsedMs(route, metadata);
+        ResponseRelay relay =
+                new ResponseRelay(buffer, new ChunkRecorder(caller), FailureStatus::of, writer::checkCaller);
         submitter.submit(
                 call.spec(clockMs.getAsLong(), elapsedMs).withDigest(digest),
                 call.toTarget(caller.http(), decoder, head.headers(), body, callerWait),
-                new ResponseRelay(buffer, new ChunkRecorder(caller), FailureStatus::of, writer::checkCaller));
+                route.kind().isRepeatable() ? relay : RejectionGuard.before(relay));
     }
 
     /** Estimated time since the caller's first attempt, so that a retry's latency objective counts from then. */
