Send 100 Continue to callers that wait for it before they send their body

A caller that announced its body with Expect: 100-continue and waited got 408 after the time for a body (10 s), on operators' routes and on the standalone interface. Callers that sent the body at once were served.

Cause: Undertow leaves the interim response to the handler, and BodyReader, which reads the channel itself, never sent it.

Change: BodyReader sends it (ContinueResponse) when its first read brings nothing, so only where the body will be read: a request that is rejected by its head or by its declared length gets its final response alone, as before. It is not sent where a byte of the body has arrived, also of a chunk's size. The body is not read on while the interim response is not written completely; if the request ends in between, the connection is closed, so that no final response is written into the interim one.

Undertow writes interim responses past the buffer in which the standalone interface collects the responses to requests sent ahead. The interim response then came before the response to the request before it; that buffer is flushed first.

Not run: a full send buffer.

--- a/daemon/src/main/java/org/marjoramswitch/daemon/caller/BodyReader.java
+++ b/daemon/src/main/java/org/marjoramswitch/daemon/caller/BodyReader.java
@@ -8,6 +8,7 @@
 import java.util.concurrent.TimeUnit;
 import org.marjoramswitch.kernel.error.ErrorType;
 import org.marjoramswitch.kernel.error.Failure;
+import org.xnio.IoUtils;
 import org.xnio.XnioExecutor;
 import org.xnio.channels.StreamSourceChannel;
 
@@ -27,6 +28,7 @@
     private final long maxBytes;
     private final MemoryBudget budget;
     private final Listener listener;
+    private final ContinueResponse continueResponse;
     private final ByteArrayOutputStream bytes = new ByteArrayOutputStream();
     private long reservedBytes;
     private boolean ended;
@@ -37,6 +39,7 @@
         this.maxBytes = maxBytes;
         this.budget = budget;
         this.listener = listener;
+        this.continueResponse = ContinueResponse.of(exchange, new ContinueListener());
     }
 
     /** Receives the body or the rejection. Called on the I/O thread. */
@@ -68,18 +71,22 @@
     }
 
     private void onReadable(StreamSourceChannel channel) {
-        if (ended) {
+        if (ended || continueResponse.isIncomplete()) {
             return;
         }
         try (PooledByteBuffer pooled =
                 exchange.getConnection().getByteBufferPool().allocate()) {
             readAll(channel, pooled.getBuffer());
         } catch (IOException e) {
-            refuse(Failure.notRun(
-                    ErrorType.MALFORMED_REQUEST, 0, "the connection ended before the body did: " + e.getMessage()));
+            failed(e);
         }
     }
 
+    private void failed(IOException failure) {
+        refuse(Failure.notRun(
+                ErrorType.MALFORMED_REQUEST, 0, "the connection ended before the body did: " + failure.getMessage()));
+    }
+
     private void readAll(StreamSourceChannel channel, ByteBuffer buffer) throws IOException {
         while (!ended) {
             buffer.clear();
@@ -89,7 +96,7 @@
                 return;
             }
             if (count == 0) {
-                channel.resumeReads();
+                awaitMore(channel);
                 return;
             }
             buffer.flip();
@@ -97,6 +104,12 @@
         }
     }
 
+    private void awaitMore(StreamSourceChannel channel) throws IOException {
+        if (continueResponse.bodyAwaited()) {
+            channel.resumeReads();
+        }
+    }
+
     private void append(ByteBuffer buffer) {
         int count = buffer.remaining();
         if (bytes.size() + count > maxBytes) {
@@ -140,6 +153,24 @@
         }
         ended = true;
         timer.remove();
+        continueResponse.stop();
+        if (continueResponse.isIncomplete()) {
+            // A final response would be written into the interim one.
+            IoUtils.safeClose(exchange.getConnection());
+        }
         return true;
     }
+
+    /** Continues to read the body once the interim response has been written. */
+    private final class ContinueListener implements ContinueResponse.Listener {
+        @Override
+        public void onReady() {
+            onReadable(caller.requestChannel());
+        }
+
+        @Override
+        public void onFailed(IOException failure) {
+            failed(failure);
+        }
+    }
 }
--- a/daemon/src/main/java/org/marjoramswitch/daemon/caller/CallerConnection.java
+++ b/daemon/src/main/java/org/marjoramswitch/daemon/caller/CallerConnection.java
@@ -102,6 +102,11 @@
         enter(Phase.BUSY);
     }
 
+    /** Bytes received since the request's first one. */
+    long requestBytes() {
+        return requestBytes;
+    }
+
     /** The limits that hold for the request that is being served, or null if they are not known. */
     @Nullable
     CallerLimits limits() {
