Count what requests really hold and bound it by the heap and by customer

A body of declared length is reserved before it is read and copied once, into an array of its length; one of unknown length is reserved by segment and copied once more at the end. The reader and the watch drop their references when they end.

ResponseBufferTest: the budget is now used by an account of a customer; its checks are unchanged.

--- a/daemon/src/main/java/org/marjoramswitch/daemon/caller/BodyReader.java
+++ b/daemon/src/main/java/org/marjoramswitch/daemon/caller/BodyReader.java
@@ -2,7 +2,6 @@
 
 import io.undertow.connector.PooledByteBuffer;
 import io.undertow.server.HttpServerExchange;
-import java.io.ByteArrayOutputStream;
 import java.io.IOException;
 import java.nio.ByteBuffer;
 import java.util.concurrent.TimeUnit;
@@ -14,45 +13,52 @@
 /**
  * Reads one request's body on the connection's I/O thread without blocking.
  *
- * <p>Nothing is allocated for bytes that have not arrived, so a caller that announces a large body and sends none costs
- * a connection but no memory. A body that is too large is rejected by its declared length, or else at the first byte
- * beyond the limit; one that does not arrive in time is rejected at the timeout, and one whose connection ends early
- * immediately. The listener is notified exactly once.
+ * <p>A body that is too large, or for which there is no memory, is rejected by its declared length before it is read, or
+ * else at the first byte beyond the limit; one that does not arrive in time is rejected at the timeout, and one whose
+ * connection ends early immediately. The listener is notified exactly once.
+ *
+ * <p>The channel of an idle connection still refers to the reader of its last request, so the reader drops the bytes at the
+ * end.
  */
 final class BodyReader {
-    private static final long FULL_RETRY_AFTER_MS = 1_000;
-
     private final CallerExchange caller;
     private final HttpServerExchange exchange;
     private final long maxBytes;
-    private final MemoryBudget budget;
+    private final RequestMemory memory;
     private final Listener listener;
-    private final ByteArrayOutputStream bytes = new ByteArrayOutputStream();
-    private long reservedBytes;
+    private final BodyBytes bytes;
     private boolean ended;
 
-    private BodyReader(CallerExchange caller, long maxBytes, MemoryBudget budget, Listener listener) {
+    private BodyReader(CallerExchange caller, long maxBytes, RequestMemory memory, Listener listener) {
         this.caller = caller;
         this.exchange = caller.http();
         this.maxBytes = maxBytes;
-        this.budget = budget;
+        this.memory = memory;
         this.listener = listener;
+        this.bytes = new BodyBytes(memory, caller.http().getRequestContentLength());
     }
 
     /** Receives the body or the rejection. Called on the I/O thread. */
     interface Listener {
-        /** The body's bytes stay reserved in the budget until the listener releases them. */
+        /** The request's memory stays reserved until the listener releases it. */
         void onBody(byte[] body);
 
+        /** The request's memory is released. */
         void onRefused(Failure failure);
     }
 
-    static void read(CallerExchange caller, long maxBytes, int timeoutMs, MemoryBudget budget, Listener listener) {
-        BodyReader reader = new BodyReader(caller, maxBytes, budget, listener);
-        if (caller.http().getRequestContentLength() > maxBytes) {
+    /** @param memory reserved for the request by the reader */
+    static void read(CallerExchange caller, long maxBytes, int timeoutMs, RequestMemory memory, Listener listener) {
+        BodyReader reader = new BodyReader(caller, maxBytes, memory, listener);
+        long declaredBytes = caller.http().getRequestContentLength();
+        if (declaredBytes > maxBytes) {
             reader.refuse(Failure.notRun(ErrorType.BODY_TOO_LARGE, 0, Long.toString(maxBytes)));
             return;
         }
+        if (!memory.tryBegin(Math.max(0, declaredBytes))) {
+            reader.refuse(memory.rejection(Math.max(0, declaredBytes)));
+            return;
+        }
         XnioExecutor.Key timer =
                 reader.exchange.getIoThread().executeAfter(reader::onTimeout, timeoutMs, TimeUnit.MILLISECONDS);
         reader.start(timer);
@@ -98,19 +104,13 @@
     }
 
     private void append(ByteBuffer buffer) {
-        int count = buffer.remaining();
-        if (bytes.size() + count > maxBytes) {
+        if (bytes.sizeBytes() + buffer.remaining() > maxBytes) {
             refuse(Failure.notRun(ErrorType.BODY_TOO_LARGE, 0, Long.toString(maxBytes)));
             return;
         }
-        if (!budget.tryReserve(count)) {
-            refuse(Failure.notRun(ErrorType.ENTRY_QUEUE_FULL, FULL_RETRY_AFTER_MS, ""));
-            return;
+        if (!bytes.add(buffer)) {
+            refuse(memory.rejection(bytes.sizeBytes()));
         }
-        reservedBytes += count;
-        byte[] copy = new byte[count];
-        buffer.get(copy);
-        bytes.writeBytes(copy);
     }
 
     /** The timer comes before the socket is read on a thread that is behind, so the body may have arrived in full. */
@@ -120,17 +120,25 @@
     }
 
     private void complete() {
-        if (end()) {
-            caller.onBodyComplete();
-            listener.onBody(bytes.toByteArray());
+        if (ended) {
+            return;
+        }
+        caller.onBodyComplete();
+        byte[] body = bytes.take();
+        if (body == null) {
+            refuse(memory.rejection(bytes.sizeBytes()));
+            return;
         }
+        end();
+        listener.onBody(body);
     }
 
     private void refuse(Failure failure) {
         if (!end()) {
             return;
         }
-        budget.release(reservedBytes);
+        bytes.clear();
+        memory.releaseAll();
         listener.onRefused(failure);
     }
 
--- a/daemon/src/main/java/org/marjoramswitch/daemon/caller/CallHandler.java
+++ b/daemon/src/main/java/org/marjoramswitch/daemon/caller/CallHandler.java
@@ -45,7 +45,7 @@
         this.metrics = metrics;
     }
 
-    /** @param budget holds the bodies, which are reserved here and released by the intake */
+    /** @param budget counts the requests' memory, which is reserved here and released by the intake */
     static CallHandler of(
             CallerOptions options,
             Authenticator authenticator,
@@ -87,8 +87,10 @@
     }
 
     private void readBody(CallerExchange caller) {
+        MemoryAccount account = budget.account(Objects.requireNonNull(caller.customer()));
+        RequestMemory memory = caller.setMemory(RequestMemory.of(account, clockMs.getAsLong()));
         BodyReader.read(
-                caller, options.maxBodyBytes(), options.times().bodyTimeoutMs(), budget, new BodyReader.Listener() {
+                caller, options.maxBodyBytes(), options.times().bodyTimeoutMs(), memory, new BodyReader.Listener() {
                     @Override
                     public void onBody(byte[] body) {
                         parseBody(caller, body);
@@ -104,12 +106,12 @@
     /** Parses a large body on the worker: it takes milliseconds and would delay all other callers of the I/O thread. */
     private void parseBody(CallerExchange caller, byte[] body) {
         if (body.length <= MAX_INLINE_PARSE_BYTES) {
-            acceptCall(caller, body, read(caller, body));
+            acceptCall(caller, read(caller, body));
             return;
         }
         caller.http().getConnection().getWorker().execute(() -> {
             CallReader.Result result = read(caller, body);
-            caller.onIoThread(() -> acceptCall(caller, body, result));
+            caller.onIoThread(() -> acceptCall(caller, result));
         });
     }
 
@@ -118,9 +120,9 @@
         return CallReader.read(caller.http(), customer, settings.get(), body);
     }
 
-    private void acceptCall(CallerExchange caller, byte[] body, CallReader.Result result) {
+    private void acceptCall(CallerExchange caller, CallReader.Result result) {
         if (result instanceof CallReader.Result.Refused refused) {
-            budget.release(body.length);
+            caller.memory().releaseAll();
             refuse(caller, refused.failure());
             return;
         }
--- a/daemon/src/main/java/org/marjoramswitch/daemon/caller/CallIntake.java
+++ b/daemon/src/main/java/org/marjoramswitch/daemon/caller/CallIntake.java
@@ -39,41 +39,29 @@
     private final RequestKeys keys;
     private final Claims claims;
     private final LongSupplier clockMs;
-    private final MemoryBudget budget;
 
     private CallIntake(
-            CallerOptions options,
-            RequestSubmitter submitter,
-            RequestKeys keys,
-            Claims claims,
-            LongSupplier clockMs,
-            MemoryBudget budget) {
+            CallerOptions options, RequestSubmitter submitter, RequestKeys keys, Claims claims, LongSupplier clockMs) {
         this.options = options;
         this.submitter = submitter;
         this.keys = keys;
         this.claims = claims;
         this.clockMs = clockMs;
-        this.budget = budget;
     }
 
     static CallIntake of(
-            CallerOptions options,
-            RequestSubmitter submitter,
-            RequestKeys keys,
-            Claims claims,
-            LongSupplier clockMs,
-            MemoryBudget budget) {
-        return new CallIntake(options, submitter, keys, claims, clockMs, budget);
+            CallerOptions options, RequestSubmitter submitter, RequestKeys keys, Claims claims, LongSupplier clockMs) {
+        return new CallIntake(options, submitter, keys, claims, clockMs);
     }
 
-    /** Accepts a call whose body is reserved in the budget. Must be called on the exchange's I/O thread. */
+    /** Accepts a call whose memory is reserved. Must be called on the exchange's I/O thread. */
     void accept(CallerExchange caller, Call call) {
         caller.setPool(call.pool().id());
         caller.setDigest(call.digest());
         String keyText = call.headers().requestKey();
         RequestKey key = keyText == null ? null : RequestKey.parse(keyText);
         if (keyText != null && (key == null || RequestKeys.isReserved(key))) {
-            refuse(caller, call, Failure.notRun(ErrorType.MALFORMED_REQUEST, 0, "header Request-Key is no key"));
+            refuse(caller, Failure.notRun(ErrorType.MALFORMED_REQUEST, 0, "header Request-Key is no key"));
             return;
         }
         if (call.needsClaim()) {
@@ -118,14 +106,14 @@
             // a retry that finds the claim is rejected as not run.
             Failure failure = Failure.notRun(
                     ErrorType.CLAIM_UNAVAILABLE, CLAIM_RETRY_AFTER_MS, ((Claims.Result.NotClaimed) result).reason());
-            refuse(caller, call, keys.refuse(call.customer(), claimed.toString(), failure));
+            refuse(caller, keys.refuse(call.customer(), claimed.toString(), failure));
         }
     }
 
     private void followHolder(CallerExchange caller, Call call, RequestKey claimed, long requestId, String holderText) {
         RequestKey holder = RequestKey.parse(holderText);
         if (holder == null) {
-            refuse(caller, call, Failure.unknown(ErrorType.KEY_OUTCOME_UNKNOWN, ""));
+            refuse(caller, Failure.unknown(ErrorType.KEY_OUTCOME_UNKNOWN, ""));
             return;
         }
         if (holder.equals(claimed)) {
@@ -134,34 +122,30 @@
             return;
         }
         if (!keys.isHome(holder)) {
-            keys.query(
-                    call.customer(), holder, result -> caller.onIoThread(() -> rejectForHolder(caller, call, result)));
+            keys.query(call.customer(), holder, result -> caller.onIoThread(() -> rejectForHolder(caller, result)));
             return;
         }
         // Only the attempt that claimed the key may start; the query marks a holder that never started as dead.
         KeyState state = keys.stateOf(call.customer(), holder);
         if (state == KeyState.NEVER_SEEN || state == KeyState.DEAD) {
-            rejectForHolder(caller, call, new HomeQueryResult.NotRun());
+            rejectForHolder(caller, new HomeQueryResult.NotRun());
             return;
         }
         begin(caller, call, holder, requestId, CallIntake::releaseNothing);
     }
 
     /** A holder that did not run releases its claim, so a later attempt may claim the caller's key. */
-    private void rejectForHolder(CallerExchange caller, Call call, HomeQueryResult result) {
+    private void rejectForHolder(CallerExchange caller, HomeQueryResult result) {
         Failure failure = result instanceof HomeQueryResult.NotRun
                 ? Failure.notRun(ErrorType.CLAIM_UNAVAILABLE, CLAIM_RETRY_AFTER_MS, "its last request did not run")
                 : failureOf(caller, result);
-        refuse(caller, call, failure);
+        refuse(caller, failure);
     }
 
     private static void releaseNothing() {}
 
     private void queryHome(CallerExchange caller, Call call, RequestKey key) {
-        keys.query(
-                call.customer(),
-                key,
-                result -> caller.onIoThread(() -> refuse(caller, call, failureOf(caller, result))));
+        keys.query(call.customer(), key, result -> caller.onIoThread(() -> refuse(caller, failureOf(caller, result))));
     }
 
     private static Failure failureOf(CallerExchange caller, HomeQueryResult result) {
@@ -182,12 +166,16 @@
     /** @param release releases the claim on the caller's key if the request does not run */
     private void begin(CallerExchange caller, Call call, RequestKey key, long requestId, Runnable release) {
         KeyAdmission admission = keys.begin(
-                call.customer(), key, call.fingerprint(), requestId, () -> keyedResponse(call, requestId, release));
+                call.customer(),
+                key,
+                call.fingerprint(),
+                requestId,
+                () -> keyedResponse(call, caller.memory(), requestId, release));
         if (admission instanceof KeyAdmission.Started started) {
             attach(caller, started.response());
             submit(call, requestId, started.response().buffer(), CallerCheck.CONNECTED, true);
         } else if (admission instanceof KeyAdmission.Found found) {
-            budget.release(call.targetCall().body().length);
+            caller.memory().releaseAll();
             if (!attach(caller, found.response())) {
                 caller.refuse(Failure.unknown(ErrorType.ANSWER_NOT_KEPT, ""), clockMs.getAsLong());
             }
@@ -196,26 +184,27 @@
             if (failure.run() == RunState.NOT_RUN) {
                 release.run();
             }
-            refuse(caller, call, failure);
+            refuse(caller, failure);
         }
     }
 
-    private KeyedResponse keyedResponse(Call call, long requestId, Runnable release) {
+    private KeyedResponse keyedResponse(Call call, RequestMemory memory, long requestId, Runnable release) {
         ResponseBuffer.Limits limits =
                 new ResponseBuffer.Limits(options.maxUnreadBytes(), options.maxCachedResponseBytes());
-        KeyedEndListener end = new KeyedEndListener(call, release);
-        ResponseBuffer buffer = ResponseBuffer.create(limits, true, budget, end);
+        KeyedEndListener end = new KeyedEndListener(memory, release);
+        ResponseBuffer buffer = ResponseBuffer.create(limits, true, memory.account(), end);
         end.response = new KeyedResponse(requestId, call.customer(), call.repeatable(), buffer);
         return end.response;
     }
 
     private void runWithoutKey(CallerExchange caller, Call call) {
         long requestId = submitter.nextRequestId();
+        RequestMemory memory = caller.memory();
         ResponseBuffer buffer = ResponseBuffer.create(
                 new ResponseBuffer.Limits(options.maxUnreadBytes(), 0),
                 false,
-                budget,
-                (end, bytes) -> budget.release(call.targetCall().body().length));
+                memory.account(),
+                (end, bytes) -> memory.end(clockMs.getAsLong()));
         ResponseWriter writer = writer(caller, requestId, new UnkeyedListener(caller, requestId));
         writer.start(buffer);
         submit(call, requestId, buffer, writer::checkCaller, false);
@@ -257,8 +246,8 @@
                         check));
     }
 
-    private void refuse(CallerExchange caller, Call call, Failure failure) {
-        budget.release(call.targetCall().body().length);
+    private void refuse(CallerExchange caller, Failure failure) {
+        caller.memory().releaseAll();
         caller.refuse(failure, clockMs.getAsLong());
     }
 
@@ -330,18 +319,18 @@
 
     /** Updates the request's key and releases its memory at the end of a request with a key. */
     private final class KeyedEndListener implements ResponseBuffer.EndListener {
-        private final Call call;
+        private final RequestMemory memory;
         private final Runnable release;
         private @Nullable KeyedResponse response;
 
-        KeyedEndListener(Call call, Runnable release) {
-            this.call = call;
+        KeyedEndListener(RequestMemory memory, Runnable release) {
+            this.memory = memory;
             this.release = release;
         }
 
         @Override
         public void onEnd(ResponseEnd end, long totalBytes) {
-            budget.release(call.targetCall().body().length);
+            memory.end(clockMs.getAsLong());
             keys.ended(Objects.requireNonNull(response), end, totalBytes);
             if (end instanceof ResponseEnd.Failed failed && failed.failure().run() == RunState.NOT_RUN) {
                 release.run();
--- a/daemon/src/main/java/org/marjoramswitch/daemon/caller/CallerExchange.java
+++ b/daemon/src/main/java/org/marjoramswitch/daemon/caller/CallerExchange.java
@@ -1,6 +1,7 @@
 package org.marjoramswitch.daemon.caller;
 
 import io.undertow.server.HttpServerExchange;
+import java.util.Objects;
 import java.util.concurrent.TimeUnit;
 import org.jspecify.annotations.Nullable;
 import org.marjoramswitch.daemon.log.KeyValueLog;
@@ -29,6 +30,7 @@
     private long progressedMs;
     private int status;
     private @Nullable StreamSourceChannel requestChannel;
+    private @Nullable RequestMemory memory;
     private boolean bodyComplete;
     private boolean ended;
 
@@ -82,6 +84,17 @@
         progressedMs = nowMs;
     }
 
+    /** Sets the memory that is reserved for the request. */
+    RequestMemory setMemory(RequestMemory reserved) {
+        memory = reserved;
+        return reserved;
+    }
+
+    /** The memory that is reserved for the request, which begins with the reading of its body. */
+    RequestMemory memory() {
+        return Objects.requireNonNull(memory);
+    }
+
     void setPool(PoolId newPool) {
         pool = newPool;
     }
--- a/daemon/src/main/java/org/marjoramswitch/daemon/caller/CallerMetrics.java
+++ b/daemon/src/main/java/org/marjoramswitch/daemon/caller/CallerMetrics.java
@@ -33,6 +33,14 @@
     private CallerMetrics(MetricRegistry registry, MemoryBudget budget) {
         Gauge<Long> bufferedBytes = budget::usedBytes;
         registry.gauge("caller.buffered_bytes", () -> bufferedBytes);
+        Gauge<Long> maxBufferedBytes = budget::maxBytes;
+        registry.gauge("caller.buffered_bytes_max", () -> maxBufferedBytes);
+        for (MemoryBudget.Kind kind : MemoryBudget.Kind.values()) {
+            Gauge<Long> heldBytes = () -> budget.usedBytes(kind);
+            Gauge<Long> peakBytes = () -> budget.peakBytes(kind);
+            registry.gauge("caller.held_bytes." + kind.lowerName(), () -> heldBytes);
+            registry.gauge("caller.held_bytes_peak." + kind.lowerName(), () -> peakBytes);
+        }
         openRequests = registry.counter("caller.open_requests");
         receivedRequests = registry.meter("caller.requests");
         waits = registry.timer("caller.wait");
--- a/daemon/src/main/java/org/marjoramswitch/daemon/caller/CallerOptions.java
+++ b/daemon/src/main/java/org/marjoramswitch/daemon/caller/CallerOptions.java
@@ -9,7 +9,7 @@
  * @param maxConnections maximum number of open connections; further ones wait to be accepted
  * @param maxRequests maximum number of requests that are being read, are waiting or are being responded to
  * @param maxBodyBytes maximum size of a request body
- * @param maxBufferedBytes memory budget of all request bodies and responses
+ * @param maxBufferedBytes memory budget of all open requests and responses; by default a share of the heap
  * @param maxUnreadBytes unread bytes of a response at which a slow caller's connection is closed
  * @param maxCachedResponseBytes size of the largest response that is cached for a later attempt with its request key
  * @param maxCacheBytes size of all cached responses; a part of {@code maxBufferedBytes}
@@ -70,10 +70,11 @@
         private int maxConnections = MAX_CONNECTIONS;
         private int maxRequests = MAX_REQUESTS;
         private long maxBodyBytes = 4 * MIB;
-        private long maxBufferedBytes = 48 * MIB;
+        private long maxBufferedBytes =
+                MemoryBudget.maxBytesOfHeap(Runtime.getRuntime().maxMemory());
         private int maxUnreadBytes = (int) (4 * MIB);
         private int maxCachedResponseBytes = (int) MIB;
-        private long maxCacheBytes = 16 * MIB;
+        private long maxCacheBytes = Math.min(16 * MIB, maxBufferedBytes / 3);
         private boolean cheapRejections;
         private Times times = Times.DEFAULTS;
         private KeyLimits keyLimits = KeyLimits.defaults();
--- a/daemon/src/main/java/org/marjoramswitch/daemon/caller/CallerServer.java
+++ b/daemon/src/main/java/org/marjoramswitch/daemon/caller/CallerServer.java
@@ -62,7 +62,7 @@
             MetricRegistry metrics) {
         Authenticator authenticator = Authenticator.of(settings);
         MemoryBudget budget = MemoryBudget.of(options.maxBufferedBytes());
-        CallIntake intake = CallIntake.of(options, submitter, keys, claims, clockMs, budget);
+        CallIntake intake = CallIntake.of(options, submitter, keys, claims, clockMs);
         CallHandler calls = CallHandler.of(
                 options, authenticator, settings, keys, intake, budget, clockMs, CallerMetrics.of(metrics, budget));
         Routes routes = Routes.of(calls, health)
--- a/daemon/src/main/java/org/marjoramswitch/daemon/caller/CallerWatch.java
+++ b/daemon/src/main/java/org/marjoramswitch/daemon/caller/CallerWatch.java
@@ -95,6 +95,8 @@
             return;
         }
         stopped = true;
+        // The connection outlives the exchange, and the listener refers to its response.
+        slot().current = null;
         StreamSourceConduit conduit = connection.getOriginalSourceConduit();
         conduit.suspendReads();
         conduit.setReadReadyHandler(new ReadReadyHandler.ChannelListenerHandler<>(
--- a/daemon/src/main/java/org/marjoramswitch/daemon/caller/ForwardHandler.java
+++ b/daemon/src/main/java/org/marjoramswitch/daemon/caller/ForwardHandler.java
@@ -226,11 +226,12 @@
 
     /** @param head null if it is read after the body */
     private void readBody(CallerExchange caller, RoutedSettings current, Route route, @Nullable CallHead head) {
+        MemoryAccount account = budget.account(Objects.requireNonNull(caller.customer()));
         BodyReader.read(
                 caller,
                 limits(caller.http(), current).maxBodyBytes(),
                 options.times().bodyTimeoutMs(),
-                budget,
+                caller.setMemory(RequestMemory.of(account, clockMs.getAsLong())),
                 new BodyReader.Listener() {
                     @Override
                     public void onBody(byte[] body) {
@@ -253,20 +254,21 @@
         caller.setRequestId(requestId);
         caller.setCallerRequestId(metadata.requestId());
         if (CallerWatch.hasDisconnected(caller.http())) {
-            budget.release(body.length);
+            caller.memory().releaseAll();
             refuse(caller, Failure.notRun(ErrorType.CALLER_GONE, 0, ""));
             return;
         }
         if (pool == null) {
-            budget.release(body.length);
+            caller.memory().releaseAll();
             refuse(caller, Failure.notRun(ErrorType.NO_TARGET_IN_TIME, NOT_READY_RETRY_AFTER_MS, poolId.name()));
             return;
         }
+        RequestMemory memory = caller.memory();
         ResponseBuffer buffer = ResponseBuffer.create(
                 new ResponseBuffer.Limits(options.maxUnreadBytes(), 0),
                 false,
-                budget,
-                (end, bytes) -> budget.release(body.length));
+                memory.account(),
+                (end, bytes) -> memory.end(clockMs.getAsLong()));
         ResponseWriter.Times times = new ResponseWriter.Times(
                 options.times().keepAliveMs(), options.times().idleTimeoutMs());
         RoutedCall call =
--- a/daemon/src/main/java/org/marjoramswitch/daemon/caller/ResponseBuffer.java
+++ b/daemon/src/main/java/org/marjoramswitch/daemon/caller/ResponseBuffer.java
@@ -4,6 +4,7 @@
 import java.util.List;
 import java.util.Map;
 import org.jspecify.annotations.Nullable;
+import org.marjoramswitch.daemon.caller.MemoryBudget.Kind;
 import org.marjoramswitch.daemon.exchange.ResponseListener;
 import org.marjoramswitch.kernel.error.Failure;
 
@@ -16,8 +17,8 @@
  * are to hold the complete response, with which one slow caller could exhaust the memory, or to stop reading from the
  * target, which would occupy a slot that other requests wait for.
  *
- * <p>A response is retained from its first byte or not at all: once it exceeds its limit or the memory budget of all
- * responses is exhausted, its chunks are freed as they are read, and no readers are added after that.
+ * <p>A response is retained from its first byte or not at all: once it exceeds its limit or the memory of its
+ * customer is exhausted, its chunks are freed as they are read, and no readers are added after that.
  *
  * <p>Example: the limit is 10 unread bytes, reader A has read 0 of 8 bytes and B all 8. Four bytes arrive: A is 12
  * bytes behind and is dropped, B continues, and the first 8 bytes are freed.
@@ -25,11 +26,11 @@
  * <p>Thread-safe. The lock is held only briefly and never while a reader is notified.
  */
 final class ResponseBuffer implements ResponseListener {
-    /** Limit of unread bytes while the memory budget is exhausted; sufficient for a caller that keeps reading. */
+    /** Limit of unread bytes while the customer's memory is exhausted; sufficient for a caller that keeps reading. */
     private static final int MAX_UNREAD_BYTES_WHEN_EXHAUSTED = 16 << 10;
 
     private final Limits limits;
-    private final MemoryBudget budget;
+    private final MemoryAccount account;
     private final EndListener endListener;
     private final List<byte[]> chunks = new ArrayList<>();
     private final List<Cursor> cursors = new ArrayList<>();
@@ -39,10 +40,10 @@
     private @Nullable ResponseHead head;
     private @Nullable ResponseEnd end;
 
-    private ResponseBuffer(Limits limits, boolean retained, MemoryBudget budget, EndListener endListener) {
+    private ResponseBuffer(Limits limits, boolean retained, MemoryAccount account, EndListener endListener) {
         this.limits = limits;
         this.retained = retained;
-        this.budget = budget;
+        this.account = account;
         this.endListener = endListener;
     }
 
@@ -60,8 +61,8 @@
     }
 
     /** @param retained whether readers may be added after bytes have been read */
-    static ResponseBuffer create(Limits limits, boolean retained, MemoryBudget budget, EndListener endListener) {
-        return new ResponseBuffer(limits, retained, budget, endListener);
+    static ResponseBuffer create(Limits limits, boolean retained, MemoryAccount account, EndListener endListener) {
+        return new ResponseBuffer(limits, retained, account, endListener);
     }
 
     /** Returns a cursor at the response's first byte, or null if that byte has been freed. */
@@ -139,13 +140,13 @@
         endListener.onEnd(responseEnd, bytes);
     }
 
-    /** Appends a chunk; false if the memory budget of all responses is exhausted. */
+    /** Appends a chunk; false if the customer's memory is exhausted. */
     private boolean append(byte[] bytes) {
         totalBytes += bytes.length;
         chunks.add(bytes);
-        boolean withinBudget = budget.tryReserve(bytes.length);
+        boolean withinBudget = account.tryReserve(Kind.RESPONSES, bytes.length);
         if (!withinBudget) {
-            budget.forceReserve(bytes.length);
+            account.forceReserve(Kind.RESPONSES, bytes.length);
         }
         if (!withinBudget || totalBytes > limits.keptBytes()) {
             retained = false;
@@ -177,7 +178,9 @@
                 .sum();
         chunks.subList(0, freed).clear();
         firstChunk = firstNeeded;
-        budget.release(freedBytes);
+        if (freedBytes > 0) {
+            account.release(Kind.RESPONSES, freedBytes);
+        }
     }
 
     /** A reader's position in the response; used only by that reader's thread. */
@@ -185,6 +188,7 @@
         private final ResponseBufferListener reader;
         private long nextChunk;
         private long readBytes;
+        private long unwrittenBytes;
 
         private Cursor(ResponseBufferListener reader) {
             this.reader = reader;
@@ -229,8 +233,21 @@
             }
         }
 
+        /**
+         * Sets how many bytes the reader holds that it has taken and cannot write yet, which count as held like unread ones.
+         */
+        void holdUnwritten(long bytes) {
+            if (bytes > unwrittenBytes) {
+                account.forceReserve(Kind.RESPONSES, bytes - unwrittenBytes);
+            } else if (bytes < unwrittenBytes) {
+                account.release(Kind.RESPONSES, unwrittenBytes - bytes);
+            }
+            unwrittenBytes = bytes;
+        }
+
         /** Removes the reader. */
         void close() {
+            holdUnwritten(0);
             synchronized (ResponseBuffer.this) {
                 cursors.remove(this);
                 trim();
--- a/daemon/src/main/java/org/marjoramswitch/daemon/caller/ResponseWriter.java
+++ b/daemon/src/main/java/org/marjoramswitch/daemon/caller/ResponseWriter.java
@@ -304,6 +304,7 @@
         while (pending.hasRemaining()) {
             int count = sink.write(pending);
             if (count == 0) {
+                Objects.requireNonNull(cursor).holdUnwritten(pending.capacity());
                 waitForWrite(sink);
                 return false;
             }
@@ -329,6 +330,7 @@
             return;
         }
         waitingForWrite = false;
+        Objects.requireNonNull(cursor).holdUnwritten(0);
         Objects.requireNonNull(channel).suspendWrites();
         run();
     }
--- a/daemon/src/test/java/org/marjoramswitch/daemon/caller/ResponseBufferTest.java
+++ b/daemon/src/test/java/org/marjoramswitch/daemon/caller/ResponseBufferTest.java
@@ -13,11 +13,12 @@
 
 class ResponseBufferTest {
     private final MemoryBudget budget = MemoryBudget.of(1_000_000);
+    private final MemoryAccount account = budget.account(CustomerId.of("a"));
     private int ends;
 
     private ResponseBuffer buffer(int maxUnreadBytes, int maxRetainedBytes, boolean retained) {
         return ResponseBuffer.create(
-                new ResponseBuffer.Limits(maxUnreadBytes, maxRetainedBytes), retained, budget, (end, bytes) -> ends++);
+                new ResponseBuffer.Limits(maxUnreadBytes, maxRetainedBytes), retained, account, (end, bytes) -> ends++);
     }
 
     private static byte[] bytes(int count) {
@@ -98,7 +99,7 @@
         Reader quick = Reader.on(buffer);
         buffer.onBytes(bytes(20_000));
         quick.read(1);
-        budget.forceReserve(1_000_000);
+        budget.account(CustomerId.of("b")).forceReserve(MemoryBudget.Kind.RESPONSES, 1_000_000);
         buffer.onBytes(bytes(10_000));
         assertTrue(behind.dropped);
         quick.read(1);
