Soak of crashes: wall clocks that jump, and streams of a longer timeout

Clocks are stepped by up to 60 s around a crash, and half of the seeds use callers with a timeout of 40 s. Both assertions are unchanged.

--- a/kernel/src/test/java/org/marjoramswitch/kernel/StreamCrashSoakTest.java
+++ b/kernel/src/test/java/org/marjoramswitch/kernel/StreamCrashSoakTest.java
@@ -27,6 +27,12 @@
 class StreamCrashSoakTest extends PlacementFleet {
     private static final int DEFAULT_SEEDS = 8;
     private static final int ROUNDS = 20;
+    /** Bounds the rounds that are added until enough streams were resumed while calm. */
+    private static final int MAX_ROUNDS = 100;
+    /** Twice the time for which a stream is resumable at least. */
+    private static final int MAX_CLOCK_STEP_MS = 60_000;
+
+    private static final long LONG_TIMEOUT_MS = 40_000;
     /** Longer than a stream lasts. */
     private static final int MAX_PAUSE_MS = 45_000;
     /** Streams that began later before the crash may not have been stored. */
@@ -69,10 +75,11 @@
     void streamsContinueAtTheirVersionAfterCrashesOfAllInstances(long seed) {
         random = new Random(seed);
         store = new StreamStore(random, this::apply);
+        callerTimeoutMs = random.nextBoolean() ? CALLER_TIMEOUT_MS : LONG_TIMEOUT_MS;
         INSTANCES.forEach(id -> store.read(id, nowMs));
         list(current);
         calmSinceMs = nowMs;
-        for (int round = 0; round < ROUNDS; round++) {
+        for (int round = 0; round < ROUNDS || (resumed < MIN_RESUMED && round < MAX_ROUNDS); round++) {
             round();
         }
         assertTrue(resumed >= MIN_RESUMED, "resumed while calm: " + resumed);
@@ -106,6 +113,9 @@
         if (random.nextInt(4) == 0) {
             disturbed(() -> store.restoreFrom(copy));
         }
+        if (random.nextInt(4) == 0) {
+            disturbed(() -> store.stepClock(random.nextInt(2 * MAX_CLOCK_STEP_MS) - MAX_CLOCK_STEP_MS));
+        }
         if (random.nextInt(4) == 0) {
             current = anyList();
             calmSinceMs = nowMs;
--- a/kernel/src/test/java/org/marjoramswitch/kernel/StreamStore.java
+++ b/kernel/src/test/java/org/marjoramswitch/kernel/StreamStore.java
@@ -32,6 +32,7 @@
     private long era;
     private long lastWrite;
     private long maxLatencyMs = 20;
+    private long clockOffsetMs;
     private boolean available = true;
     private int lostResponsesPercent;
 
@@ -45,7 +46,7 @@
 
     private record Snapshot(long write, long era, long writtenAtMs, PersistedVersions versions) {}
 
-    private record Batch(long write, long writtenAtMs, Action.PersistStreams streams) {}
+    private record Batch(long write, long storedAtMs, long writtenAtMs, Action.PersistStreams streams) {}
 
     private record Call(
             InstanceId by,
@@ -65,6 +66,11 @@
         lostResponsesPercent = percent;
     }
 
+    /** Steps the wall clocks of all instances. */
+    void stepClock(long stepMs) {
+        clockOffsetMs += stepMs;
+    }
+
     Contents copy() {
         return contents;
     }
@@ -130,7 +136,7 @@
             deliver.accept(call.by(), new Event.StreamsRestored(snapshot(call.by(), nowMs), List.of()));
             return;
         }
-        contents = new Contents(new Snapshot(++lastWrite, era, nowMs, versions), contents.batches());
+        contents = new Contents(new Snapshot(++lastWrite, era, nowMs + clockOffsetMs, versions), contents.batches());
         knownSnapshots.put(call.by(), lastWrite);
         if (isResponseLost()) {
             retry(call, nowMs);
@@ -139,8 +145,8 @@
 
     private void writeBatch(Call call, Action.PersistStreams streams, long nowMs) {
         List<Batch> batches = new ArrayList<>(contents.batches());
-        batches.removeIf(batch -> batch.writtenAtMs() + batch.streams().keptMs() + 30_000 <= nowMs);
-        batches.add(new Batch(++lastWrite, nowMs, streams));
+        batches.removeIf(batch -> batch.storedAtMs() + batch.streams().keptMs() + 30_000 <= nowMs);
+        batches.add(new Batch(++lastWrite, nowMs, nowMs + clockOffsetMs, streams));
         contents = new Contents(contents.snapshot(), List.copyOf(batches));
         if (isResponseLost()) {
             retry(call, nowMs);
@@ -157,7 +163,9 @@
             return null;
         }
         knownSnapshots.put(by, current.write());
-        return current.era() == era ? current.versions().readAfter(nowMs - current.writtenAtMs()) : null;
+        return current.era() == era
+                ? current.versions().readAfter(nowMs + clockOffsetMs - current.writtenAtMs())
+                : null;
     }
 
     /** In an order of its own: the store's keys do not tell which batch is newer. */
@@ -166,7 +174,7 @@
         contents.batches().stream()
                 .sorted(Comparator.comparing(batch -> Long.toString(batch.write())))
                 .forEach(batch -> {
-                    long elapsedMs = nowMs - batch.writtenAtMs();
+                    long elapsedMs = Math.max(0, nowMs + clockOffsetMs - batch.writtenAtMs());
                     List<StreamBeginning> beginnings = batch.streams().beginnings().stream()
                             .filter(beginning -> beginning.leftMs() > elapsedMs)
                             .map(beginning -> new StreamBeginning(
