--- a/daemon/src/main/java/org/marjoramswitch/daemon/ForwardingDaemon.java
+++ b/daemon/src/main/java/org/marjoramswitch/daemon/ForwardingDaemon.java
@@ -71,7 +71,7 @@
                         UndertowTargetClient.start(worker, platform.targets(), platform.protocol(), metrics)),
                 new InstanceCore.AddressOptions(platform.callers().times().addressLifetimeMs(), platform.addresses()));
         KeyValueStore ownStore = platform.store().apply(core);
-        core.persistStreamsIn(ownStore);
+        core.persistStreamsIn(ownStore, platform.targetPrefix(), platform.targetDecoder());
         SharedWatchStore store = components.add(SharedWatchStore.start(
                 ownStore, core.self(), core.peers(), core.clock(), core.worker().getIoThread()));
         core.persistCrashesIn(store);
--- a/daemon/src/main/java/org/marjoramswitch/daemon/InstanceCore.java
+++ b/daemon/src/main/java/org/marjoramswitch/daemon/InstanceCore.java
@@ -19,8 +19,10 @@
 import org.marjoramswitch.daemon.exchange.TargetClient;
 import org.marjoramswitch.daemon.fleet.CustomerSpread;
 import org.marjoramswitch.daemon.fleet.FleetDirectory;
+import org.marjoramswitch.daemon.fleet.ListedVersions;
 import org.marjoramswitch.daemon.fleet.PoisonRequestStore;
 import org.marjoramswitch.daemon.fleet.StreamRecordStore;
+import org.marjoramswitch.daemon.fleet.TargetList;
 import org.marjoramswitch.daemon.log.KeyValueLog;
 import org.marjoramswitch.daemon.membership.MembershipLoop;
 import org.marjoramswitch.daemon.peer.PeerLinks;
@@ -54,6 +56,8 @@
 final class InstanceCore implements StoreContext {
     private static final int IO_THREADS = 2;
     private static final int TASK_THREADS = 2;
+    /** The history of the list of targets arrives at once if the list has changed. */
+    private static final long MAX_HISTORY_WAIT_MS = 400;
     /** Counter maintained by the caller-facing server. */
     private static final String CALLER_OPEN_REQUESTS = "caller.open_requests";
 
@@ -235,9 +239,10 @@
     }
 
     /** Restores the versions of streams from the key-value store, and persists them there from now on. */
-    void persistStreamsIn(KeyValueStore store) {
+    void persistStreamsIn(KeyValueStore store, String targetPrefix, TargetList.Decoder targetDecoder) {
         streamRecordStore = StreamRecordStore.start(
                 store,
+                ListedVersions.of(store, targetPrefix, targetDecoder, this::after, MAX_HISTORY_WAIT_MS),
                 decisions,
                 new StreamRecordStore.Clocks(clock, System::currentTimeMillis),
                 this::after,
--- a/daemon/src/main/java/org/marjoramswitch/daemon/fleet/StreamRecordStore.java
+++ b/daemon/src/main/java/org/marjoramswitch/daemon/fleet/StreamRecordStore.java
@@ -46,6 +46,7 @@
     private static final long MAX_LEASE_MS = 600_000;
 
     private final KeyValueStore store;
+    private final ListedVersions listedVersions;
     private final EventSink decisions;
     private final Clocks clocks;
     private final Delay delay;
@@ -67,8 +68,14 @@
     private long leaseEndsAtMs;
 
     private StreamRecordStore(
-            KeyValueStore store, EventSink decisions, Clocks clocks, Delay delay, String instanceLifetime) {
+            KeyValueStore store,
+            ListedVersions listedVersions,
+            EventSink decisions,
+            Clocks clocks,
+            Delay delay,
+            String instanceLifetime) {
         this.store = store;
+        this.listedVersions = listedVersions;
         this.decisions = decisions;
         this.clocks = clocks;
         this.delay = delay;
@@ -89,8 +96,14 @@
      * @param instanceLifetime unique among all lifetimes of all instances
      */
     public static StreamRecordStore start(
-            KeyValueStore store, EventSink decisions, Clocks clocks, Delay delay, String instanceLifetime) {
-        StreamRecordStore records = new StreamRecordStore(store, decisions, clocks, delay, instanceLifetime);
+            KeyValueStore store,
+            ListedVersions listedVersions,
+            EventSink decisions,
+            Clocks clocks,
+            Delay delay,
+            String instanceLifetime) {
+        StreamRecordStore records =
+                new StreamRecordStore(store, listedVersions, decisions, clocks, delay, instanceLifetime);
         records.restore();
         return records;
     }
@@ -125,6 +138,18 @@
         }
         setLastRevision(range.revision());
         PersistedVersions versions = snapshot == null ? null : versions(snapshot, range.revision(), nowMs);
+        if (snapshot == null || versions == null) {
+            restored(range, null, streams);
+            return;
+        }
+        // A version may have come and left without a snapshot that names it, while no snapshot could be written.
+        CompletableFuture<?> unused = listedVersions
+                .since(snapshot.revision())
+                .exceptionally(fault -> List.of())
+                .thenAccept(listed -> restored(range, versions.withVersions(listed), streams));
+    }
+
+    private void restored(Range range, @Nullable PersistedVersions versions, List<Event.PoolStreams> streams) {
         LOG.info(
                 "stream_records_read",
                 "entries",
--- a/daemon/src/test/java/org/marjoramswitch/daemon/fleet/StreamRecordStoreTest.java
+++ b/daemon/src/test/java/org/marjoramswitch/daemon/fleet/StreamRecordStoreTest.java
@@ -242,6 +242,7 @@
             accepting = isAccepting;
             records = StreamRecordStore.start(
                     test.store,
+                    revision -> CompletableFuture.completedFuture(List.of()),
                     event -> accepting && events.add((Event.StreamsRestored) event),
                     new StreamRecordStore.Clocks(() -> test.nowMs, () -> test.wallClockMs),
                     (delayMs, task) -> test.delayed.add(task),
--- a/kernel/src/main/java/org/marjoramswitch/kernel/stream/PersistedVersions.java
+++ b/kernel/src/main/java/org/marjoramswitch/kernel/stream/PersistedVersions.java
@@ -1,5 +1,6 @@
 package org.marjoramswitch.kernel.stream;
 
+import java.util.ArrayList;
 import java.util.List;
 import org.marjoramswitch.kernel.model.PoolId;
 
@@ -14,6 +15,13 @@
         versions = List.copyOf(versions);
     }
 
+    /** The same snapshot with further versions. */
+    public PersistedVersions withVersions(List<PersistedVersion> added) {
+        List<PersistedVersion> all = new ArrayList<>(versions);
+        all.addAll(added);
+        return new PersistedVersions(knownForMs, streamLifetimeMs, all);
+    }
+
     /**
      * The same snapshot, read by an instance that starts. Versions do not age, since wall clocks jump. Where all streams
      * that can be resumed may have begun after the write, it does not tell how long the list has been followed.
