--- a/daemon/src/test/java/org/marjoramswitch/daemon/caller/ContinueResponseTest.java
+++ b/daemon/src/test/java/org/marjoramswitch/daemon/caller/ContinueResponseTest.java
@@ -101,7 +101,9 @@
             assertEquals("", respondToNext("one"));
             String received = Fixture.readUntil(socket, "HTTP/1.1 100 Continue\r\n");
             assertTrue(received.startsWith("HTTP/1.1 200 "), received);
-            assertTrue(received.contains("\r\n\r\none"), received);
+            // In one chunk if the head is written before the end of the response is known.
+            boolean isWhole = received.contains("\r\n\r\none") || received.contains("\r\n\r\n03\r\none\r\n0\r\n");
+            assertTrue(isWhole, received);
             Fixture.send(socket, "body" + Fixture.rawHead("GET", SERVICE + "3"));
             assertEquals("body", respondToNext("two"));
             assertEquals("", respondToNext("three"));
