Read the end of a chunked response before the next one in ContinueResponseTest

bodyThatHasBegunIsNotAskedFor failed in one of five runs by the same cause: the last chunk of the first response was left unread and stood before the second one. The checks are unchanged.

--- a/daemon/src/test/java/org/marjoramswitch/daemon/caller/ContinueResponseTest.java
+++ b/daemon/src/test/java/org/marjoramswitch/daemon/caller/ContinueResponseTest.java
@@ -39,7 +39,7 @@
             assertFalse(interim.toLowerCase(Locale.ROOT).contains("transfer-encoding"), interim);
             Fixture.send(socket, "body");
             assertEquals("body", respondToNext("one"));
-            assertOneFinalResponse(Fixture.readUntil(socket, "one"));
+            assertOneFinalResponse(readResponse(socket, "one"));
         }
     }
 
@@ -53,7 +53,7 @@
                 Fixture.send(socket, piece);
             }
             assertEquals("body", respondToNext("one"));
-            assertOneFinalResponse(Fixture.readUntil(socket, "one"));
+            assertOneFinalResponse(readResponse(socket, "one"));
         }
     }
 
@@ -65,11 +65,11 @@
             awaitOpenRequest();
             Fixture.send(socket, "ody" + head("2", "Transfer-Encoding: chunked") + "4");
             assertEquals("body", respondToNext("one"));
-            assertOneFinalResponse(Fixture.readUntil(socket, "one"));
+            assertOneFinalResponse(readResponse(socket, "one"));
             awaitOpenRequest();
             Fixture.send(socket, "\r\nbody\r\n0\r\n\r\n");
             assertEquals("body", respondToNext("two"));
-            assertOneFinalResponse(Fixture.readUntil(socket, "two"));
+            assertOneFinalResponse(readResponse(socket, "two"));
         }
     }
 
@@ -89,7 +89,7 @@
         try (Socket socket = fixture.connect()) {
             Fixture.send(socket, head("1", "Content-Length: 0"));
             assertEquals("", respondToNext("one"));
-            assertOneFinalResponse(Fixture.readUntil(socket, "one"));
+            assertOneFinalResponse(readResponse(socket, "one"));
         }
     }
 
@@ -145,6 +145,13 @@
         return new String(next.call().body(), StandardCharsets.UTF_8);
     }
 
+    /** Reads a response with this body, which comes in one chunk if its head is written before its end is known. */
+    private static String readResponse(Socket socket, String body) throws IOException {
+        String received = Fixture.readUntil(socket, body);
+        boolean isChunked = received.contains("Transfer-Encoding: chunked");
+        return isChunked ? received + Fixture.readUntil(socket, "\r\n0\r\n\r\n") : received;
+    }
+
     private static void assertOneFinalResponse(String received) {
         assertTrue(received.startsWith("HTTP/1.1 200 "), received);
         assertEquals(1, received.split("HTTP/1.1 ", -1).length - 1, received);
