Bound the server error that is held back until no other attempt follows

The response of a repeatable request with a status from 500 on is held until no further attempt will follow, so that its caller gets the response of another target instead.

An error above 16 KiB is now passed on as it arrives. The kernel is told that the caller has received a part, so it starts no other attempt.

--- a/daemon/src/main/java/org/marjoramswitch/daemon/core/AttemptRelay.java
+++ b/daemon/src/main/java/org/marjoramswitch/daemon/core/AttemptRelay.java
@@ -22,6 +22,7 @@
     private final TargetSettings target;
     private final EventSink events;
     private boolean responding;
+    private boolean delivering;
     private long reportedTokens;
     private long reportedNs = System.nanoTime();
 
@@ -59,8 +60,10 @@
     @Override
     public void onBytes(byte[] bytes) {
         boolean delivered = request.onBytes(attempt, bytes);
-        if (!responding) {
+        // A server error is held back at first and delivered later if its body is long.
+        if (!responding || (delivered && !delivering)) {
             responding = true;
+            delivering = delivered;
             events.offer(new Event.TargetAnswering(request.id(), delivered));
         }
     }
--- a/daemon/src/main/java/org/marjoramswitch/daemon/core/OpenRequest.java
+++ b/daemon/src/main/java/org/marjoramswitch/daemon/core/OpenRequest.java
@@ -36,6 +36,8 @@
 final class OpenRequest {
     private static final String LAST_EVENT_ID = "last-event-id";
     private static final int FIRST_SERVER_ERROR = 500;
+    /** A longer response is delivered as it arrives, without a further attempt. */
+    private static final int MAX_HELD_ERROR_BYTES = 16 << 10;
 
     private final RequestSpec spec;
     private final TargetCall call;
@@ -60,6 +62,8 @@
     /** Body of a server error response, held back until no further attempt will follow. */
     private final List<byte[]> heldError = new ArrayList<>();
 
+    private int heldErrorBytes;
+
     private int deliveredStatus;
     /** Whether the current attempt's status differs from that already sent to the caller, so it cannot continue it. */
     private boolean mismatched;
@@ -100,7 +104,7 @@
         attempt = attemptNumber;
         attemptRunning = true;
         heldHead = null;
-        heldError.clear();
+        clearHeldError();
         mismatched = false;
         caller.onSent();
         return true;
@@ -198,8 +202,12 @@
             return false;
         }
         if (holdsBackError()) {
-            heldError.add(bytes);
-            return false;
+            if (heldErrorBytes + bytes.length <= MAX_HELD_ERROR_BYTES) {
+                heldError.add(bytes);
+                heldErrorBytes += bytes.length;
+                return false;
+            }
+            passOnHeldError();
         }
         releaseHead();
         handedOver = true;
@@ -236,10 +244,19 @@
         if (ended || !holdsBackError()) {
             return;
         }
+        passOnHeldError();
+        deliverEnd();
+    }
+
+    private void passOnHeldError() {
         releaseHead();
         heldError.forEach(caller::onBytes);
+        clearHeldError();
+    }
+
+    private void clearHeldError() {
         heldError.clear();
-        deliverEnd();
+        heldErrorBytes = 0;
     }
 
     /** The call of the next attempt; requests the events after the last one that the caller received, if any. */
