Bound the memory of all incomplete responses together

What callers saw: a target in trouble sends an event of a stream, or the body of a 503, without end to forty requests. The process ends by an OutOfMemoryError, and the requests of all other callers end with it.

Cause: an event, a rejection and an engine's response could take 1 MiB each, in arrays that double and are copied, and a head 256 KiB in the HTTP client's parser, which needs a multiple of it. Each limit is for one response; nobody added them up.

HeldResponses keeps one sum for all connections, a tenth of the heap, with an estimate of the objects that the parser creates for a header. When it is exceeded, the response that holds most is ended. Limits by kind are smaller, bytes are kept in segments, and the event scanner appends ranges in place of bytes.

--- a/daemon/src/main/java/org/marjoramswitch/daemon/target/AttemptLog.java
+++ b/daemon/src/main/java/org/marjoramswitch/daemon/target/AttemptLog.java
@@ -34,6 +34,21 @@
         LOG.warn("response_framed_twice", TARGET, spec.target().id(), REQUEST, spec.requestId());
     }
 
+    void evicted(long bufferedBytes, HeldResponses responses) {
+        LOG.warn(
+                "response_evicted",
+                TARGET,
+                spec.target().id(),
+                REQUEST,
+                spec.requestId(),
+                "bufferedBytes",
+                bufferedBytes,
+                "heldBytes",
+                responses.heldBytes(),
+                "maxBytes",
+                responses.maxBytes());
+    }
+
     void interim(int status) {
         LOG.warn(
                 "interim_response_unsupported",
--- a/daemon/src/main/java/org/marjoramswitch/daemon/target/HeadConverter.java
+++ b/daemon/src/main/java/org/marjoramswitch/daemon/target/HeadConverter.java
@@ -31,6 +31,9 @@
             "transfer-encoding",
             "upgrade");
 
+    /** Objects for a header in the client's map and in the converted one. */
+    private static final int HEADER_OBJECTS_BYTES = 256;
+
     private HeadConverter() {}
 
     static ClientRequest request(AttemptSpec spec, TargetCall call, long nowNs) {
@@ -60,6 +63,17 @@
         return request;
     }
 
+    /** Estimates the memory of a head that was received. */
+    static long heldBytes(HeaderMap received) {
+        long bytes = 0;
+        for (HeaderValues values : received) {
+            for (String value : values) {
+                bytes += values.getHeaderName().length() + value.length() + HEADER_OBJECTS_BYTES;
+            }
+        }
+        return bytes;
+    }
+
     /** Returns names in lower case; the values of a repeated header are joined by commas. */
     static Map<String, String> response(HeaderMap received) {
         Map<String, String> headers = new LinkedHashMap<>();
--- a/daemon/src/main/java/org/marjoramswitch/daemon/target/HttpAttempt.java
+++ b/daemon/src/main/java/org/marjoramswitch/daemon/target/HttpAttempt.java
@@ -51,7 +51,7 @@
  *
  * <p>Memory: the listener accepts every byte immediately, so the target is never slowed down, and buffers what a slow
  * caller leaves unread, up to the maximum response size. The attempt itself holds one read buffer at a time and what
- * {@link ResponseDelivery} buffers.
+ * {@link ResponseDelivery} buffers, which counts in {@link HeldResponses} together with a large head.
  */
 final class HttpAttempt implements Attempt {
     /** Allows for bytes in flight when the engine reports that it has sent them. */
@@ -75,6 +75,7 @@
     private final EngineStallPolicy stallPolicy;
 
     private final ResponseDelivery delivery;
+    private final HeldResponses.Holder held;
     private final AttemptLog log;
     private final List<ClientConnection> abandonedConnections = new ArrayList<>(0);
 
@@ -108,6 +109,7 @@
                 thread, connector.readBarrier(thread), connector::nowMs, spec.progressTimeoutMs(), this::onSilence);
         this.stallPolicy = EngineStallPolicy.of(spec.call().streaming());
         this.delivery = new ResponseDelivery(listener);
+        this.held = connector.heldResponses().holder(() -> thread.execute(this::evict));
         this.log = new AttemptLog(spec);
         this.sending = spec.call();
     }
@@ -247,7 +249,7 @@
             return;
         }
         deadline.progress(); // the target is not responsible for the time of the check
-        FramingLimit.progressed(usable);
+        FramingLimit.awaitsHead(usable);
         usable.sendRequest(
                 HeadConverter.request(spec, sending, System.nanoTime()), callback(usable, this::requestOpened));
     }
@@ -281,7 +283,7 @@
     private void responseOpened(ClientConnection carrier, ClientExchange exchange) {
         deadline.progress();
         FramingLimit.progressed(carrier);
-        ResponseReader opened = ResponseReader.of(exchange, spec, connector, delivery);
+        ResponseReader opened = ResponseReader.of(exchange, spec, connector, delivery, held);
         reader = opened;
         if (opened.isCrossed()) {
             connector.metrics().responsesCrossed.inc();
@@ -332,6 +334,16 @@
         }
     }
 
+    /** Ends the attempt, since it holds more than any other while the memory for responses is exhausted. */
+    private void evict() {
+        if (ended) {
+            return;
+        }
+        connector.metrics().responsesEvicted.inc();
+        log.evicted(delivery.heldBytes(), connector.heldResponses());
+        end(brokenOutcome());
+    }
+
     /** A listener that throws has lost bytes: continuing would give the caller a response with a gap. */
     private ResponseReader.Progress readSafely(ResponseReader opened) {
         try {
@@ -476,6 +488,7 @@
         ended = true;
         deadline.stop();
         countBytes();
+        held.close();
         releaseConnections(outcome);
         Usage usage = usage();
         int status = reader == null ? 0 : reader.status();
--- a/daemon/src/main/java/org/marjoramswitch/daemon/target/ResponseDelivery.java
+++ b/daemon/src/main/java/org/marjoramswitch/daemon/target/ResponseDelivery.java
@@ -1,6 +1,5 @@
 package org.marjoramswitch.daemon.target;
 
-import java.io.ByteArrayOutputStream;
 import java.util.Map;
 import org.marjoramswitch.daemon.exchange.TargetClient.AttemptListener;
 
@@ -13,15 +12,22 @@
  * <p>A model engine's stream is delivered in complete events: a partial event stays buffered, so that the stream can be
  * resumed over another connection from the number of delivered chunks, without gap or overlap. An engine's
  * non-streaming response is buffered to its end, since a partial JSON object is useless and would prevent another
- * attempt. Both are bounded by {@link #MAX_BUFFERED_BYTES}: a larger response is delivered as it arrives and can no
- * longer be resumed.
+ * attempt. A rejection is buffered, too, since another target may execute the request. What is larger than {@link
+ * #MAX_EVENT_BYTES}, {@link #MAX_BUFFERED_BYTES} or {@link #MAX_REJECTION_BYTES} is delivered as it arrives and can no longer be
+ * resumed.
  */
 final class ResponseDelivery {
     static final int MAX_BUFFERED_BYTES = 1 << 20;
 
+    /** A longer event is delivered as it arrives. */
+    static final int MAX_EVENT_BYTES = 256 << 10;
+
+    /** A rejection is short; a longer response with such a status is delivered like any other. */
+    static final int MAX_REJECTION_BYTES = 64 << 10;
+
     private final AttemptListener listener;
     private final SseScanner scanner = new SseScanner();
-    private final ByteArrayOutputStream buffered = new ByteArrayOutputStream(0);
+    private final PendingBytes buffered = new PendingBytes();
     private int status;
     private Map<String, String> headers = Map.of();
     private boolean headDelivered;
@@ -75,20 +81,33 @@
     /** Accepts bytes of a model engine's stream and delivers complete events. */
     void acceptStream(byte[] bytes) {
         int completeEventBytes = scanner.scan(bytes);
-        buffered.write(bytes, 0, completeEventBytes);
+        buffered.add(bytes, 0, completeEventBytes);
         if (completeEventBytes > 0) {
             flush();
             listener.onPosition(scanner.lastEventId());
         }
-        buffered.write(bytes, completeEventBytes, bytes.length - completeEventBytes);
-        flushIfTooLarge();
+        buffered.add(bytes, completeEventBytes, bytes.length - completeEventBytes);
+        flushIfLargerThan(MAX_EVENT_BYTES);
         reportProgress();
     }
 
     /** Accepts bytes of a response that is delivered only once it is complete; see {@link #bufferedBytes()}. */
     void buffer(byte[] bytes) {
-        buffered.writeBytes(bytes);
-        flushIfTooLarge();
+        buffer(bytes, MAX_BUFFERED_BYTES);
+    }
+
+    /** Accepts bytes of a response that may be a rejection; see {@link #bufferedBytes()}. */
+    void bufferRejection(byte[] bytes) {
+        buffer(bytes, MAX_REJECTION_BYTES);
+    }
+
+    private void buffer(byte[] bytes, int maxBytes) {
+        if (!resumable) {
+            deliver(bytes);
+            return;
+        }
+        buffered.add(bytes, 0, bytes.length);
+        flushIfLargerThan(maxBytes);
     }
 
     /** Delivers bytes of any other response as they arrive. */
@@ -101,6 +120,15 @@
         return buffered.toByteArray();
     }
 
+    boolean isBufferEmpty() {
+        return buffered.isEmpty();
+    }
+
+    /** The memory of the buffered bytes. */
+    long heldBytes() {
+        return buffered.allocatedBytes();
+    }
+
     /** Delivers what is still buffered, at the end of a complete response. */
     void end(boolean readUsage) {
         if (readUsage) {
@@ -112,23 +140,19 @@
 
     /** Drops a partial event or body of a connection that is abandoned. */
     void discardIncomplete() {
-        buffered.reset();
+        buffered.clear();
         scanner.discardIncomplete();
     }
 
-    private void flushIfTooLarge() {
-        if (buffered.size() > MAX_BUFFERED_BYTES) {
+    private void flushIfLargerThan(int maxBytes) {
+        if (buffered.size() > maxBytes) {
             resumable = false;
             flush();
         }
     }
 
     private void flush() {
-        if (buffered.size() > 0) {
-            byte[] bytes = buffered.toByteArray();
-            buffered.reset();
-            deliver(bytes);
-        }
+        buffered.drainTo(this::deliver);
     }
 
     private void deliver(byte[] bytes) {
--- a/daemon/src/main/java/org/marjoramswitch/daemon/target/ResponseReader.java
+++ b/daemon/src/main/java/org/marjoramswitch/daemon/target/ResponseReader.java
@@ -37,16 +37,26 @@
     private final boolean framedTwice;
     private final boolean fromEngine;
     private final DeliveryMode deliveryMode;
+    private final HeldResponses.Holder held;
+    /** The memory of the head, which the HTTP client keeps until the exchange ends. */
+    private final long headBytes;
+
     private boolean complete;
     private long receivedBytes;
 
     private ResponseReader(
-            ClientExchange exchange, AttemptSpec spec, TargetConnector connector, ResponseDelivery delivery) {
+            ClientExchange exchange,
+            AttemptSpec spec,
+            TargetConnector connector,
+            ResponseDelivery delivery,
+            HeldResponses.Holder held) {
         ClientResponse response = exchange.getResponse();
         HeaderMap received = response.getResponseHeaders();
         this.connector = connector;
         this.delivery = delivery;
+        this.held = held;
         this.connection = exchange.getConnection();
+        this.headBytes = HeadConverter.heldBytes(received);
         this.channel = exchange.getResponseChannel();
         this.status = response.getResponseCode();
         this.headers = HeadConverter.response(received);
@@ -59,9 +69,14 @@
         this.fromEngine = spec.isEngineCall();
     }
 
+    /** @param held counts the memory of the response until the attempt ends */
     static ResponseReader of(
-            ClientExchange exchange, AttemptSpec spec, TargetConnector connector, ResponseDelivery delivery) {
-        return new ResponseReader(exchange, spec, connector, delivery);
+            ClientExchange exchange,
+            AttemptSpec spec,
+            TargetConnector connector,
+            ResponseDelivery delivery,
+            HeldResponses.Holder held) {
+        return new ResponseReader(exchange, spec, connector, delivery, held);
     }
 
     int status() {
@@ -114,6 +129,9 @@
     /** Reads the available bytes without blocking; the channel's read listener is called when more arrive. */
     Progress read() {
         delivery.head(status, headers);
+        if (!held.hold(headBytes + delivery.heldBytes())) {
+            return Progress.BROKEN;
+        }
         try (PooledByteBuffer pooled = connector.bufferPool().allocate()) {
             ByteBuffer buffer = pooled.getBuffer();
             for (int reads = 0; reads < MAX_CONSECUTIVE_READS; reads++) {
@@ -136,7 +154,7 @@
         }
     }
 
-    /** Returns false if the response exceeds its maximum size. */
+    /** Returns false if the response exceeds its maximum size or the memory for responses. */
     private boolean accept(ByteBuffer buffer) {
         byte[] bytes = new byte[buffer.remaining()];
         buffer.get(bytes);
@@ -147,10 +165,11 @@
         }
         switch (deliveryMode) {
             case STREAMED -> delivery.acceptStream(bytes);
-            case BUFFERED, MAY_REFUSE -> delivery.buffer(bytes);
+            case BUFFERED -> delivery.buffer(bytes);
+            case MAY_REFUSE -> delivery.bufferRejection(bytes);
             case PASSED_THROUGH -> delivery.passThrough(bytes);
         }
-        return true;
+        return held.hold(headBytes + delivery.heldBytes());
     }
 
     private Progress ended() {
@@ -178,7 +197,7 @@
         return fromEngine
                 && deliveryMode == DeliveryMode.MAY_REFUSE
                 && !delivery.hasDelivered()
-                && delivery.bufferedBytes().length == 0;
+                && delivery.isBufferEmpty();
     }
 
     /**
@@ -192,7 +211,7 @@
         if (!protocol.forwarding()) {
             return delivery.hasEndMark();
         }
-        return delivery.bufferedBytes().length == 0 && (framed || delivery.hasDelivered());
+        return delivery.isBufferEmpty() && (framed || delivery.hasDelivered());
     }
 
     /** Whether the response carries another request's id, or none where the protocol requires one. */
--- a/daemon/src/main/java/org/marjoramswitch/daemon/target/SseScanner.java
+++ b/daemon/src/main/java/org/marjoramswitch/daemon/target/SseScanner.java
@@ -34,13 +34,17 @@
     /** Returns the number of leading bytes up to the end of the last complete event; 0 if no event ends in them. */
     int scan(byte[] bytes) {
         int completeEventBytes = 0;
+        int lineStart = 0;
         for (int i = 0; i < bytes.length; i++) {
-            if (bytes[i] != '\n') {
-                append(bytes[i]);
-            } else if (endLine()) {
-                completeEventBytes = i + 1;
+            if (bytes[i] == '\n') {
+                append(bytes, lineStart, i);
+                lineStart = i + 1;
+                if (endLine()) {
+                    completeEventBytes = lineStart;
+                }
             }
         }
+        append(bytes, lineStart, bytes.length);
         return completeEventBytes;
     }
 
@@ -74,9 +78,10 @@
         pendingChunks = 0;
     }
 
-    private void append(byte next) {
-        if (line.size() < MAX_LINE_BYTES) {
-            line.write(next);
+    private void append(byte[] bytes, int from, int to) {
+        int count = Math.min(to - from, MAX_LINE_BYTES - line.size());
+        if (count > 0) {
+            line.write(bytes, from, count);
         }
     }
 
--- a/daemon/src/main/java/org/marjoramswitch/daemon/target/TargetConnector.java
+++ b/daemon/src/main/java/org/marjoramswitch/daemon/target/TargetConnector.java
@@ -45,6 +45,7 @@
     private final TargetProtocol protocol;
     private final ByteBufferPool bufferPool = new DefaultByteBufferPool(true, READ_BUFFER_BYTES, 256, 4);
     private final ConnectionPool pool;
+    private final HeldResponses heldResponses;
     private final String idPrefix = Long.toString(ID_SEED.nextLong() >>> 1, 36) + "-";
     private final AtomicLong lastId = new AtomicLong();
     private final Map<XnioIoThread, ReadBarrier> readBarriers = new ConcurrentHashMap<>();
@@ -55,6 +56,7 @@
         this.options = options;
         this.metrics = metrics;
         this.pool = new ConnectionPool(options, metrics);
+        this.heldResponses = HeldResponses.ofHeap(Runtime.getRuntime().maxMemory());
     }
 
     /** Monotonic time in milliseconds with an arbitrary origin. */
@@ -87,6 +89,10 @@
         return pool;
     }
 
+    HeldResponses heldResponses() {
+        return heldResponses;
+    }
+
     /** The barrier of an I/O thread of the worker. */
     ReadBarrier readBarrier(XnioIoThread thread) {
         return readBarriers.computeIfAbsent(thread, ReadBarrier::of);
@@ -169,7 +175,7 @@
         }
         try {
             StreamConnection connected = future.get();
-            FramingLimit limit = FramingLimit.install(connected, () -> framingExceeded(address));
+            FramingLimit limit = FramingLimit.install(connected, heldResponses, () -> framingExceeded(address));
             ClientConnection connection = ClientConnections.over(connected, CONNECT_OPTIONS, bufferPool);
             limit.attachTo(connection);
             UnreadInput.attachTo(connection, connected);
--- a/daemon/src/main/java/org/marjoramswitch/daemon/target/TargetMetrics.java
+++ b/daemon/src/main/java/org/marjoramswitch/daemon/target/TargetMetrics.java
@@ -22,6 +22,8 @@
     final Counter responsesCrossed;
     /** Connections closed because the target sent more bytes without a part of a body than {@link FramingLimit} allows. */
     final Counter framingExceeded;
+    /** Responses that were ended because the memory for responses was exhausted; see {@link HeldResponses}. */
+    final Counter responsesEvicted;
 
     /** Responses resumed over another connection. */
     final Counter responsesResumed;
@@ -41,6 +43,7 @@
         connectionsFoundDead = registry.counter("targets.connections.found_dead");
         responsesCrossed = registry.counter("targets.answers.crossed");
         framingExceeded = registry.counter("targets.answers.framing_exceeded");
+        responsesEvicted = registry.counter("targets.answers.evicted");
         responsesResumed = registry.counter("targets.answers.resumed");
         cacheEventGaps = registry.counter("targets.cache_events.gaps");
         cacheEventRestarts = registry.counter("targets.cache_events.restarts");
--- a/daemon/src/main/java/org/marjoramswitch/daemon/target/TargetQuery.java
+++ b/daemon/src/main/java/org/marjoramswitch/daemon/target/TargetQuery.java
@@ -3,7 +3,6 @@
 import com.fasterxml.jackson.databind.JsonNode;
 import com.fasterxml.jackson.databind.ObjectMapper;
 import com.fasterxml.jackson.databind.node.MissingNode;
-import java.io.ByteArrayOutputStream;
 import java.io.IOException;
 import java.util.Map;
 import java.util.function.Consumer;
@@ -23,10 +22,15 @@
     private static final int MAX_RESPONSE_BYTES = 1 << 20;
 
     private final Consumer<Response> listener;
-    private final ByteArrayOutputStream body = new ByteArrayOutputStream();
+    private final PendingBytes body = new PendingBytes();
+    /** An evicted body is dropped when its next bytes arrive, or when the query ends. */
+    private final HeldResponses.Holder held;
+
     private int status;
+    private boolean truncated;
 
-    private TargetQuery(Consumer<Response> listener) {
+    private TargetQuery(TargetConnector connector, Consumer<Response> listener) {
+        this.held = connector.heldResponses().holder(() -> {});
         this.listener = listener;
     }
 
@@ -37,7 +41,8 @@
             String path,
             long timeoutMs,
             Consumer<Response> listener) {
-        HttpAttempt.start(connector, spec(connector, target, "GET", path, timeoutMs), new TargetQuery(listener));
+        HttpAttempt.start(
+                connector, spec(connector, target, "GET", path, timeoutMs), new TargetQuery(connector, listener));
     }
 
     /** Uses a new connection; calls the listener once, on the given thread. */
@@ -49,14 +54,17 @@
             XnioIoThread thread,
             Consumer<Response> listener) {
         HttpAttempt.startFresh(
-                connector, spec(connector, target, "GET", path, timeoutMs), new TargetQuery(listener), thread);
+                connector,
+                spec(connector, target, "GET", path, timeoutMs),
+                new TargetQuery(connector, listener),
+                thread);
     }
 
     /** Sends an empty POST over a new connection, without retry; ignores the response. */
     static void post(
             TargetConnector connector, TargetSettings target, String path, long timeoutMs, XnioIoThread thread) {
         AttemptSpec spec = spec(connector, target, "POST", path, timeoutMs);
-        HttpAttempt.startFresh(connector, spec, new TargetQuery(response -> {}), thread);
+        HttpAttempt.startFresh(connector, spec, new TargetQuery(connector, response -> {}), thread);
     }
 
     private static AttemptSpec spec(
@@ -72,8 +80,14 @@
 
     @Override
     public void onBytes(byte[] bytes) {
-        if (body.size() + bytes.length <= MAX_RESPONSE_BYTES) {
-            body.writeBytes(bytes);
+        if (truncated) {
+            return;
+        }
+        body.add(bytes, 0, bytes.length);
+        if (body.size() > MAX_RESPONSE_BYTES || !held.hold(body.allocatedBytes())) {
+            truncated = true;
+            body.clear();
+            held.close();
         }
     }
 
@@ -82,9 +96,11 @@
 
     @Override
     public void onEnd(TargetOutcome outcome, Usage usage) {
+        held.close();
         boolean complete = outcome == TargetOutcome.COMPLETED;
         listener.accept(new Response(
-                complete, complete && status == 200 ? parse(body.toByteArray()) : MissingNode.getInstance()));
+                complete,
+                complete && status == 200 && !truncated ? parse(body.toByteArray()) : MissingNode.getInstance()));
     }
 
     private static JsonNode parse(byte[] bytes) {
--- a/daemon/src/main/java/org/marjoramswitch/daemon/target/UndertowTargetClient.java
+++ b/daemon/src/main/java/org/marjoramswitch/daemon/target/UndertowTargetClient.java
@@ -42,6 +42,8 @@
         Gauge<Integer> idle = () -> connector.pool().idleConnections();
         registry.register("targets.connections.open", open);
         registry.register("targets.connections.idle", idle);
+        Gauge<Long> held = () -> connector.heldResponses().heldBytes();
+        registry.register("targets.answers.held_bytes", held);
         return new UndertowTargetClient(connector, worker);
     }
 
