Let an I/O thread handle its other sockets while a response has always more

What callers saw: beside forty events without end, 13 of 30 and 41 of 91 sound requests were served, the others rejected because the instance lags (instance_behind lateMs=3500), although the process used half of a core.

Cause: after 16 reads the reader of a response put itself into the task queue of its I/O thread, and the writer to the caller with each chunk. A thread handles its timers and sockets only when its queue is empty, which it never was.

The reader goes on after the other sockets were read (ReadBarrier). The writer waits for its socket after 16 chunks, which the thread handles together with the others.

--- a/daemon/src/main/java/org/marjoramswitch/daemon/caller/ResponseWriter.java
+++ b/daemon/src/main/java/org/marjoramswitch/daemon/caller/ResponseWriter.java
@@ -40,6 +40,11 @@
     private static final byte[] KEEP_ALIVE = ": keep-alive\n\n".getBytes(StandardCharsets.UTF_8);
     private static final String EVENT_STREAM = "text/event-stream";
     private static final ByteBuffer EMPTY = ByteBuffer.allocate(0);
+    /**
+     * Chunks that are written without handling the other sockets of the I/O thread. A thread handles its sockets only when its
+     * task queue is empty, which it never is while chunks arrive as fast as they are written.
+     */
+    private static final int MAX_CONSECUTIVE_CHUNKS = 16;
 
     private final HttpServerExchange exchange;
     private final long requestId;
@@ -59,6 +64,7 @@
     private boolean lastBytesPending;
     private boolean done;
     private boolean waitingForWrite;
+    private int consecutiveChunks;
     private long bytesWritten;
     private long writtenAtLastTick;
     private long stalledMs;
@@ -197,6 +203,11 @@
                 flush(sink);
                 return;
             }
+            consecutiveChunks++;
+            if (consecutiveChunks == MAX_CONSECUTIVE_CHUNKS) {
+                waitForWrite(sink);
+                return;
+            }
         }
     }
 
@@ -330,6 +341,7 @@
             return;
         }
         waitingForWrite = false;
+        consecutiveChunks = 0;
         Objects.requireNonNull(cursor).holdUnwritten(0);
         Objects.requireNonNull(channel).suspendWrites();
         run();
--- a/daemon/src/main/java/org/marjoramswitch/daemon/target/HttpAttempt.java
+++ b/daemon/src/main/java/org/marjoramswitch/daemon/target/HttpAttempt.java
@@ -327,7 +327,8 @@
         }
         switch (progress) {
             case MORE -> {}
-            case AGAIN -> thread.execute(() -> read(opened));
+            // A task that puts itself into the queue of its thread again would keep the thread from its other sockets.
+            case AGAIN -> connector.readBarrier(thread).afterReads(() -> read(opened));
             case WHOLE -> end(TargetOutcome.COMPLETED);
             case NOT_STARTED -> end(TargetOutcome.REFUSED);
             case BROKEN -> connectionFailed();
