Accept and send during a stop only what can end before the drain

Callers saw 502 "unknown", cut streams and closed connections for requests that they had sent to an instance after its SIGTERM.

Cause: the instance accepts requests for 2.9 s after SIGTERM and ends what is open 3.9 s later. Nothing compared the time that a request may take with what is left, neither on arrival nor before a send after a wait, a retry or a continued stream.

StopPolicy now does so from SIGTERM on: the deadline has to fall before the end of the drain, or the longest recent request of the pool, with a quarter of headroom, has to fit. The drain's end is fixed at SIGTERM instead of counted from a timer that is late on a busy machine.

The price: the longest recent run and the headroom reject some requests that would have ended in time. A high quantile was not tried, since the rest would be cut.

--- a/daemon/src/main/java/org/marjoramswitch/daemon/Daemon.java
+++ b/daemon/src/main/java/org/marjoramswitch/daemon/Daemon.java
@@ -203,7 +203,7 @@
     /** Announces that the instance is draining, rejects new requests and finishes the open ones. */
     @Override
     public void drain() {
-        if (core.leave()) {
+        if (core.leave(0)) {
             core.finishDrain();
         }
     }
--- a/daemon/src/main/java/org/marjoramswitch/daemon/Drain.java
+++ b/daemon/src/main/java/org/marjoramswitch/daemon/Drain.java
@@ -8,8 +8,8 @@
 import org.marjoramswitch.daemon.log.KeyValueLog;
 
 /**
- * Tracks a graceful shutdown: a dedicated thread waits until all work of the instance has ended, the deadline is
- * reached or the drain is closed.
+ * Tracks a graceful shutdown: a dedicated thread waits until all work of the instance has ended, the shutdown's time
+ * has elapsed or the drain is closed.
  *
  * <p>An instance without work still stays up for {@code LINGER_MS}, so that callers and peers that do not yet know that
  * it is draining receive a rejection or a redirect instead of a refused connection.
@@ -25,6 +25,7 @@
     private final CompletableFuture<Boolean> result = new CompletableFuture<>();
     private final AtomicBoolean begun = new AtomicBoolean();
     private volatile boolean closed;
+    private volatile long endsAtMs;
 
     private Drain(BooleanSupplier finished, LongSupplier clockMs, long deadlineMs) {
         this.finished = finished;
@@ -34,15 +35,28 @@
 
     /**
      * @param finished whether all work has ended
-     * @param deadlineMs maximum duration of the shutdown
+     * @param deadlineMs maximum time that the shutdown waits after the instance stopped accepting requests
      */
     static Drain of(BooleanSupplier finished, LongSupplier clockMs, long deadlineMs) {
         return new Drain(finished, clockMs, deadlineMs);
     }
 
-    /** Returns true for the first call only, whose caller must then announce the shutdown. */
-    boolean begin() {
-        return begun.compareAndSet(false, true);
+    /**
+     * Returns true for the first call only, whose caller must then announce the shutdown.
+     *
+     * @param acceptingMs how long the instance still accepts requests
+     */
+    boolean begin(long acceptingMs) {
+        if (!begun.compareAndSet(false, true)) {
+            return false;
+        }
+        endsAtMs = clockMs.getAsLong() + acceptingMs + deadlineMs;
+        return true;
+    }
+
+    /** When the shutdown ends even if work is open; valid once it has begun. */
+    long endsAtMs() {
+        return endsAtMs;
     }
 
     boolean hasBegun() {
@@ -63,9 +77,10 @@
     private void await() {
         long startMs = clockMs.getAsLong();
         while (!closed) {
-            long elapsedMs = clockMs.getAsLong() - startMs;
+            long nowMs = clockMs.getAsLong();
+            long elapsedMs = nowMs - startMs;
             boolean done = finished.getAsBoolean();
-            if ((done && elapsedMs >= LINGER_MS) || elapsedMs >= deadlineMs) {
+            if ((done && elapsedMs >= LINGER_MS) || nowMs >= endsAtMs) {
                 LOG.info("drain_ended", "whole", done, "elapsedMs", elapsedMs);
                 result.complete(done);
                 return;
--- a/daemon/src/main/java/org/marjoramswitch/daemon/ForwardingDaemon.java
+++ b/daemon/src/main/java/org/marjoramswitch/daemon/ForwardingDaemon.java
@@ -235,7 +235,7 @@
      */
     @Override
     public void drain() {
-        if (!core.leave()) {
+        if (!core.leave(platform.stopAcceptingMs())) {
             return;
         }
         core.worker().getIoThread().executeAfter(this::finishDrain, platform.stopAcceptingMs(), TimeUnit.MILLISECONDS);
--- a/daemon/src/main/java/org/marjoramswitch/daemon/InstanceCore.java
+++ b/daemon/src/main/java/org/marjoramswitch/daemon/InstanceCore.java
@@ -312,11 +312,16 @@
         }
     }
 
-    /** Announces to peers that this instance is draining; false if it already was. */
-    boolean leave() {
-        if (!drain.begin()) {
+    /**
+     * Announces to peers that this instance is draining; false if it already was.
+     *
+     * @param acceptingMs how long the instance still accepts requests that can end before the drain does
+     */
+    boolean leave(long acceptingMs) {
+        if (!drain.begin(acceptingMs)) {
             return false;
         }
+        decisions.offer(new Event.StopStarted(drain.endsAtMs()));
         LOG.info(
                 "drain_started",
                 "instance",
--- a/kernel/src/main/java/org/marjoramswitch/kernel/InstanceKernel.java
+++ b/kernel/src/main/java/org/marjoramswitch/kernel/InstanceKernel.java
@@ -231,6 +231,8 @@
             targetReported(reported, nowMs);
         } else if (event instanceof Event.PrefixCached cached) {
             entry.prefixCached(cached.target(), cached.prefixHash(), cached.present());
+        } else if (event instanceof Event.StopStarted stop) {
+            entry.stop(stop.drainEndsAtMs());
         } else if (event instanceof Event.DrainStarted) {
             draining = true;
             entry.drain();
--- a/kernel/src/main/java/org/marjoramswitch/kernel/entry/Entry.java
+++ b/kernel/src/main/java/org/marjoramswitch/kernel/entry/Entry.java
@@ -87,6 +87,7 @@
     private final CrashReports crashReports = new CrashReports();
     private final TargetBackoffs targetBackoffs = new TargetBackoffs();
     private final SendAdmission admission;
+    private final StopPolicy stopPolicy;
     private final ListWaits listWaits = new ListWaits();
     private int totalWaiting;
     private boolean draining;
@@ -99,7 +100,8 @@
         this.demand = new DemandPublisher(options, fleet);
         this.registrations = new Registrations(self, options, fleet, demand, this::pool, requests.values());
         this.placements = new Placements(self, fleet, targetBackoffs, streams);
-        this.admission = SendAdmission.of(fleet, targetBackoffs, crashReports);
+        this.stopPolicy = StopPolicy.of(this::pool, requests.values());
+        this.admission = SendAdmission.of(fleet, targetBackoffs, crashReports, stopPolicy);
     }
 
     public static Entry create(InstanceId self, KernelOptions options, FleetState fleet, StreamDirectory streams) {
@@ -121,6 +123,11 @@
         return totalWaiting;
     }
 
+    /** Accepts and sends from now on only requests that can end before the drain does. */
+    public void stop(long drainEndsAtMs) {
+        stopPolicy.stop(drainEndsAtMs);
+    }
+
     /** Rejects new requests from now on; accepted ones run to completion. */
     public void drain() {
         draining = true;
@@ -241,12 +248,30 @@
         }
     }
 
+    private void failLeaving(EntryRequest request, ActionSink sink) {
+        fail(request, ErrorType.INSTANCE_LEAVING, LEAVING_RETRY_AFTER_MS, self.name(), sink);
+    }
+
+    /** Ends waiting requests that could not end before the drain does, so that their callers can go elsewhere. */
+    private void refuseUnfinishable(long nowMs, ActionSink sink) {
+        if (!stopPolicy.isStopping()) {
+            return;
+        }
+        for (EntryRequest request : List.copyOf(requests.values())) {
+            if (request.target() == null && !stopPolicy.maySend(request.spec(), nowMs)) {
+                dequeue(request, sink);
+                failLeaving(request, sink);
+            }
+        }
+    }
+
     /** Ends a request that may not be sent to any target. */
     private void endUnsent(EntryRequest request, SendAdmission.Verdict verdict, long nowMs, ActionSink sink) {
         totalWaiting--;
         switch (verdict) {
             case CALLER_GONE -> fail(request, ErrorType.CALLER_GONE, 0, "", sink);
             case REQUEST_BLOCKED -> failBlocked(request, nowMs, sink);
+            case INSTANCE_LEAVING -> failLeaving(request, sink);
             default -> fail(request, ErrorType.WAIT_TIMEOUT, RETRY_AFTER_MS, "", sink);
         }
     }
@@ -382,6 +407,7 @@
         placements.attemptEnded(request, AttemptRules.placementEnd(outcome), sink);
         if (!outcome.notRun()) {
             request.markMayHaveRun();
+            stopPolicy.ended(request, nowMs);
         }
         if (outcome.answerBegun()) {
             // The report of the response's first byte may have been lost in a full ring.
@@ -440,6 +466,7 @@
         }
         lastTickMs = nowMs;
         expire(nowMs, sink);
+        refuseUnfinishable(nowMs, sink);
         registrations.tick(nowMs, sink);
         endListWaits(nowMs, sink);
         replaceSilentPlacementArbiters(nowMs, sink);
@@ -584,7 +611,7 @@
             String blocked = Long.toHexString(poisonRequests.blockedDigest(suspects, nowMs));
             return Failure.notRun(ErrorType.REQUEST_BLOCKED, blockedForMs, blocked);
         }
-        if (draining) {
+        if (draining || !stopPolicy.mayAccept(spec, nowMs)) {
             return Failure.notRun(ErrorType.INSTANCE_LEAVING, LEAVING_RETRY_AFTER_MS, self.name());
         }
         if (totalWaiting >= options.maxWaiting()) {
@@ -656,7 +683,7 @@
         PoolQueues pool = pool(spec.pool());
         boolean prefixHeld = pool.prefixes().holds(target, spec.prefixHash());
         String softwareVersion = softwareVersion(target);
-        request.attemptStarted(target, softwareVersion, cell, sequence);
+        request.attemptStarted(target, softwareVersion, cell, sequence, nowMs);
         if (spec.placement() != null && spec.placement().resumesStream()) {
             request.resumeAt(softwareVersion);
         }
--- a/kernel/src/main/java/org/marjoramswitch/kernel/entry/EntryRequest.java
+++ b/kernel/src/main/java/org/marjoramswitch/kernel/entry/EntryRequest.java
@@ -25,6 +25,7 @@
     private int attempts;
     private int refusedConnections;
     private @Nullable TargetId target;
+    private long sentAtMs;
     private @Nullable CellId cell;
     private @Nullable TargetId fetchFrom;
     private long sequence;
@@ -110,6 +111,11 @@
         return target;
     }
 
+    /** When the last attempt was sent; 0 before the first. */
+    long sentAtMs() {
+        return sentAtMs;
+    }
+
     /** The cell that accounts for the running attempt; null while the request waits. */
     @Nullable
     CellId cell() {
@@ -241,9 +247,10 @@
         responseBeganAtMs = nowMs;
     }
 
-    void attemptStarted(TargetId atTarget, String softwareVersion, CellId inCell, long grantSequence) {
+    void attemptStarted(TargetId atTarget, String softwareVersion, CellId inCell, long grantSequence, long nowMs) {
         attempts++;
         target = atTarget;
+        sentAtMs = nowMs;
         responseBeganAtMs = NOT_BEGUN;
         targetVersion = softwareVersion;
         cell = inCell;
--- a/kernel/src/main/java/org/marjoramswitch/kernel/entry/PoolQueues.java
+++ b/kernel/src/main/java/org/marjoramswitch/kernel/entry/PoolQueues.java
@@ -20,6 +20,8 @@
     private final RetryBudget retriesNotRun = RetryBudget.create();
     private final RetryBudget retriesMayHaveRun = RetryBudget.create();
     private final WindowedRetryBudget windowedRetryBudget = WindowedRetryBudget.create();
+    private final RecentDurations requestTimes = RecentDurations.create();
+    private final RecentDurations runTimes = RecentDurations.create();
     private final PrefixDirectory prefixes = new PrefixDirectory();
     private final Map<CustomerId, CellId> homes = new TreeMap<>();
     private final String instance;
@@ -60,6 +62,16 @@
         return windowedRetryBudget;
     }
 
+    /** Durations of placed requests from arrival to end. */
+    RecentDurations requestTimes() {
+        return requestTimes;
+    }
+
+    /** Durations of placed requests from the last send to the end. */
+    RecentDurations runTimes() {
+        return runTimes;
+    }
+
     PrefixDirectory prefixes() {
         return prefixes;
     }
--- a/kernel/src/main/java/org/marjoramswitch/kernel/entry/SendAdmission.java
+++ b/kernel/src/main/java/org/marjoramswitch/kernel/entry/SendAdmission.java
@@ -11,15 +11,18 @@
     private final FleetState fleet;
     private final TargetBackoffs backoffs;
     private final CrashReports crashReports;
+    private final StopPolicy stopPolicy;
 
-    private SendAdmission(FleetState fleet, TargetBackoffs backoffs, CrashReports crashReports) {
+    private SendAdmission(FleetState fleet, TargetBackoffs backoffs, CrashReports crashReports, StopPolicy stopPolicy) {
         this.fleet = fleet;
         this.backoffs = backoffs;
         this.crashReports = crashReports;
+        this.stopPolicy = stopPolicy;
     }
 
-    static SendAdmission of(FleetState fleet, TargetBackoffs backoffs, CrashReports crashReports) {
-        return new SendAdmission(fleet, backoffs, crashReports);
+    static SendAdmission of(
+            FleetState fleet, TargetBackoffs backoffs, CrashReports crashReports, StopPolicy stopPolicy) {
+        return new SendAdmission(fleet, backoffs, crashReports, stopPolicy);
     }
 
     /** The result of a check. Logs and reports name rejections by these constants. */
@@ -38,7 +41,9 @@
         DEADLINE_PASSED(Scope.REQUEST),
         /** The caller has received no part of the response for its progress timeout. */
         CALLER_TIMED_OUT(Scope.REQUEST),
-        REQUEST_BLOCKED(Scope.REQUEST);
+        REQUEST_BLOCKED(Scope.REQUEST),
+        /** The instance is stopping and would end the request before its target had finished it. */
+        INSTANCE_LEAVING(Scope.REQUEST);
 
         private final Scope scope;
 
@@ -83,6 +88,9 @@
         if (crashReports.blockedForMs(request, nowMs) > 0) {
             return Verdict.REQUEST_BLOCKED;
         }
+        if (!stopPolicy.maySend(request.spec(), nowMs)) {
+            return Verdict.INSTANCE_LEAVING;
+        }
         if (startWithinMs <= 0) {
             return Verdict.PLACEMENT_STALE;
         }
--- /dev/null
+++ b/kernel/src/main/java/org/marjoramswitch/kernel/entry/StopPolicy.java
@@ -0,0 +1,97 @@
+package org.marjoramswitch.kernel.entry;
+
+import java.util.Collection;
+import java.util.function.Function;
+import org.marjoramswitch.kernel.model.PoolId;
+import org.marjoramswitch.kernel.model.RequestSpec;
+
+/**
+ * Decides during the instance's planned stop whether a request can end before the drain does, which ends all requests
+ * that are still open. A request that cannot is rejected as not run, so that its caller goes to another instance.
+ *
+ * <p>A request ends in time if its deadline falls before the end of the drain, or if the longest recent request of its
+ * pool, with some headroom, would. Requests that are still running count with their present duration. A pool without
+ * any is unknown, and only the deadline counts.
+ *
+ * <p>For example, with 4 s left and a deadline in 7 s, a request is accepted if the longest recent one of its pool took
+ * 2.5 s, and rejected if it took 3.5 s.
+ *
+ * <p>Applies to placed requests only: the deadline of others does not bound their run.
+ */
+final class StopPolicy {
+    /** Durations vary, and the recent ones are a sample. */
+    private static final double HEADROOM = 1.25;
+    /** From the end of a run until its response has been written to the caller. */
+    private static final long DELIVERY_MS = 150;
+
+    private static final long NOT_STOPPING = Long.MAX_VALUE;
+
+    private final Function<PoolId, PoolQueues> pools;
+    private final Collection<EntryRequest> open;
+    private long drainEndsAtMs = NOT_STOPPING;
+
+    private StopPolicy(Function<PoolId, PoolQueues> pools, Collection<EntryRequest> open) {
+        this.pools = pools;
+        this.open = open;
+    }
+
+    /** @param open the requests that have not ended, updated by the owner */
+    static StopPolicy of(Function<PoolId, PoolQueues> pools, Collection<EntryRequest> open) {
+        return new StopPolicy(pools, open);
+    }
+
+    /** Starts the stop. */
+    void stop(long endsAtMs) {
+        drainEndsAtMs = endsAtMs;
+    }
+
+    boolean isStopping() {
+        return drainEndsAtMs != NOT_STOPPING;
+    }
+
+    /** Records how long a request took that a target has run, also if its response was not complete. */
+    void ended(EntryRequest request, long nowMs) {
+        PoolQueues pool = pools.apply(request.spec().pool());
+        pool.requestTimes().record(nowMs - request.arrivedAtMs(), nowMs);
+        pool.runTimes().record(nowMs - request.sentAtMs(), nowMs);
+    }
+
+    /** Whether a request that arrives now can end in time, including its wait. */
+    boolean mayAccept(RequestSpec spec, long nowMs) {
+        if (endsInTime(spec, nowMs)) {
+            return true;
+        }
+        long longestMs = pools.apply(spec.pool()).requestTimes().longestMs(nowMs);
+        for (EntryRequest request : open) {
+            if (request.spec().pool().equals(spec.pool())) {
+                longestMs = Math.max(longestMs, nowMs - request.arrivedAtMs());
+            }
+        }
+        return fits(longestMs, nowMs);
+    }
+
+    /** Whether a request that is sent to a target now can end in time. */
+    boolean maySend(RequestSpec spec, long nowMs) {
+        if (endsInTime(spec, nowMs)) {
+            return true;
+        }
+        long longestMs = pools.apply(spec.pool()).runTimes().longestMs(nowMs);
+        for (EntryRequest request : open) {
+            if (request.target() != null && request.spec().pool().equals(spec.pool())) {
+                longestMs = Math.max(longestMs, nowMs - request.sentAtMs());
+            }
+        }
+        return fits(longestMs, nowMs);
+    }
+
+    private boolean endsInTime(RequestSpec spec, long nowMs) {
+        return !isStopping()
+                || spec.placement() == null
+                || Math.max(nowMs, spec.deadlineMs()) + DELIVERY_MS <= drainEndsAtMs;
+    }
+
+    private boolean fits(long longestMs, long nowMs) {
+        return longestMs != RecentDurations.NONE
+                && nowMs + Math.round(HEADROOM * longestMs) + DELIVERY_MS <= drainEndsAtMs;
+    }
+}
--- a/kernel/src/main/java/org/marjoramswitch/kernel/event/Event.java
+++ b/kernel/src/main/java/org/marjoramswitch/kernel/event/Event.java
@@ -152,7 +152,14 @@
     /** A target's cache gained or lost a prompt prefix. Only a hint: such events arrive late and with gaps. */
     record PrefixCached(TargetId target, long prefixHash, boolean present) implements Event {}
 
-    /** This instance starts its graceful shutdown. */
+    /**
+     * This instance starts its graceful shutdown.
+     *
+     * @param drainEndsAtMs when requests that are still open are ended
+     */
+    record StopStarted(long drainEndsAtMs) implements Event {}
+
+    /** This instance accepts no more requests. */
     record DrainStarted() implements Event {}
 
     /** Advances the time, for deadlines and timeouts. */
--- a/kernel/src/test/java/org/marjoramswitch/kernel/entry/CrashReportsTest.java
+++ b/kernel/src/test/java/org/marjoramswitch/kernel/entry/CrashReportsTest.java
@@ -104,7 +104,7 @@
     private EntryRequest started(String target) {
         RequestSpec spec = spec();
         EntryRequest request = new EntryRequest(spec, CrashSuspects.of(spec), false, 0);
-        request.attemptStarted(TargetId.of(target), "v1", CellId.of(POOL, 0), 1);
+        request.attemptStarted(TargetId.of(target), "v1", CellId.of(POOL, 0), 1, 0);
         return request;
     }
 
--- /dev/null
+++ b/kernel/src/test/java/org/marjoramswitch/kernel/entry/StopPolicyTest.java
@@ -0,0 +1,111 @@
+package org.marjoramswitch.kernel.entry;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertFalse;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Map;
+import java.util.TreeMap;
+import org.junit.jupiter.api.Test;
+import org.marjoramswitch.kernel.crash.CrashSuspects;
+import org.marjoramswitch.kernel.model.CellId;
+import org.marjoramswitch.kernel.model.CustomerId;
+import org.marjoramswitch.kernel.model.PlacementSpec;
+import org.marjoramswitch.kernel.model.PoolId;
+import org.marjoramswitch.kernel.model.RequestSpec;
+import org.marjoramswitch.kernel.model.TargetId;
+
+class StopPolicyTest {
+    private static final PoolId POOL = PoolId.of("pool");
+    private static final long NOW_MS = 100_000;
+    private static final long DRAIN_ENDS_MS = NOW_MS + 6_800;
+    private static final long FAR_DEADLINE_MS = NOW_MS + 8_000;
+
+    private final Map<PoolId, PoolQueues> pools = new TreeMap<>();
+    private final List<EntryRequest> open = new ArrayList<>();
+    private final StopPolicy policy =
+            StopPolicy.of(id -> pools.computeIfAbsent(id, missing -> new PoolQueues(missing, "entry-1")), open);
+
+    @Test
+    void anyRequestIsAcceptedBeforeTheStop() {
+        assertTrue(policy.mayAccept(spec(FAR_DEADLINE_MS), NOW_MS));
+        assertTrue(policy.maySend(spec(FAR_DEADLINE_MS), NOW_MS));
+    }
+
+    @Test
+    void requestOfAnUnknownPoolNeedsADeadlineBeforeTheEndOfTheDrain() {
+        policy.stop(DRAIN_ENDS_MS);
+        assertFalse(policy.mayAccept(spec(DRAIN_ENDS_MS), NOW_MS));
+        assertFalse(policy.maySend(spec(DRAIN_ENDS_MS), NOW_MS));
+        assertTrue(policy.mayAccept(spec(DRAIN_ENDS_MS - 500), NOW_MS));
+        assertTrue(policy.maySend(spec(DRAIN_ENDS_MS - 500), NOW_MS));
+    }
+
+    /** Guards against accepting a request whose run would be cut at the end of the drain. */
+    @Test
+    void requestIsRejectedOnceTheLongestRecentOneWouldNotEndInTime() {
+        ended(NOW_MS - 4_500, NOW_MS - 4_500, NOW_MS);
+        policy.stop(DRAIN_ENDS_MS);
+        assertTrue(policy.mayAccept(spec(FAR_DEADLINE_MS), NOW_MS + 900));
+        assertFalse(policy.mayAccept(spec(FAR_DEADLINE_MS), NOW_MS + 1_200));
+    }
+
+    /** Guards against sending after a wait what would be cut; the wait before it no longer counts. */
+    @Test
+    void sentRequestNeedsTimeForItsRunOnly() {
+        ended(NOW_MS - 6_000, NOW_MS - 2_000, NOW_MS);
+        policy.stop(DRAIN_ENDS_MS);
+        assertFalse(policy.mayAccept(spec(FAR_DEADLINE_MS), NOW_MS));
+        assertTrue(policy.maySend(spec(FAR_DEADLINE_MS), NOW_MS + 4_000));
+        assertFalse(policy.maySend(spec(FAR_DEADLINE_MS), NOW_MS + 4_500));
+    }
+
+    /** Guards against counting only ended requests where runs have become longer. */
+    @Test
+    void runningRequestCountsWithItsPresentDuration() {
+        ended(NOW_MS - 100, NOW_MS - 100, NOW_MS);
+        open.add(sent(NOW_MS - 6_000, NOW_MS - 6_000));
+        policy.stop(DRAIN_ENDS_MS);
+        assertFalse(policy.mayAccept(spec(FAR_DEADLINE_MS), NOW_MS));
+        assertFalse(policy.maySend(spec(FAR_DEADLINE_MS), NOW_MS));
+    }
+
+    @Test
+    void requestsThatAreNotPlacedAreNotLimited() {
+        policy.stop(DRAIN_ENDS_MS);
+        RequestSpec granted = new RequestSpec(1, CustomerId.of("a"), POOL, 3, false, 10, 0, 0, FAR_DEADLINE_MS);
+        assertTrue(policy.mayAccept(granted, NOW_MS));
+        assertTrue(policy.maySend(granted, NOW_MS));
+    }
+
+    @Test
+    void durationsAreForgottenAfterTwoWindows() {
+        RecentDurations durations = RecentDurations.create();
+        assertEquals(RecentDurations.NONE, durations.longestMs(NOW_MS));
+        durations.record(500, NOW_MS);
+        durations.record(200, NOW_MS + 1_000);
+        assertEquals(500, durations.longestMs(NOW_MS + RecentDurations.WINDOW_MS - 1));
+        durations.record(100, NOW_MS + RecentDurations.WINDOW_MS);
+        assertEquals(500, durations.longestMs(NOW_MS + RecentDurations.WINDOW_MS + 1));
+        assertEquals(100, durations.longestMs(NOW_MS + 2 * RecentDurations.WINDOW_MS));
+        assertEquals(RecentDurations.NONE, durations.longestMs(NOW_MS + 4 * RecentDurations.WINDOW_MS));
+    }
+
+    private void ended(long arrivedAtMs, long sentAtMs, long nowMs) {
+        policy.ended(sent(arrivedAtMs, sentAtMs), nowMs);
+    }
+
+    private static EntryRequest sent(long arrivedAtMs, long sentAtMs) {
+        RequestSpec spec = spec(FAR_DEADLINE_MS);
+        EntryRequest request = new EntryRequest(spec, CrashSuspects.of(spec), false, arrivedAtMs);
+        request.attemptStarted(TargetId.of("t-1"), "v1", CellId.of(POOL, 0), 1, sentAtMs);
+        return request;
+    }
+
+    private static RequestSpec spec(long deadlineMs) {
+        return new RequestSpec(
+                1, CustomerId.of("a"), POOL, 3, false, 10, 0, 0, deadlineMs, PlacementSpec.plain(NOW_MS + 400, 1));
+    }
+}
