Write the final responses before the exit of a stopping instance

Callers whose requests were ended at the end of a stop saw their connection closed without any response, also for requests that may run once.

Cause: closing the instance ends the open requests and at once shuts down the worker whose I/O threads are to write their responses.

The instance now waits until no request of a caller is open, for at most 400 ms, and logs final_responses_written.

--- a/daemon/src/main/java/org/marjoramswitch/daemon/InstanceCore.java
+++ b/daemon/src/main/java/org/marjoramswitch/daemon/InstanceCore.java
@@ -58,6 +58,10 @@
     private static final int TASK_THREADS = 2;
     /** The history of the list of targets arrives at once if the list has changed. */
     private static final long MAX_HISTORY_WAIT_MS = 400;
+    /** Maximum time for writing the final responses of requests that a shutdown ends. */
+    private static final long MAX_FINAL_WRITES_MS = 400;
+
+    private static final long FINAL_WRITES_POLL_MS = 5;
     /** Counter maintained by the caller-facing server. */
     private static final String CALLER_OPEN_REQUESTS = "caller.open_requests";
 
@@ -349,9 +353,31 @@
                 "openRequests",
                 kernel.status().openRequests());
         decisions.close();
+        awaitResponses();
         components.close();
     }
 
+    /** Closing the worker drops responses that its threads have not written yet. */
+    private void awaitResponses() {
+        long startMs = clock.getAsLong();
+        long endMs = startMs + MAX_FINAL_WRITES_MS;
+        try {
+            while (!hasNoOpenCallerRequests() && clock.getAsLong() < endMs) {
+                MILLISECONDS.sleep(FINAL_WRITES_POLL_MS);
+            }
+        } catch (InterruptedException interrupted) {
+            Thread.currentThread().interrupt();
+        }
+        LOG.info(
+                "final_responses_written",
+                "instance",
+                self.id(),
+                "whole",
+                hasNoOpenCallerRequests(),
+                "elapsedMs",
+                clock.getAsLong() - startMs);
+    }
+
     private XnioWorker startWorker() throws IOException {
         XnioWorker started = Xnio.getInstance()
                 .createWorker(OptionMap.builder()
