End a silent attempt only once the next one has a slot

Callers of repeatable requests got 502 TARGET_BROKE "unknown" after 0.6 of the route's progress timeout while their targets were at work, seconds before the deadline, if all slots of the other targets were taken.

Cause: the entry ended the attempt when another target existed, and asked for a slot afterwards. A rejection then ended the request. The entry now reserves a retry and a slot while the attempt goes on, and ends it only once the slot is placed. The next attempt starts in that slot. Otherwise the attempt goes on until the response, the deadline or the route's timeout.

Cost: a caller whose target has crashed with its connection open waits longer while no other target has a free slot.

StalledResponseTest#responseGoesOnIfTheRetryBudgetIsSpent did not end: each silent attempt takes a second slot now, and the test waited for the budget to run out on four slots. It has 20 targets now, checks that the last request runs, and is bounded. SilentTargetTest delivers the messages of the decision in place of looking at its actions only.

--- a/kernel/src/main/java/org/marjoramswitch/kernel/entry/Entry.java
+++ b/kernel/src/main/java/org/marjoramswitch/kernel/entry/Entry.java
@@ -177,6 +177,7 @@
             request.streamStarted();
         }
         placements.responseStarted(request, nowMs, sink);
+        releaseReserved(request, sink);
     }
 
     /** Handles a placement: starts the request at the target, or returns the placement if the target cannot be used. */
@@ -185,6 +186,41 @@
         if (request == null) {
             return;
         }
+        TargetId running = request.target();
+        if (running != null) {
+            replacementPlaced(request, running, placed, nowMs, sink);
+            return;
+        }
+        startPlaced(from, request, placed, nowMs, sink);
+    }
+
+    /** Ends the attempt at a silent target, now that a slot for the next one is reserved. */
+    private void replacementPlaced(
+            EntryRequest request, TargetId silent, PeerMessage.Placed placed, long nowMs, ActionSink sink) {
+        SendAdmission.Verdict verdict = admission.check(request, placed.target(), placed.startWithinMs(), nowMs);
+        if (verdict != SendAdmission.Verdict.ADMITTED || !placements.keepReserved(request, placed, nowMs)) {
+            sink.accept(EntryLog.replacementRejected(request, silent, verdict.name()));
+            releaseReserved(request, sink);
+            return;
+        }
+        sink.accept(EntryLog.silentAttemptReplaced(request, silent, placed.target()));
+        sink.accept(new Action.EndSilentAttempt(request.spec().requestId(), silent));
+    }
+
+    /** Releases the slot and the retry that were reserved for the next attempt of a running request. */
+    private void releaseReserved(EntryRequest request, ActionSink sink) {
+        placements.release(request, sink);
+        giveBackReservedRetry(request);
+    }
+
+    private void giveBackReservedRetry(EntryRequest request) {
+        if (request.takeReservedRetry()) {
+            pool(request.spec().pool()).windowedRetryBudget().giveBack(request.retryReservedAtMs());
+        }
+    }
+
+    private void startPlaced(
+            InstanceId from, EntryRequest request, PeerMessage.Placed placed, long nowMs, ActionSink sink) {
         long startWithinMs = placements.startWithinMs(request, placed, nowMs);
         // The arbiter may have found the version of the request's stream, and may have an older list of targets.
         request.resumeAt(placed.softwareVersion());
@@ -266,6 +302,12 @@
         if (request == null) {
             return;
         }
+        TargetId running = request.target();
+        if (running != null) {
+            sink.accept(EntryLog.replacementRejected(request, running, "not_placed"));
+            giveBackReservedRetry(request);
+            return;
+        }
         if (refused.targetsUnknown() && placements.replaceArbiterWithoutTargets(request, from, nowMs, sink)) {
             requestPlacement(request, nowMs, sink);
             return;
@@ -332,8 +374,9 @@
     }
 
     /**
-     * Ends an attempt whose target has fallen silent, if another target may serve the request or continue its response.
-     * Otherwise the attempt goes on: a sound target may be silent for a while, and the caller may wait longer.
+     * Reserves a slot at another target if that may serve the request or continue its response. The attempt ends only
+     * once the slot is reserved, otherwise it goes on: a sound target may be silent for a while, and the caller may wait
+     * longer.
      *
      * @param answerBegun whether a part of the response has been delivered
      */
@@ -347,10 +390,10 @@
             // The report of the response's first byte may have been lost in a full ring.
             request.streamStarted();
         }
-        boolean replaced = mayContinueElsewhere(request, answerBegun, nowMs);
-        sink.accept(EntryLog.responseStalled(request, target, answerBegun, replaced));
-        if (replaced) {
-            sink.accept(new Action.EndSilentAttempt(requestId, target));
+        boolean replaceable = mayContinueElsewhere(request, answerBegun, nowMs);
+        sink.accept(EntryLog.responseStalled(request, target, answerBegun, replaceable));
+        if (replaceable) {
+            placements.reserve(request, nowMs, sink);
         }
     }
 
@@ -444,6 +487,7 @@
         endListWaits(nowMs, sink);
         replaceSilentPlacementArbiters(nowMs, sink);
         refuseOverdue(nowMs, sink);
+        placements.releaseOverdue(nowMs, sink).forEach(this::giveBackReservedRetry);
         crashReports.tick(nowMs, sink);
         publishCrashes(sink);
         placements.fleetChanged(nowMs, sink);
@@ -608,7 +652,12 @@
     private void enqueue(EntryRequest request, long nowMs, ActionSink sink) {
         if (request.spec().placement() != null) {
             totalWaiting++;
-            requestPlacement(request, nowMs, sink);
+            PeerMessage.Placed reserved = placements.takeReserved(request, nowMs, sink);
+            if (reserved == null) {
+                requestPlacement(request, nowMs, sink);
+            } else {
+                startPlaced(placements.arbiterOf(request), request, reserved, nowMs, sink);
+            }
             return;
         }
         PoolQueues pool = pool(request.spec().pool());
@@ -752,16 +801,14 @@
     }
 
     private void complete(EntryRequest request, ActionSink sink) {
-        remove(request);
+        remove(request, sink);
         sink.accept(new Action.Complete(request.spec().requestId()));
     }
 
-    private void remove(EntryRequest request) {
+    private void remove(EntryRequest request, ActionSink sink) {
         requests.remove(request.spec().requestId());
         timeouts.remove(request);
-        if (request.takeReservedRetry()) {
-            pool(request.spec().pool()).windowedRetryBudget().giveBack(request.retryReservedAtMs());
-        }
+        releaseReserved(request, sink);
     }
 
     private boolean takeRetry(EntryRequest request, PoolQueues pool, long nowMs) {
@@ -773,7 +820,7 @@
     }
 
     private void fail(EntryRequest request, ErrorType type, long retryAfterMs, String detail, ActionSink sink) {
-        remove(request);
+        remove(request, sink);
         RunState run = request.mayHaveRun() ? RunState.UNKNOWN : RunState.NOT_RUN;
         sink.accept(new Action.Fail(request.spec().requestId(), new Failure(type, run, retryAfterMs, detail)));
     }
--- a/kernel/src/main/java/org/marjoramswitch/kernel/entry/EntryLog.java
+++ b/kernel/src/main/java/org/marjoramswitch/kernel/entry/EntryLog.java
@@ -74,8 +74,20 @@
         return withoutProgress("caller_overdue", request, nowMs);
     }
 
-    /** @param replaced whether another target may continue the response */
-    static Action responseStalled(EntryRequest request, TargetId target, boolean answerBegun, boolean replaced) {
+    /** The attempt at a silent target is ended, since a slot at another target is reserved. */
+    static Action silentAttemptReplaced(EntryRequest request, TargetId silent, TargetId next) {
+        return new Action.Decided(Decision.of(
+                "silent_attempt_replaced", "request", request.spec().requestId(), "target", silent, "next", next));
+    }
+
+    /** The attempt at a silent target goes on, since no usable slot at another target was free. */
+    static Action replacementRejected(EntryRequest request, TargetId silent, String reason) {
+        return new Action.Decided(Decision.of(
+                "replacement_rejected", "request", request.spec().requestId(), "target", silent, "reason", reason));
+    }
+
+    /** @param replaceable whether another target may serve the request or continue its response */
+    static Action responseStalled(EntryRequest request, TargetId target, boolean answerBegun, boolean replaceable) {
         return new Action.Decided(Decision.of(
                 "response_stalled",
                 "request",
@@ -86,8 +98,8 @@
                 request.attempts(),
                 "answerBegun",
                 answerBegun,
-                "replaced",
-                replaced));
+                "replaceable",
+                replaceable));
     }
 
     private static Action withoutProgress(String event, EntryRequest request, long nowMs) {
--- a/kernel/src/main/java/org/marjoramswitch/kernel/entry/Placements.java
+++ b/kernel/src/main/java/org/marjoramswitch/kernel/entry/Placements.java
@@ -38,8 +38,17 @@
  * the arbiter that it was last sent to. When the cell's arbiter changes, or a link to it is re-established, open
  * placement requests are sent again and the new arbiter is notified of this entry's running requests in the cell. A
  * placement that arrives late from the former arbiter is returned, so that it frees the slot.
+ *
+ * <p>The attempt at a silent target is ended only once the slot of the next attempt is reserved. Such a placement request
+ * is not sent again: the target's silence is reported repeatedly.
  */
 final class Placements {
+    /** How long a reservation may wait for a slot. Covers the way to the arbiter and back. */
+    private static final long RESERVATION_WAIT_MS = 300;
+
+    /** How long a reserved slot is kept for the end of the silent attempt, whose I/O thread may be behind. */
+    private static final long RESERVATION_HOLD_MS = 1_000;
+
     private final InstanceId self;
     private final FleetState fleet;
     private final TargetBackoffs targetBackoffs;
@@ -47,6 +56,8 @@
     private final ArbiterBackoffs arbiterBackoffs = new ArbiterBackoffs();
     private final Map<Long, PlacementRequest> byId = new TreeMap<>();
     private final Map<Long, PlacementRequest> byRequest = new HashMap<>();
+    /** Placement requests for the next attempts of requests that run at silent targets, by request. */
+    private final Map<Long, PlacementRequest> replacements = new TreeMap<>();
     /** For each cell, the arbiter that was notified of this entry's running requests. */
     private final Map<CellId, InstanceId> notifiedArbiters = new TreeMap<>();
 
@@ -117,10 +128,86 @@
                 || (settings != null && settings.softwareVersion().equals(version));
     }
 
+    /** Requests a slot for the next attempt of a running request, if none is requested or reserved. */
+    void reserve(EntryRequest request, long nowMs, ActionSink sink) {
+        PlacementRequest running = byRequest.get(request.spec().requestId());
+        InstanceId arbiter = running == null ? null : arbiter(running.cell, nowMs);
+        if (running == null
+                || arbiter == null
+                || replacements.containsKey(request.spec().requestId())) {
+            return;
+        }
+        PlacementRequest placement = new PlacementRequest(++lastId, request, running.cell, arbiter, nowMs);
+        placement.reservedUntilMs = nowMs + RESERVATION_WAIT_MS;
+        byId.put(placement.id, placement);
+        replacements.put(request.spec().requestId(), placement);
+        sendHeld(placement.cell, arbiter, nowMs, sink);
+        sendPlace(placement, nowMs, sink);
+    }
+
+    /** Whether the slot that was placed can serve the request's next attempt; it is kept for it in that case. */
+    boolean keepReserved(EntryRequest request, PeerMessage.Placed placed, long nowMs) {
+        PlacementRequest placement = replacements.get(request.spec().requestId());
+        if (placement == null
+                || placement.id != placed.placementId()
+                || placement.excluded.contains(placed.target())
+                || placement.hasMoved(placement.cell, arbiter(placement.cell, nowMs))) {
+            return false;
+        }
+        placement.reserved = placed;
+        placement.reservedUntilMs = nowMs + RESERVATION_HOLD_MS;
+        return true;
+    }
+
+    /** Returns the slot reserved for the next attempt, now the request's placement; null if there is none. */
+    PeerMessage.@Nullable Placed takeReserved(EntryRequest request, long nowMs, ActionSink sink) {
+        PlacementRequest placement = replacements.get(request.spec().requestId());
+        PeerMessage.Placed reserved = placement == null ? null : placement.reserved;
+        if (placement == null
+                || reserved == null
+                || placement.hasMoved(placement.cell, arbiter(placement.cell, nowMs))) {
+            release(request, sink);
+            return null;
+        }
+        replacements.remove(request.spec().requestId());
+        byRequest.put(request.spec().requestId(), placement);
+        return reserved;
+    }
+
+    /** The arbiter of the request's placement. */
+    InstanceId arbiterOf(EntryRequest request) {
+        return Objects.requireNonNull(byRequest.get(request.spec().requestId())).arbiter;
+    }
+
+    /** Returns the slot reserved for the request's next attempt, or withdraws its placement request. */
+    void release(EntryRequest request, ActionSink sink) {
+        PlacementRequest placement = replacements.remove(request.spec().requestId());
+        if (placement == null) {
+            return;
+        }
+        byId.remove(placement.id);
+        if (!placement.placed) {
+            send(placement, new PeerMessage.PlaceWithdrawn(placement.cell, placement.id), sink);
+            return;
+        }
+        sendToAccounting(
+                placement, new PeerMessage.PlacementEnded(placement.cell, placement.id, 0, PlacementEnd.NOT_RUN), sink);
+    }
+
+    /** Releases reservations that have waited or were kept for too long; returns their requests. */
+    List<EntryRequest> releaseOverdue(long nowMs, ActionSink sink) {
+        List<EntryRequest> overdue = replacements.values().stream()
+                .filter(placement -> placement.reservedUntilMs <= nowMs)
+                .map(placement -> placement.request)
+                .toList();
+        overdue.forEach(request -> release(request, sink));
+        return overdue;
+    }
+
     /** Re-sends placement requests that excluded targets in backoff, now that a backoff has elapsed. */
     void backoffEnded(long nowMs, ActionSink sink) {
         for (PlacementRequest placement : List.copyOf(byId.values())) {
-            if (placement.excludesBackedOff) {
+            if (placement.excludesBackedOff && !isReplacement(placement)) {
                 sendPlace(placement, nowMs, sink);
             }
         }
@@ -291,6 +378,12 @@
     void fleetChanged(long nowMs, ActionSink sink) {
         notifiedArbiters.entrySet().removeIf(known -> !known.getValue().equals(arbiter(known.getKey(), nowMs)));
         for (PlacementRequest placement : List.copyOf(byId.values())) {
+            if (isReplacement(placement)) {
+                if (placement.hasMoved(placement.cell, arbiter(placement.cell, nowMs))) {
+                    release(placement.request, sink);
+                }
+                continue;
+            }
             CellId cell = fleet.cells().targets(placement.cell).isEmpty() ? cell(placement.request) : placement.cell;
             InstanceId arbiter = cell == null ? null : arbiter(cell, nowMs);
             if (cell != null && arbiter != null && placement.hasMoved(cell, arbiter)) {
@@ -303,7 +396,12 @@
     void connected(InstanceId peer, long nowMs, ActionSink sink) {
         notifiedArbiters.values().removeIf(peer::equals);
         for (PlacementRequest placement : List.copyOf(byId.values())) {
-            if (peer.equals(placement.arbiter)) {
+            if (!peer.equals(placement.arbiter)) {
+                continue;
+            }
+            if (isReplacement(placement)) {
+                release(placement.request, sink);
+            } else {
                 sendHeld(placement.cell, peer, nowMs, sink);
                 sendPlace(placement, nowMs, sink);
             }
@@ -355,7 +453,7 @@
         List<PeerMessage.HeldPlacement> held = new ArrayList<>();
         for (PlacementRequest placement : byId.values()) {
             TargetId target = placement.request.target();
-            if (!placement.placed || target == null || !cell.equals(placement.cell)) {
+            if (!placement.placed || target == null || !cell.equals(placement.cell) || isReplacement(placement)) {
                 continue;
             }
             placement.arbiter = arbiter;
@@ -431,6 +529,10 @@
     private List<TargetId> excluded(PlacementRequest placement, Set<TargetId> backedOff) {
         Set<TargetId> excluded = new TreeSet<>(backedOff);
         excluded.addAll(placement.request.failedTargets());
+        TargetId silent = placement.request.target();
+        if (silent != null && isReplacement(placement)) {
+            excluded.add(silent);
+        }
         boolean anyLeft = !excluded.containsAll(targets(placement.cell));
         return List.copyOf(anyLeft ? excluded : backedOff);
     }
@@ -439,9 +541,14 @@
         return fleet.usableTargets(cell);
     }
 
+    private boolean isReplacement(PlacementRequest placement) {
+        return replacements.get(placement.request.spec().requestId()) == placement;
+    }
+
     private void close(PlacementRequest placement) {
         byId.remove(placement.id);
-        byRequest.remove(placement.request.spec().requestId());
+        byRequest.remove(placement.request.spec().requestId(), placement);
+        replacements.remove(placement.request.spec().requestId(), placement);
     }
 
     /** Notifies all arbiters that account for the request's slot; otherwise the slot would stay occupied there. */
@@ -478,6 +585,10 @@
         private long sentAtMs;
         private boolean placed;
         private boolean responseStarted;
+        /** The slot reserved for the request's next attempt. */
+        private PeerMessage.@Nullable Placed reserved;
+
+        private long reservedUntilMs;
         /** The arbiters that account for the slot: the one that placed the request and those notified of it since. */
         private final Set<InstanceId> accountingArbiters = new TreeSet<>();
         /** Whether targets are excluded because they are in backoff. */
@@ -499,8 +610,8 @@
             return Objects.requireNonNull(request.spec().placement());
         }
 
-        private boolean hasMoved(CellId newCell, InstanceId newArbiter) {
-            return !newCell.equals(cell) || !newArbiter.equals(arbiter);
+        private boolean hasMoved(CellId newCell, @Nullable InstanceId newArbiter) {
+            return !newCell.equals(cell) || !arbiter.equals(newArbiter);
         }
     }
 }
--- a/kernel/src/test/java/org/marjoramswitch/kernel/SilentTargetTest.java
+++ b/kernel/src/test/java/org/marjoramswitch/kernel/SilentTargetTest.java
@@ -5,7 +5,6 @@
 import static org.junit.jupiter.api.Assertions.assertTrue;
 
 import java.util.Map;
-import java.util.Objects;
 import org.junit.jupiter.api.Test;
 import org.marjoramswitch.kernel.action.Action;
 import org.marjoramswitch.kernel.event.Event;
@@ -53,14 +52,89 @@
         assertFalse(isEndedAsSilent(arrive(false, ATTEMPTS, true), false));
     }
 
+    /** Guards against ending a request because its target is silent although no other target has a free slot. */
+    @Test
+    void requestIsKeptIfNoOtherTargetHasAFreeSlot() {
+        fillTargets();
+        int sent = dispatched.size();
+        assertFalse(isEndedAsSilent(1, false));
+        advance(CALLER_TIMEOUT_MS / 2);
+        assertFalse(endedAsSilent.contains(1L));
+        end(1, TargetOutcome.COMPLETED);
+        assertTrue(ends.get(1L) instanceof Action.Complete);
+        assertEquals(sent, dispatched.size());
+    }
+
+    /** Guards against ending a response that has begun although no other target has a free slot to continue it. */
+    @Test
+    void responseIsKeptIfNoOtherTargetHasAFreeSlot() {
+        fillTargets();
+        apply(entry, new Event.TargetAnswering(1));
+        assertFalse(isEndedAsSilent(1, true));
+        advance(CALLER_TIMEOUT_MS / 2);
+        assertFalse(endedAsSilent.contains(1L));
+    }
+
+    /** Guards against a second attempt that is rejected after the silent one was ended, since its slot was taken meanwhile. */
+    @Test
+    void slotOfTheNextAttemptIsTakenBeforeTheSilentOneEnds() {
+        long silent = arrive(true, ATTEMPTS, true);
+        assertTrue(isEndedAsSilent(silent, false));
+        for (int i = 0; i < 2 * SLOTS; i++) {
+            arrive(true, ATTEMPTS, true);
+        }
+        int sent = dispatched.size();
+        end(silent, TargetOutcome.SILENT_BEFORE_ANSWER);
+        assertTrue(dispatched.stream().skip(sent).anyMatch(next -> next.requestId() == silent));
+    }
+
+    /** Guards against slots that stay taken because a target went on before its attempt was ended. */
+    @Test
+    void slotThatIsNotUsedIsFreeAgain() {
+        long silent = arrive(true, ATTEMPTS, true);
+        assertTrue(isEndedAsSilent(silent, false));
+        advance(CALLER_TIMEOUT_MS / 2);
+        for (int i = 1; i < 2 * SLOTS; i++) {
+            assertTrue(isRunning(arrive(true, ATTEMPTS, true)), "request " + i);
+        }
+    }
+
+    /** Guards against slots that stay taken after the response was completed before its attempt was ended. */
+    @Test
+    void slotIsFreeAfterTheSilentTargetCompletedItsResponse() {
+        long silent = arrive(true, ATTEMPTS, true);
+        assertTrue(isEndedAsSilent(silent, false));
+        end(silent, TargetOutcome.COMPLETED);
+        for (int i = 0; i < 2 * SLOTS; i++) {
+            assertTrue(isRunning(arrive(true, ATTEMPTS, true)), "request " + i);
+        }
+    }
+
+    /** Guards against spending the retry budget on attempts that could not begin. */
+    @Test
+    void retryIsAvailableAgainIfNoOtherTargetHadAFreeSlot() {
+        fillTargets();
+        for (int i = 0; i < SILENT_REQUESTS; i++) {
+            assertFalse(isEndedAsSilent(1, false));
+            advance(400);
+        }
+        assertFalse(endedAsSilent.contains(1L));
+    }
+
+    private void fillTargets() {
+        callerTimeoutMs = 60_000;
+        for (int i = 0; i < 2 * SLOTS; i++) {
+            assertTrue(isRunning(arrive(true, ATTEMPTS, true)));
+        }
+    }
+
     private boolean isEndedAsSilent(long request) {
         return isEndedAsSilent(request, true);
     }
 
     private boolean isEndedAsSilent(long request, boolean answerBegun) {
-        return Objects.requireNonNull(kernels.get(entry))
-                .apply(new Event.TargetSilent(request, answerBegun), nowMs)
-                .stream()
-                .anyMatch(Action.EndSilentAttempt.class::isInstance);
+        int ended = endedAsSilent.size();
+        apply(entry, new Event.TargetSilent(request, answerBegun));
+        return endedAsSilent.size() > ended;
     }
 }
--- a/kernel/src/test/java/org/marjoramswitch/kernel/StalledResponseTest.java
+++ b/kernel/src/test/java/org/marjoramswitch/kernel/StalledResponseTest.java
@@ -2,14 +2,18 @@
 
 import static org.junit.jupiter.api.Assertions.assertEquals;
 import static org.junit.jupiter.api.Assertions.assertNull;
+import static org.junit.jupiter.api.Assertions.assertTrue;
 
 import java.util.List;
+import java.util.stream.IntStream;
 import org.junit.jupiter.api.Test;
 import org.marjoramswitch.kernel.event.Event;
 import org.marjoramswitch.kernel.model.TargetOutcome;
 
 /** Responses that have begun and whose targets then fall silent. */
 class StalledResponseTest extends PlacementFleet {
+    private static final int MAX_STALLED = 20;
+
     /** Guards against waiting for a silent target although another one may continue the response. */
     @Test
     void responseIsContinuedByAnotherTarget() {
@@ -42,9 +46,13 @@
     /** Guards against ending a response whose retry the budget does not allow. */
     @Test
     void responseGoesOnIfTheRetryBudgetIsSpent() {
+        // Each silent attempt takes a second slot, so that slots are left when the budget is spent.
+        targets(IntStream.range(0, MAX_STALLED).mapToObj(i -> "t" + i).toArray(String[]::new));
         while (endedAsSilent.size() == dispatched.size()) {
+            assertTrue(requests < MAX_STALLED);
             stalled(true, 2);
         }
+        assertTrue(isRunning(requests));
         assertGoesOn(requests);
     }
 
