Learn changes of the store from peers while it is silent

Callers saw: with two instances, one of which gets no response from the key-value store while its connections stay open, targets that register are not used by either of them, and targets that leave go on getting requests through the silent instance.

Cause: the silent instance is the arbiter of the pool and places by its own list, which is as old as its last read. SharedWatchStore ended the notifications of a prefix when the own watch broke, and asked a peer for a copy only of a prefix that was never read. In a data centre of at most four instances there are no heartbeats that would show the missing changes.

Fix: an instance whose own watch of a prefix broke and that has not read it since asks one peer after the other each 500 ms for the changes after its revision, unless it hears a watcher. Only a peer that knows more responds, with the changes or, if it may lack a removal, with a copy. PrefixFollower keeps the broken watch until a read succeeds and marks what peers report, so that the store does not count as readable. Revisions decide, those of a restored store included. No message is sent while the store responds.

Weighed: the entry reports a target that the arbiter does not list; it does not cover targets that leave, nor the silent instance as entry.

--- a/daemon/src/main/java/org/marjoramswitch/daemon/configuration/RoutedSettingsFollower.java
+++ b/daemon/src/main/java/org/marjoramswitch/daemon/configuration/RoutedSettingsFollower.java
@@ -96,6 +96,12 @@
                         settingsFollower.onEntries(entries);
                     }
 
+                    @Override
+                    public void onPeerEntries(Collection<Entry> entries, long revision) {
+                        source.otherEntries().onPeerEntries(entries, revision);
+                        settingsFollower.adopt(entries);
+                    }
+
                     @Override
                     public void onUnreadable(String reason) {
                         settingsFollower.onUnreadable(reason);
@@ -148,6 +154,10 @@
             unreadable = false;
             LOG.info("settings_readable", "key", key);
         }
+        adopt(entries);
+    }
+
+    private void adopt(Collection<Entry> entries) {
         for (Entry entry : entries) {
             if (entry.key().equals(key)) {
                 adopt(entry.value(), "store");
--- a/daemon/src/main/java/org/marjoramswitch/daemon/fleet/TargetList.java
+++ b/daemon/src/main/java/org/marjoramswitch/daemon/fleet/TargetList.java
@@ -91,6 +91,11 @@
                         list.onEntries(entries);
                     }
 
+                    @Override
+                    public void onPeerEntries(Collection<Entry> entries, long revision) {
+                        list.onPeerEntries(entries);
+                    }
+
                     @Override
                     public boolean wantsRedelivery() {
                         return clockMs.getAsLong() < list.keepMissingUntilMs + MISSING_KEPT_MS;
@@ -118,6 +123,19 @@
         lastFailure = reason;
     }
 
+    /**
+     * Entries that expired in an outage of the store may be reported by a peer that reads it again earlier. The time for
+     * which missing targets are kept is not extended by further reports, so a target that has left is removed at its end.
+     */
+    private void onPeerEntries(Collection<Entry> entries) {
+        long nowMs = clockMs.getAsLong();
+        // Redeliveries end shortly after half of this time and do not start the next one.
+        if (nowMs >= keepMissingUntilMs + 2 * MISSING_KEPT_MS) {
+            keepMissingUntilMs = nowMs + MISSING_KEPT_MS;
+        }
+        adopt(entries, nowMs);
+    }
+
     private void onEntries(Collection<Entry> entries) {
         long nowMs = clockMs.getAsLong();
         if (lastFailure != null) {
@@ -125,6 +143,10 @@
             keepMissingUntilMs = nowMs + MISSING_KEPT_MS;
             LOG.info("target_list_readable", "entries", entries.size());
         }
+        adopt(entries, nowMs);
+    }
+
+    private void adopt(Collection<Entry> entries, long nowMs) {
         Map<TargetId, TargetSettings> ready = new TreeMap<>();
         Set<TargetId> listed = new HashSet<>();
         for (Entry entry : entries) {
--- a/daemon/src/main/java/org/marjoramswitch/daemon/platform/FleetListReader.java
+++ b/daemon/src/main/java/org/marjoramswitch/daemon/platform/FleetListReader.java
@@ -81,6 +81,11 @@
                 accept(entries);
             }
 
+            @Override
+            public void onPeerEntries(Collection<Entry> entries, long revision) {
+                accept(entries);
+            }
+
             @Override
             public void onUnreadable(String reason) {
                 countFailure(reason);
--- a/daemon/src/main/java/org/marjoramswitch/daemon/platform/PrefixFollower.java
+++ b/daemon/src/main/java/org/marjoramswitch/daemon/platform/PrefixFollower.java
@@ -9,6 +9,7 @@
 import java.util.concurrent.TimeUnit;
 import java.util.concurrent.TimeoutException;
 import java.util.concurrent.locks.LockSupport;
+import java.util.function.BooleanSupplier;
 import org.jctools.queues.MpscArrayQueue;
 import org.jspecify.annotations.Nullable;
 import org.marjoramswitch.daemon.log.KeyValueLog;
@@ -23,7 +24,7 @@
  * last entries remain in use.
  *
  * <p>When the watch breaks, the prefix is read again immediately, because changes before the break may have been
- * missed. If the last read failed or is more recent than the pause, the pause elapses first, so that a store that
+ * missed. The broken watch is kept until the read succeeds, since peers may report changes through it. If the last read failed or is more recent than the pause, the pause elapses first, so that a store that
  * closes each watch at its start is not read in a loop.
  */
 public final class PrefixFollower implements AutoCloseable {
@@ -41,6 +42,10 @@
     private final Listener listener;
     private final CompletableFuture<?> startAfter;
     private final Thread thread;
+    /** The entries of the last watch, which is broken; null if none is kept. */
+    private @Nullable WatchedEntries broken;
+
+    private @Nullable AutoCloseable brokenWatch;
 
     private PrefixFollower(
             KeyValueStore store,
@@ -73,6 +78,14 @@
             return false;
         }
 
+        /**
+         * The current entries after a change that peers have reported since the watch broke; the store itself has not
+         * been read since.
+         */
+        default void onPeerEntries(Collection<Entry> entries, long revision) {
+            onEntries(entries, revision);
+        }
+
         /** A read of the prefix failed. */
         default void onUnreadable(String reason) {}
     }
@@ -112,18 +125,26 @@
                 long readAtNs = System.nanoTime();
                 Range range = read();
                 if (range == null) {
-                    TimeUnit.MILLISECONDS.sleep(jitteredPauseMs());
+                    pauseUntil(System.nanoTime() + TimeUnit.MILLISECONDS.toNanos(jitteredPauseMs()));
                     continue;
                 }
                 follow(range);
-                long readAgeMs = TimeUnit.NANOSECONDS.toMillis(System.nanoTime() - readAtNs);
-                TimeUnit.MILLISECONDS.sleep(Math.max(0, jitteredPauseMs() - readAgeMs));
+                pauseUntil(readAtNs + TimeUnit.MILLISECONDS.toNanos(jitteredPauseMs()));
             }
         } catch (InterruptedException e) {
+            closeOnInterrupt();
             Thread.currentThread().interrupt();
         }
     }
 
+    private void closeOnInterrupt() {
+        try {
+            closeBroken();
+        } catch (InterruptedException e) {
+            LOG.debug("followed_prefix_watch_not_closed", "reason", e);
+        }
+    }
+
     private void awaitStart() throws InterruptedException {
         try {
             startAfter.get(MAX_START_DELAY_MS, TimeUnit.MILLISECONDS);
@@ -138,7 +159,10 @@
 
     private @Nullable Range read() throws InterruptedException {
         try {
-            KeyValueResult<Range> result = store.range(prefix).get();
+            CompletableFuture<KeyValueResult<Range>> read = store.range(prefix);
+            CompletableFuture<?> unused = read.whenComplete((result, failure) -> LockSupport.unpark(thread));
+            deliverPeerEntriesUntil(read::isDone, Long.MAX_VALUE);
+            KeyValueResult<Range> result = read.get();
             if (result instanceof KeyValueResult.Answered<Range> answered) {
                 Range range = answered.value();
                 LOG.info(
@@ -158,23 +182,77 @@
         return null;
     }
 
+    private void pauseUntil(long untilNs) throws InterruptedException {
+        deliverPeerEntriesUntil(() -> System.nanoTime() - untilNs >= 0, untilNs);
+    }
+
+    /** Blocks until the condition holds, which is checked at that time at the latest and when this thread is unparked. */
+    private void deliverPeerEntriesUntil(BooleanSupplier condition, long atNs) throws InterruptedException {
+        while (!condition.getAsBoolean()) {
+            WatchedEntries peers = broken;
+            long redeliverAtNs = System.nanoTime() + TimeUnit.MILLISECONDS.toNanos(REDELIVERY_DELAY_MS);
+            boolean redeliver = peers != null && listener.wantsRedelivery();
+            if (peers == null || peers.events.isEmpty()) {
+                long untilNs = redeliver && (atNs == Long.MAX_VALUE || redeliverAtNs - atNs < 0) ? redeliverAtNs : atNs;
+                park(untilNs == Long.MAX_VALUE ? Long.MAX_VALUE : untilNs - System.nanoTime());
+            }
+            boolean isDue = redeliver && System.nanoTime() - redeliverAtNs >= 0;
+            int changes = peers == null ? 0 : peers.drain();
+            if (peers != null && (changes > 0 || isDue)) {
+                logPeerChanges(changes, peers.revision);
+                deliver(() -> listener.onPeerEntries(peers.entries.values(), peers.revision));
+            }
+        }
+    }
+
     /** Delivers the entries as read and after each change, until the watch breaks. */
     private void follow(Range range) throws InterruptedException {
         WatchedEntries watched = new WatchedEntries(range);
-        deliver(watched);
+        deliver(() -> listener.onEntries(watched.entries.values(), watched.revision));
         AutoCloseable watch = store.watch(prefix, range.revision(), watched::offer);
+        // Closed only now, so that no change that peers report between two watches is lost.
+        closeBroken();
+        boolean kept = false;
         try {
             while (watched.await()) {
-                deliver(watched);
+                deliver(() -> listener.onEntries(watched.entries.values(), watched.revision));
             }
+            kept = !watched.overflowed;
         } finally {
+            if (kept) {
+                broken = watched;
+                brokenWatch = watch;
+            } else {
+                close(watch);
+            }
+        }
+    }
+
+    private void logPeerChanges(int changes, long revision) {
+        if (changes > 0) {
+            LOG.info("changes_from_peers", "prefix", prefix, "revision", revision, "changes", changes);
+        }
+    }
+
+    private void closeBroken() throws InterruptedException {
+        AutoCloseable watch = brokenWatch;
+        broken = null;
+        brokenWatch = null;
+        if (watch != null) {
             close(watch);
         }
     }
 
-    private void deliver(WatchedEntries watched) {
+    private void park(long atMostNs) throws InterruptedException {
+        LockSupport.parkNanos(this, Math.max(1, atMostNs));
+        if (Thread.interrupted()) {
+            throw new InterruptedException();
+        }
+    }
+
+    private void deliver(Runnable delivery) {
         try {
-            listener.onEntries(watched.entries.values(), watched.revision);
+            delivery.run();
         } catch (RuntimeException fault) {
             // The next change is still delivered; exiting here would leave the listener with outdated entries.
             LOG.error(fault, "followed_prefix_not_taken", "error", ErrorType.INTERNAL.number(), "prefix", prefix);
@@ -197,6 +275,7 @@
         private final MpscArrayQueue<WatchEvent> events = new MpscArrayQueue<>(MAX_EVENTS);
         private long revision;
         private volatile boolean broken;
+        private volatile boolean overflowed;
 
         private WatchedEntries(Range range) {
             revision = range.revision();
@@ -210,7 +289,10 @@
             if (event instanceof WatchEvent.Progress) {
                 return;
             }
-            if (event instanceof WatchEvent.Broken || !events.offer(event)) {
+            if (event instanceof WatchEvent.Broken) {
+                broken = true;
+            } else if (!events.offer(event)) {
+                overflowed = true;
                 broken = true;
             }
             LockSupport.unpark(thread);
@@ -225,15 +307,13 @@
             while (events.isEmpty() && !broken && !(redeliver && System.nanoTime() - deadlineNs >= 0)) {
                 park(redeliver ? deadlineNs - System.nanoTime() : Long.MAX_VALUE);
             }
-            events.drain(this::apply);
+            drain();
             return !broken;
         }
 
-        private void park(long atMostNs) throws InterruptedException {
-            LockSupport.parkNanos(this, Math.max(1, atMostNs));
-            if (Thread.interrupted()) {
-                throw new InterruptedException();
-            }
+        /** Applies the pending changes; returns their number. */
+        private int drain() {
+            return events.drain(this::apply);
         }
 
         private void apply(WatchEvent event) {
--- a/daemon/src/main/java/org/marjoramswitch/daemon/platform/SharedWatchStore.java
+++ b/daemon/src/main/java/org/marjoramswitch/daemon/platform/SharedWatchStore.java
@@ -36,7 +36,10 @@
  * <p>An instance that starts while the store is unreachable reads each prefix from a peer: without the list of targets
  * it would reject all of its callers until the store returns. A copy is as recent as the peer's own entries, and the
  * peers' heartbeats reveal any change that it lacks. An instance that has read a prefix before keeps those entries
- * instead.
+ * instead, and applies the changes that peers send.
+ *
+ * <p>A watch whose connection to the store breaks reports {@link WatchEvent.Broken} and then the changes that peers
+ * send, until it is closed. Its owner keeps it until it has read the prefix again.
  */
 public final class SharedWatchStore extends ForwardingKeyValueStore {
     private static final KeyValueLog LOG = KeyValueLog.of(SharedWatchStore.class);
@@ -184,7 +187,7 @@
     private synchronized void unwatch(String prefix, Consumer<WatchEvent> listener) {
         if (listeners.remove(prefix, listener)) {
             stopOwnWatch(prefix);
-            sharing.onWatchClosed(prefix);
+            sharing.unfollow(prefix);
         }
     }
 
@@ -256,7 +259,7 @@
         } else {
             ownWatches.remove(prefix);
             sharing.onWatchClosed(prefix);
-            Consumer<WatchEvent> listener = listeners.remove(prefix);
+            Consumer<WatchEvent> listener = listeners.get(prefix);
             if (listener != null) {
                 listener.accept(event);
             }
--- a/kernel/src/main/java/org/marjoramswitch/kernel/message/PeerMessage.java
+++ b/kernel/src/main/java/org/marjoramswitch/kernel/message/PeerMessage.java
@@ -410,7 +410,10 @@
      */
     record WatchPosition(String prefix, long changedRevision, long completeRevision) {}
 
-    /** Watcher to its data centre: the changes below a prefix after one revision and up to another. */
+    /**
+     * Watcher to its data centre, or response to {@link WatchChangesQuery}: the changes below a prefix after one revision
+     * and up to another.
+     */
     record WatchNews(String prefix, long fromRevision, long toRevision, List<WatchedEntry> changes)
             implements PeerMessage {
         @Override
@@ -422,6 +425,12 @@
     /** Requests all entries below a prefix from a watcher. */
     record WatchQuery(String prefix) implements PeerMessage {}
 
+    /**
+     * Asks for the changes below a prefix after a revision. The response is {@link WatchNews} or, if the receiver does
+     * not hold all of these changes any more, {@link WatchCopy}; there is none if the receiver knows of no change.
+     */
+    record WatchChangesQuery(String prefix, long afterRevision) implements PeerMessage {}
+
     /** Response to {@link WatchQuery}: all entries at a revision. */
     record WatchCopy(String prefix, long revision, List<WatchedEntry> entries) implements PeerMessage {}
 
--- a/kernel/src/main/java/org/marjoramswitch/kernel/watch/WatchSharing.java
+++ b/kernel/src/main/java/org/marjoramswitch/kernel/watch/WatchSharing.java
@@ -27,6 +27,10 @@
  * watch until it receives heartbeats again. A partial outage, a partition or a crash of both watchers therefore delays
  * updates by that time only.
  *
+ * <p>An instance that does not hear of the store, neither by its own watch nor by a watcher's heartbeat, asks one peer
+ * after the other every {@value #HEARTBEAT_MS} ms for the changes after its own revision. An instance is the arbiter of
+ * pools for its peers, which would otherwise use their targets by its outdated list for as long as its store is silent.
+ *
  * <p><b>Correctness.</b> There is no agreement protocol: each instance derives the watchers from its own view, and
  * views that differ for a moment only mean one watcher more or fewer. Forwarded changes carry the store's revisions, so
  * stale and duplicate updates have no effect.
@@ -35,7 +39,8 @@
  * calls in 48 s, a seventh of all requests served to the fleet's users.
  *
  * <p><b>Cost.</b> A watcher sends each heartbeat to its data centre and to the other watchers; a change is sent once to
- * each instance of the data centre. Not thread-safe.
+ * each instance of the data centre. Nothing is asked while the store responds; otherwise a query takes some 30 bytes for
+ * each prefix, and only a peer that knows of changes responds. Not thread-safe.
  */
 public final class WatchSharing {
     /**
@@ -84,6 +89,7 @@
     /** The watchers of the other data centres. */
     private List<InstanceId> remoteWatchers = List.of();
 
+    private int peersQueried;
     private final long startedAtMs;
     private boolean everyInstanceWatches;
     private long watchersSinceMs;
@@ -138,18 +144,26 @@
         return List.copyOf(holders);
     }
 
-    /** Starts notifications of changes below a prefix that this instance has read completely at this revision. */
+    /**
+     * Starts notifications of changes below a prefix that this instance has read completely at this revision. The first
+     * ones contain what peers have sent beyond that read.
+     */
     public void follow(
             String prefix, long revision, List<WatchedEntry> entries, long nowMs, Consumer<WatchAction> sink) {
         Followed known = followed.computeIfAbsent(prefix, Followed::new);
+        known.active = false;
         known.replace(revision, entries, sink);
         known.active = true;
+        if (known.prefix.completeRevision() > revision) {
+            known.notifyListener(known.prefix.differencesFrom(entries), sink);
+        }
+        known.disconnected = false;
         known.lastUpdateMs = nowMs;
         updateWatches(nowMs, sink);
     }
 
-    /** Handles the end of the own watch of a prefix; no notifications until it is read completely again. */
-    public void onWatchClosed(String prefix) {
+    /** Ends the notifications of a prefix until it is followed again. */
+    public void unfollow(String prefix) {
         Followed known = followed.get(prefix);
         if (known != null) {
             known.active = false;
@@ -157,6 +171,15 @@
         }
     }
 
+    /** Handles the end of the own watch of a prefix; until it is read completely again, only peers report changes. */
+    public void onWatchClosed(String prefix) {
+        Followed known = followed.get(prefix);
+        if (known != null) {
+            known.disconnected = true;
+            known.watching = false;
+        }
+    }
+
     /** Handles all changes of the own watch up to a revision, perhaps none. */
     public void onWatchUpdate(
             String prefix, long toRevision, List<WatchedEntry> changes, long nowMs, Consumer<WatchAction> sink) {
@@ -183,6 +206,8 @@
             applyChanges(from, news, nowMs, sink);
         } else if (message instanceof PeerMessage.WatchQuery query) {
             sendCopy(from, query.prefix(), sink);
+        } else if (message instanceof PeerMessage.WatchChangesQuery query) {
+            sendChanges(from, query, sink);
         } else if (message instanceof PeerMessage.WatchCopy copy) {
             Followed known = followed.get(copy.prefix());
             if (known != null && known.active) {
@@ -201,6 +226,7 @@
             return;
         }
         nextHeartbeatMs = nowMs + HEARTBEAT_MS;
+        queryIfDisconnected(nowMs, sink);
         if (!isWatcher(nowMs) || !isConnected(nowMs)) {
             return;
         }
@@ -221,8 +247,26 @@
     private boolean isConnected(long nowMs) {
         return !followed.isEmpty()
                 && followed.values().stream()
-                        .allMatch(known ->
-                                known.active && known.watching && nowMs - known.lastUpdateMs <= CONNECTED_TIMEOUT_MS);
+                        .allMatch(known -> known.active && known.watching && !known.isSilent(nowMs));
+    }
+
+    /** Asks the next peer for changes of the prefixes of which this instance does not hear in any other way. */
+    private void queryIfDisconnected(long nowMs, Consumer<WatchAction> sink) {
+        List<InstanceId> holders = copyHolders();
+        boolean hasWatcher = !isWatcher(nowMs) && nowMs - lastHeartbeatMs <= STANDALONE_AFTER_MS;
+        if (holders.isEmpty() || (hasWatcher && !everyInstanceWatches)) {
+            return;
+        }
+        InstanceId peer = holders.get(Math.floorMod(peersQueried, holders.size()));
+        boolean queried = false;
+        for (Followed known : followed.values()) {
+            if (known.active && (known.disconnected || (known.watching && known.isSilent(nowMs)))) {
+                sink.accept(new WatchAction.Send(
+                        peer, new PeerMessage.WatchChangesQuery(known.name, known.prefix.completeRevision())));
+                queried = true;
+            }
+        }
+        peersQueried += queried ? 1 : 0;
     }
 
     private void onHeartbeat(InstanceId from, long nowMs) {
@@ -240,7 +284,7 @@
         boolean standalone = nowMs - lastHeartbeatMs > STANDALONE_AFTER_MS && !isStarting;
         boolean hasStableWatcher = !standalone && nowMs - heartbeatsSinceMs >= MIN_HEARTBEATS_MS;
         for (Followed known : followed.values()) {
-            if (known.active && !known.watching && (isWatcher(nowMs) || standalone)) {
+            if (known.active && !known.disconnected && !known.watching && (isWatcher(nowMs) || standalone)) {
                 known.watching = true;
                 known.lastUpdateMs = nowMs;
                 sink.accept(new WatchAction.StartWatch(known.name, known.prefix.completeRevision()));
@@ -290,15 +334,33 @@
         }
     }
 
+    private void sendChanges(InstanceId from, PeerMessage.WatchChangesQuery query, Consumer<WatchAction> sink) {
+        Followed known = followed.get(query.prefix());
+        if (known == null || !known.prefix.hasChangeAfter(query.afterRevision())) {
+            return;
+        }
+        List<WatchedEntry> changes = known.prefix.changesAfter(query.afterRevision());
+        if (changes == null) {
+            sendCopy(from, query.prefix(), sink);
+            return;
+        }
+        PeerMessage message = new PeerMessage.WatchNews(
+                query.prefix(), query.afterRevision(), known.prefix.completeRevision(), changes);
+        sink.accept(new WatchAction.Send(from, message));
+    }
+
     /** The state of one prefix that this instance follows. */
     private static final class Followed {
         private final String name;
         private final WatchedPrefix prefix;
         /**
-         * Whether a listener expects notifications; false between the end of a watch and the next full read.
+         * Whether a listener expects notifications.
          */
         private boolean active;
 
+        /** Whether the own watch has ended and the prefix has not been read since. */
+        private boolean disconnected;
+
         private boolean watching;
         private long lastUpdateMs;
         private long nextQueryMs;
@@ -308,6 +370,11 @@
             this.prefix = new WatchedPrefix(name);
         }
 
+        /** Whether the own watch has returned nothing for longer than its call may wait. */
+        private boolean isSilent(long nowMs) {
+            return nowMs - lastUpdateMs > CONNECTED_TIMEOUT_MS;
+        }
+
         @Nullable
         List<WatchedEntry> advance(
                 long fromRevision, long toRevision, List<WatchedEntry> changes, Consumer<WatchAction> sink) {
--- a/kernel/src/main/java/org/marjoramswitch/kernel/watch/WatchedPrefix.java
+++ b/kernel/src/main/java/org/marjoramswitch/kernel/watch/WatchedPrefix.java
@@ -1,10 +1,16 @@
 package org.marjoramswitch.kernel.watch;
 
+import java.util.ArrayDeque;
 import java.util.ArrayList;
 import java.util.Collection;
+import java.util.Comparator;
+import java.util.Deque;
+import java.util.HashSet;
 import java.util.List;
 import java.util.Map;
+import java.util.Set;
 import java.util.TreeMap;
+import java.util.stream.Stream;
 import org.jspecify.annotations.Nullable;
 import org.marjoramswitch.kernel.message.PeerMessage.WatchPosition;
 import org.marjoramswitch.kernel.message.PeerMessage.WatchedEntry;
@@ -19,10 +25,18 @@
  * <p>Not thread-safe.
  */
 final class WatchedPrefix {
+    /** Exceeds the removals of a day; each holds a key only. */
+    private static final int MAX_REMOVALS = 256;
+
     private final String prefix;
     private final Map<String, WatchedEntry> entries = new TreeMap<>();
+    /** The latest removals, in the order in which they became known. */
+    private final Deque<WatchedEntry> removals = new ArrayDeque<>();
+
     private long completeRevision;
     private long changedRevision;
+    /** All removals after this revision are among the latest ones. */
+    private long removalsKnownAfter;
 
     WatchedPrefix(String prefix) {
         this.prefix = prefix;
@@ -40,6 +54,45 @@
         return List.copyOf(entries.values());
     }
 
+    boolean hasChangeAfter(long revision) {
+        return changedRevision > revision;
+    }
+
+    /** Returns the changes after a revision; null if a removal among them may be missing. */
+    @Nullable
+    List<WatchedEntry> changesAfter(long revision) {
+        if (revision < removalsKnownAfter) {
+            return null;
+        }
+        return Stream.concat(removals.stream(), entries.values().stream())
+                .filter(change -> change.revision() > revision)
+                .sorted(Comparator.comparingLong(WatchedEntry::revision))
+                .toList();
+    }
+
+    /** Returns the changes that turn the given entries into the current ones. */
+    List<WatchedEntry> differencesFrom(Collection<WatchedEntry> others) {
+        Map<String, Long> revisions = new TreeMap<>();
+        // The later pages of a read may contain newer entries.
+        Set<String> newer = new HashSet<>();
+        for (WatchedEntry entry : others) {
+            if (entry.revision() > completeRevision) {
+                newer.add(entry.key());
+            } else {
+                revisions.put(entry.key(), entry.revision());
+            }
+        }
+        List<WatchedEntry> differences = new ArrayList<>();
+        for (WatchedEntry entry : entries.values()) {
+            Long other = revisions.remove(entry.key());
+            if (!newer.contains(entry.key()) && (other == null || other != entry.revision())) {
+                differences.add(entry);
+            }
+        }
+        revisions.keySet().forEach(key -> differences.add(WatchedEntry.removed(key, completeRevision)));
+        return differences;
+    }
+
     /**
      * Applies changes of the revisions after {@code fromRevision}, in order.
      *
@@ -84,6 +137,8 @@
         completeRevision = revision;
         // An entry that was written and removed in between is not visible here, but another instance may still hold it.
         changedRevision = revision;
+        removals.clear();
+        removalsKnownAfter = revision;
         return newChanges;
     }
 
@@ -91,8 +146,16 @@
         changedRevision = Math.max(changedRevision, change.revision());
         if (change.value() == null) {
             entries.remove(change.key());
+            addRemoval(change);
         } else {
             entries.put(change.key(), change);
         }
     }
+
+    private void addRemoval(WatchedEntry removal) {
+        removals.add(removal);
+        if (removals.size() > MAX_REMOVALS) {
+            removalsKnownAfter = Math.max(removalsKnownAfter, removals.remove().revision());
+        }
+    }
 }
--- a/kernel/src/main/java/org/marjoramswitch/kernel/wire/MessageCodec.java
+++ b/kernel/src/main/java/org/marjoramswitch/kernel/wire/MessageCodec.java
@@ -53,6 +53,7 @@
 import org.marjoramswitch.kernel.message.PeerMessage.Unregister;
 import org.marjoramswitch.kernel.message.PeerMessage.VersionHistory;
 import org.marjoramswitch.kernel.message.PeerMessage.WatchBeat;
+import org.marjoramswitch.kernel.message.PeerMessage.WatchChangesQuery;
 import org.marjoramswitch.kernel.message.PeerMessage.WatchCopy;
 import org.marjoramswitch.kernel.message.PeerMessage.WatchNews;
 import org.marjoramswitch.kernel.message.PeerMessage.WatchPosition;
@@ -328,6 +329,11 @@
                 WatchQuery.class,
                 (out, message) -> out.text(message.prefix()),
                 in -> new WatchQuery(in.text()));
+        put(
+                MessageType.WATCH_CHANGES_QUERY,
+                WatchChangesQuery.class,
+                (out, message) -> out.text(message.prefix()).number(message.afterRevision()),
+                in -> new WatchChangesQuery(in.text(), in.number()));
         put(
                 MessageType.WATCH_COPY,
                 WatchCopy.class,
--- a/kernel/src/main/java/org/marjoramswitch/kernel/wire/MessageType.java
+++ b/kernel/src/main/java/org/marjoramswitch/kernel/wire/MessageType.java
@@ -47,7 +47,8 @@
     VERSION_HISTORY(35, PeerMessage.VersionHistory.class),
     REJECTED_DEMAND(36, PeerMessage.RejectedDemand.class),
     STREAM_QUERY(37, PeerMessage.StreamQuery.class),
-    STREAM_REPLY(38, PeerMessage.StreamReply.class);
+    STREAM_REPLY(38, PeerMessage.StreamReply.class),
+    WATCH_CHANGES_QUERY(39, PeerMessage.WatchChangesQuery.class);
 
     private static final Map<Class<?>, MessageType> BY_CLASS =
             Arrays.stream(values()).collect(Collectors.toMap(type -> type.messageClass, Function.identity()));
--- a/kernel/src/test/java/org/marjoramswitch/kernel/watch/WatchSharingTest.java
+++ b/kernel/src/test/java/org/marjoramswitch/kernel/watch/WatchSharingTest.java
@@ -10,6 +10,7 @@
 import java.util.stream.LongStream;
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.CsvSource;
 import org.junit.jupiter.params.provider.MethodSource;
 import org.junit.jupiter.params.provider.ValueSource;
 import org.marjoramswitch.kernel.message.PeerMessage.WatchedEntry;
@@ -26,6 +27,10 @@
     /** The tightest bound on the time until all instances know that a target is draining. */
     private static final long BOUND_MS = 2_000;
 
+    private static final long HEARTBEAT_MS = 500;
+    /** Time in which the simulated instances detect that their watch is silent. */
+    private static final long SILENCE_DETECTED_MS = 1_700;
+
     private final WatchedFleet fleet = WatchedFleet.of(DATA_CENTRES, EACH);
 
     @Test
@@ -175,6 +180,88 @@
         assertEquals(9, small.instancesWith("a", "ready").size());
     }
 
+    /**
+     * Guards against an arbiter that uses the list of targets as of its last read while the store is silent to it alone:
+     * its peers would not use new targets, and would use those that have left.
+     */
+    @ParameterizedTest
+    @CsvSource({"1, 2", "1, 4", "3, 1", "3, 3", "1, 5", "2, 19"})
+    void instanceWithASilentStoreReceivesChangesFromItsPeers(int dataCentres, int each) {
+        WatchedFleet disturbed = WatchedFleet.of(dataCentres, each);
+        disturbed.run(5_000);
+        disturbed.put("left", "ready");
+        disturbed.run(20);
+        InstanceId silent = disturbed.watching().get(0);
+        disturbed.silence(silent);
+        disturbed.put("a", "ready");
+        disturbed.run(SILENCE_DETECTED_MS + HEARTBEAT_MS + 100);
+        assertEquals(List.of(), disturbed.outOfSync());
+        disturbed.remove("left");
+        disturbed.put("b", "ready");
+        disturbed.run(HEARTBEAT_MS + 100);
+        assertEquals(List.of(), disturbed.outOfSync());
+        disturbed.endSilence(silent);
+        disturbed.run(1_000);
+        disturbed.put("c", "ready");
+        disturbed.run(HEARTBEAT_MS + 100);
+        assertEquals(List.of(), disturbed.outOfSync());
+    }
+
+    /** The same for a data centre in which the store is silent to both watchers, which send no heartbeats then. */
+    @Test
+    void bothWatchersWithASilentStoreReceiveChangesFromInstancesOfTheirDataCentre() {
+        WatchedFleet disturbed = WatchedFleet.of(1, 12);
+        disturbed.run(5_000);
+        disturbed.watching().forEach(disturbed::silence);
+        disturbed.put("a", "ready");
+        // The other instances open their own watches after the heartbeat timeout.
+        disturbed.run(SILENCE_DETECTED_MS + BOUND_MS + 2 * HEARTBEAT_MS);
+        assertEquals(List.of(), disturbed.outOfSync());
+    }
+
+    /** A store that is silent to all instances leaves them with their entries, and with the store's once it responds. */
+    @Test
+    void instancesKeepTheirEntriesWhileTheStoreIsSilentToAll() {
+        WatchedFleet small = WatchedFleet.of(1, 3);
+        small.run(5_000);
+        small.put("a", "ready");
+        small.run(20);
+        small.ids().forEach(small::silence);
+        small.remove("a");
+        small.run(10_000);
+        assertEquals(3, small.instancesWith("a", "ready").size());
+        small.ids().forEach(small::endSilence);
+        small.run(1_000);
+        assertEquals(List.of(), small.outOfSync());
+    }
+
+    /** An older revision of a peer must not replace what an instance has read from a store that was restored since. */
+    @Test
+    void copiesFromBeforeARestoreAreIgnored() {
+        WatchedFleet small = WatchedFleet.of(1, 2);
+        small.run(5_000);
+        Map<String, WatchedEntry> snapshot = small.snapshot();
+        small.put("lost", "ready");
+        small.run(20);
+        InstanceId silent = small.ids().get(0);
+        small.silence(silent);
+        small.run(SILENCE_DETECTED_MS);
+        small.restoreFrom(snapshot, new Random(1));
+        small.run(1_000);
+        assertEquals(List.of(), small.outOfSync());
+        small.silence(small.ids().get(1));
+        small.run(3_000);
+        assertEquals(List.of(), small.outOfSync());
+    }
+
+    /** While the store responds, instances that watch for themselves exchange nothing. */
+    @Test
+    void noMessagesWhileTheStoreResponds() {
+        WatchedFleet small = WatchedFleet.of(3, 3);
+        small.run(60_000);
+        assertEquals(0, small.messages());
+    }
+
     /**
      * Instances are rejected and accepted again, messages are lost, entries are added, changed and removed, in random
      * order. In the end all live instances hold the same entries.
--- a/kernel/src/test/java/org/marjoramswitch/kernel/watch/WatchedFleet.java
+++ b/kernel/src/test/java/org/marjoramswitch/kernel/watch/WatchedFleet.java
@@ -27,6 +27,9 @@
     private static final long LATENCY_MS = 2;
     private static final long TICK_MS = 500;
     private static final long WATCH_TIMEOUT_MS = 3_000;
+    /** With three watches, one call ends every second, and a response is awaited for 700 ms. */
+    private static final long SILENCE_DETECTED_MS = 1_700;
+
     private static final long REVISIONS_PER_ERA = 1_000_000;
 
     private final PriorityQueue<Due> due =
@@ -36,12 +39,14 @@
     private final Map<String, WatchedEntry> entries = new TreeMap<>();
     private final Set<InstanceId> paused = new HashSet<>();
     private final Set<InstanceId> rejected = new HashSet<>();
+    private final Set<InstanceId> silent = new HashSet<>();
     private final Set<InstanceId> dropNext = new HashSet<>();
     private boolean updatesHeldBack;
     private long revision = 1;
     private long nowMs;
     private long order;
     private long calls;
+    private long messages;
 
     private record Due(long atMs, long order, Runnable task) {}
 
@@ -108,6 +113,25 @@
         rejected.remove(instance);
     }
 
+    /** From now on the store does not respond to the instance, whose watch is closed once that is detected. */
+    void silence(InstanceId instance) {
+        silent.add(instance);
+        at(nowMs + SILENCE_DETECTED_MS, () -> {
+            if (silent.contains(instance)) {
+                instance(instance).closeIfWatching();
+            }
+        });
+    }
+
+    void endSilence(InstanceId instance) {
+        silent.remove(instance);
+    }
+
+    /** Messages between instances so far. */
+    long messages() {
+        return messages;
+    }
+
     /** Withholds changes from all watches until the history is compacted. */
     void holdBackUpdates() {
         updatesHeldBack = true;
@@ -252,7 +276,7 @@
         }
 
         private void readAll() {
-            if (rejected.contains(member.id())) {
+            if (rejected.contains(member.id()) || silent.contains(member.id())) {
                 at(nowMs + 250, this::readAll);
                 return;
             }
@@ -271,6 +295,7 @@
 
         private void perform(WatchAction action) {
             if (action instanceof WatchAction.Send send) {
+                messages++;
                 at(nowMs + LATENCY_MS, () -> instance(send.to()).receive(member.id(), send.message()));
             } else if (action instanceof WatchAction.Notify notification) {
                 apply(notification.change());
@@ -332,7 +357,7 @@
         }
 
         private void respond() {
-            if (paused.contains(member.id())) {
+            if (paused.contains(member.id()) || silent.contains(member.id())) {
                 return;
             }
             boolean otherEra = afterRevision / REVISIONS_PER_ERA != revision / REVISIONS_PER_ERA;
--- a/kernel/src/test/java/org/marjoramswitch/kernel/wire/LinkCodecTest.java
+++ b/kernel/src/test/java/org/marjoramswitch/kernel/wire/LinkCodecTest.java
@@ -192,6 +192,7 @@
                 new PeerMessage.Charges(cell, Map.of(customer, 7L), 0),
                 new PeerMessage.KeyQuery(1, name, customer),
                 new PeerMessage.WatchQuery(name),
+                new PeerMessage.WatchChangesQuery(name, 3),
                 new PeerMessage.WatchNews("servers/", 1, 2, List.of(new PeerMessage.WatchedEntry(name, "value", 1, 2))),
                 new PeerMessage.SettingsBodies(1, name, Map.of(name, "body")),
                 new PeerMessage.DataCentresEvacuated(Evacuations.of(1, Set.of(DataCentreId.of(name)))));
--- a/kernel/src/test/java/org/marjoramswitch/kernel/wire/RandomMessages.java
+++ b/kernel/src/test/java/org/marjoramswitch/kernel/wire/RandomMessages.java
@@ -29,7 +29,7 @@
     }
 
     PeerMessage next() {
-        return switch (random.nextInt(38)) {
+        return switch (random.nextInt(39)) {
             case 0 -> new PeerMessage.Register(cell(), offers(), holdings(), standings(), number());
             case 1 -> new PeerMessage.Unregister(cell());
             case 2 -> new PeerMessage.Demand(cell(), customer(), random.nextInt(4) - 1, random.nextInt(8));
@@ -91,6 +91,7 @@
             case 34 -> new PeerMessage.RejectedDemand(rejected());
             case 35 -> new PeerMessage.StreamQuery(number(), cell().pool(), number());
             case 36 -> new PeerMessage.StreamReply(number(), "v" + random.nextInt(3), number(), servedVersions());
+            case 37 -> new PeerMessage.WatchChangesQuery("servers/", number());
             default -> new PeerMessage.Heartbeat();
         };
     }
