Keep a target ejected when an earlier response is read late

Callers saw 503 RETRY_BUDGET_SPENT, and once 502 TARGET_REFUSED, while the other target of the pool served (FailureTest#crashedTargetTruncatesOnlyStartedResponses).

Cause: a success during an ejection ended the probing, so that all free slots were granted again, but left the end of the ejection as it was. Further faults then did not eject the target, since it counted as ejected. A crashed target thus got all waiting requests for the rest of its second. Nothing is granted during an ejection, so such a success belongs to a request that was sent before. It no longer counts for the target.

OutlierEjectionTest#responseThatIsReadDuringTheEjectionDoesNotEndIt failed before (32 slots allowed in place of 0). OutlierEjectionTest, ArbiterTest and EntryTest pass. The calls of succeeded() in OutlierEjectionTest get the time as an argument; their checks are unchanged.

--- a/kernel/src/main/java/org/marjoramswitch/kernel/arbiter/Arbiter.java
+++ b/kernel/src/main/java/org/marjoramswitch/kernel/arbiter/Arbiter.java
@@ -480,7 +480,7 @@
             slots.health().failed(nowMs);
             return;
         }
-        slots.health().succeeded();
+        slots.health().succeeded(nowMs);
     }
 
     /** Returns the pool settings that the arbiter was created with. */
--- a/kernel/src/main/java/org/marjoramswitch/kernel/capacity/OutlierEjection.java
+++ b/kernel/src/main/java/org/marjoramswitch/kernel/capacity/OutlierEjection.java
@@ -32,9 +32,15 @@
         return new OutlierEjection(poolFaultRate);
     }
 
-    /** Records a successful request, which resets the fault and ejection counts and ends probing. */
-    public void succeeded() {
+    /**
+     * Records a successful request, which resets the fault and ejection counts and ends probing. During an ejection it
+     * was sent before that: the target may have crashed since, with the response still unread.
+     */
+    public void succeeded(long nowMs) {
         poolFaultRate.record(false);
+        if (isEjected(nowMs)) {
+            return;
+        }
         consecutiveFaults = 0;
         ejections = 0;
         probing = false;
--- a/kernel/src/main/java/org/marjoramswitch/kernel/placement/PlacementArbiter.java
+++ b/kernel/src/main/java/org/marjoramswitch/kernel/placement/PlacementArbiter.java
@@ -681,7 +681,7 @@
         } else if (ended.end() == PlacementEnd.SERVED) {
             long elapsedMs = nowMs - request.startedAtMs();
             memoryModel.responded(request.outputTokens(), ended.outputTokens());
-            target.health().succeeded();
+            target.health().succeeded(nowMs);
             target.served(elapsedMs, meanServiceMs, nowMs);
             meanServiceMs += SERVICE_GAIN * (elapsedMs - meanServiceMs);
         }
--- a/kernel/src/test/java/org/marjoramswitch/kernel/capacity/OutlierEjectionTest.java
+++ b/kernel/src/test/java/org/marjoramswitch/kernel/capacity/OutlierEjectionTest.java
@@ -67,16 +67,39 @@
     @Test
     void deadTargetOfASmallPoolIsEjectedAfterThreeFaults() {
         for (int i = 0; i < 100; i++) {
-            targets.get(1).succeeded();
+            targets.get(1).succeeded(nowMs);
         }
         for (int i = 0; i < 3; i++) {
             assertFalse(targets.get(0).isEjected(nowMs));
             targets.get(0).failed(nowMs);
-            targets.get(1).succeeded();
+            targets.get(1).succeeded(nowMs);
         }
         assertTrue(targets.get(0).isEjected(nowMs));
     }
 
+    /**
+     * Guards against a crashed target that gets all waiting requests for the rest of its ejection: the response to a
+     * request that was sent before the crash is read after the first refused connections.
+     */
+    @Test
+    void responseThatIsReadDuringTheEjectionDoesNotEndIt() {
+        OutlierEjection target = targets.get(0);
+        for (int i = 0; i < 3; i++) {
+            target.connectionRefused(nowMs);
+        }
+        nowMs += 50;
+        target.succeeded(nowMs);
+        assertEquals(0, target.allowed(FREE_SLOTS, 1, nowMs));
+        for (int i = 0; i < 10; i++) {
+            target.connectionRefused(nowMs);
+        }
+        assertEquals(0, target.allowed(FREE_SLOTS, 0, nowMs));
+        nowMs += 1_000;
+        assertEquals(1, target.allowed(FREE_SLOTS, 0, nowMs));
+        target.succeeded(nowMs);
+        assertEquals(FREE_SLOTS, target.allowed(FREE_SLOTS, 0, nowMs));
+    }
+
     private void run(long forMs, IntPredicate fails) {
         long stepMs = 1_000 / REQUESTS_PER_SECOND;
         for (long endMs = nowMs + forMs; nowMs < endMs; nowMs += stepMs) {
@@ -88,7 +111,7 @@
                 if (fails.test(i)) {
                     target.failed(nowMs);
                 } else {
-                    target.succeeded();
+                    target.succeeded(nowMs);
                 }
             }
         }
