Do not send a request again to a target that refused its connection

Cause: a grant is bound to the first waiting request if all of them have failed at the granted target, so a request that waits alone takes each of that target's grants until it is ejected.

Now a request is not sent for 500 ms to a target that has refused its connection, while the pool has a usable target at which it has not failed. A grant that no waiting request can use is returned as a fault (Ended), since the arbiter would repeat a declined one at once; three of them eject the target, at arbiters of older releases too. 500 ms are less than the shortest ejection, so probes of a restarted target are never returned.

Tests: EntryTest#requestIsNotSentAgainToATargetThatRefusedItsConnection (before: one failure) and #grantOfATargetThatRefusedAllWaitingRequestsIsReturnedAsAFault (before: nothing returned) failed on the unchanged code. #targetThatRefusedARequestIsProbedWithIt and #requestThatAllTargetsRefuseEndsAsNotRun passed before and after.

--- a/kernel/src/main/java/org/marjoramswitch/kernel/entry/CustomerQueue.java
+++ b/kernel/src/main/java/org/marjoramswitch/kernel/entry/CustomerQueue.java
@@ -2,6 +2,7 @@
 
 import java.util.Comparator;
 import java.util.TreeSet;
+import java.util.function.Predicate;
 import org.jspecify.annotations.Nullable;
 import org.marjoramswitch.kernel.model.CustomerId;
 import org.marjoramswitch.kernel.model.RequestSpec;
@@ -58,26 +59,32 @@
     /**
      * Removes and returns the request to bind to a grant for {@code target}. This is the first request that has not
      * failed at the target, or one of the same urgency among the first {@value #PREFIX_LOOKAHEAD} whose prompt prefix
-     * the target probably has cached. If all examined requests have failed there, the head is returned. The choice does
-     * not affect the customer's share, so locality costs other customers nothing. Null if the queue is empty.
+     * the target probably has cached. If all examined requests have failed there, the first that may be sent there is
+     * returned. The choice does not affect the customer's share, so locality costs other customers nothing. Null if the
+     * queue is empty or none of the examined requests may be sent to the target.
+     *
+     * @param excluded whether a request may not be sent to the target now
      */
     @Nullable
-    EntryRequest take(TargetId target, PrefixDirectory prefixes) {
-        EntryRequest request = selectFor(target, prefixes);
+    EntryRequest take(TargetId target, PrefixDirectory prefixes, Predicate<EntryRequest> excluded) {
+        EntryRequest request = selectFor(target, prefixes, excluded);
         if (request != null) {
             waiting.remove(request);
         }
         return request;
     }
 
-    private @Nullable EntryRequest selectFor(TargetId target, PrefixDirectory prefixes) {
+    private @Nullable EntryRequest selectFor(
+            TargetId target, PrefixDirectory prefixes, Predicate<EntryRequest> excluded) {
         EntryRequest head = null;
+        EntryRequest firstFailed = null;
         int examined = 0;
         for (EntryRequest request : waiting) {
             if (examined++ >= PREFIX_LOOKAHEAD) {
                 break;
             }
             if (request.hasFailedAt(target)) {
+                firstFailed = firstFailed == null && !excluded.test(request) ? request : firstFailed;
                 continue;
             }
             if (head != null && request.spec().urgency() != head.spec().urgency()) {
@@ -88,6 +95,6 @@
             }
             head = head == null ? request : head;
         }
-        return head != null || waiting.isEmpty() ? head : waiting.first();
+        return head == null ? firstFailed : head;
     }
 }
--- a/kernel/src/main/java/org/marjoramswitch/kernel/entry/Entry.java
+++ b/kernel/src/main/java/org/marjoramswitch/kernel/entry/Entry.java
@@ -407,7 +407,12 @@
         link.recordGrant(grant.sequence());
         link.leadTokens(grant.customer(), grant.aheadTokens());
         PoolQueues pool = pool(grant.cell().pool());
-        EntryRequest request = take(pool, grant.customer(), grant.target());
+        EntryRequest request = take(pool, grant.customer(), grant.target(), nowMs);
+        if (request == null && pool.size(grant.customer()) > 0) {
+            returnAsFault(link, grant, sink);
+            demand.granted(link, pool, grant.customer(), nowMs, sink);
+            return;
+        }
         demand.granted(link, pool, grant.customer(), nowMs, sink);
         if (request == null) {
             sendDecline(from, grant, DeclineReason.NOTHING_WAITING, sink);
@@ -416,6 +421,15 @@
         start(request, grant.target(), grant.cell(), grant.sequence(), "grant", nowMs, sink);
     }
 
+    /**
+     * Returns a grant of a target that has refused the connections of all requests that could use it. It counts as a
+     * fault: a declined grant would be repeated at once, since it does not lead to the target's ejection.
+     */
+    private void returnAsFault(CellLink link, PeerMessage.Grant grant, ActionSink sink) {
+        demand.send(link, new PeerMessage.Ended(grant.cell(), grant.sequence(), 0, true), sink);
+        sink.accept(EntryLog.returnedAsFault(grant));
+    }
+
     /** Records that a target has cached a prompt prefix, or that it has evicted it if not {@code present}. */
     public void prefixCached(TargetId target, long prefixHash, boolean present) {
         CellId cell = fleet.cells().cellOf(target);
@@ -631,12 +645,15 @@
         }
     }
 
-    private @Nullable EntryRequest take(PoolQueues pool, CustomerId customer, TargetId target) {
+    private @Nullable EntryRequest take(PoolQueues pool, CustomerId customer, TargetId target, long nowMs) {
         CustomerQueue queue = pool.queue(customer);
         if (queue == null) {
             return null;
         }
-        EntryRequest request = queue.take(target, pool.prefixes());
+        EntryRequest request = queue.take(
+                target,
+                pool.prefixes(),
+                waiting -> waiting.wasRefusedBy(target, nowMs) && hasUntriedTarget(waiting, nowMs));
         pool.dropIfEmpty(queue);
         if (request != null) {
             totalWaiting--;
@@ -644,6 +661,14 @@
         return request;
     }
 
+    /** Whether the pool has a usable target at which the request has not failed. */
+    private boolean hasUntriedTarget(EntryRequest request, long nowMs) {
+        return fleet.settings().targets().values().stream()
+                .filter(target -> target.pool().equals(request.spec().pool()))
+                .filter(target -> !request.hasFailedAt(target.id()))
+                .anyMatch(target -> admission.checkTarget(target.id(), nowMs) == SendAdmission.Verdict.ADMITTED);
+    }
+
     private void start(
             EntryRequest request,
             TargetId target,
@@ -707,9 +732,11 @@
             fail(request, ErrorType.CALLER_GONE, 0, "", sink);
             return;
         }
+        if (outcome == TargetOutcome.CONNECTION_REFUSED) {
+            request.connectionRefusedAt(nowMs);
+        }
         // Nothing has arrived at any target, so a retry adds no load. Once for each target: where all of them refuse,
-        // the
-        // request has to end.
+        // the request has to end.
         boolean isConnectionRefused = outcome == TargetOutcome.CONNECTION_REFUSED
                 && request.spec().placement() != null
                 && request.target() != null
@@ -889,7 +916,7 @@
                 .min(Comparator.comparingLong((CustomerQueue queue) -> link.leadTokens(queue.customer()))
                         .thenComparing(CustomerQueue::customer))
                 .orElse(null);
-        EntryRequest request = next == null ? null : take(pool, next.customer(), target);
+        EntryRequest request = next == null ? null : take(pool, next.customer(), target, nowMs);
         if (request == null) {
             return;
         }
--- a/kernel/src/main/java/org/marjoramswitch/kernel/entry/EntryLog.java
+++ b/kernel/src/main/java/org/marjoramswitch/kernel/entry/EntryLog.java
@@ -10,6 +10,7 @@
 import org.marjoramswitch.kernel.model.RequestSpec;
 import org.marjoramswitch.kernel.model.StreamSpec;
 import org.marjoramswitch.kernel.model.TargetId;
+import org.marjoramswitch.kernel.model.TargetOutcome;
 
 /** Builds the log records of an entry's decisions, each with the values it is based on. */
 final class EntryLog {
@@ -137,6 +138,15 @@
 
     /** Logs that a grant is not used. */
     static Action declined(PeerMessage.Grant grant, DeclineReason reason) {
+        return notUsed(grant, reason);
+    }
+
+    /** Logs that a grant is returned as a fault, since its target has refused the connections of all waiting requests. */
+    static Action returnedAsFault(PeerMessage.Grant grant) {
+        return notUsed(grant, TargetOutcome.CONNECTION_REFUSED);
+    }
+
+    private static Action notUsed(PeerMessage.Grant grant, Enum<?> reason) {
         return new Action.Decided(Decision.of(
                 "decline",
                 "cell",
--- a/kernel/src/main/java/org/marjoramswitch/kernel/entry/EntryRequest.java
+++ b/kernel/src/main/java/org/marjoramswitch/kernel/entry/EntryRequest.java
@@ -1,6 +1,8 @@
 package org.marjoramswitch.kernel.entry;
 
+import java.util.HashMap;
 import java.util.HashSet;
+import java.util.Map;
 import java.util.Set;
 import org.jspecify.annotations.Nullable;
 import org.marjoramswitch.kernel.crash.CrashSuspects;
@@ -13,12 +15,15 @@
 /** State of a request at its entry instance, from arrival to end. */
 final class EntryRequest {
     static final long NOT_BEGUN = Long.MAX_VALUE;
+    /** Shorter than the shortest ejection, after which a target that may have restarted is probed with any request. */
+    private static final long REFUSAL_VALID_MS = 500;
 
     private final RequestSpec spec;
     private final CrashSuspects suspects;
     private final boolean isTrial;
     private final long arrivedAtMs;
     private final Set<TargetId> failedAt = new HashSet<>();
+    private final Map<TargetId, Long> connectionRefusedAtMs = new HashMap<>();
     /** When the caller last received a part of the response, as far as reported; when the request was read before. */
     private long progressedAtMs;
 
@@ -203,6 +208,19 @@
         return failedAt.contains(candidate);
     }
 
+    /** Records that the target of the running attempt refused the connection. */
+    void connectionRefusedAt(long nowMs) {
+        if (target != null) {
+            connectionRefusedAtMs.put(target, nowMs);
+        }
+    }
+
+    /** Whether the target has refused a connection for this request within the last {@value #REFUSAL_VALID_MS} ms. */
+    boolean wasRefusedBy(TargetId candidate, long nowMs) {
+        Long refusedAtMs = connectionRefusedAtMs.get(candidate);
+        return refusedAtMs != null && nowMs - refusedAtMs < REFUSAL_VALID_MS;
+    }
+
     /** The software version at which the request's stream must continue; null if any will do. */
     @Nullable
     String streamVersion() {
--- a/kernel/src/test/java/org/marjoramswitch/kernel/entry/EntryTest.java
+++ b/kernel/src/test/java/org/marjoramswitch/kernel/entry/EntryTest.java
@@ -122,6 +122,73 @@
         assertEquals(1, count(Action.Dispatch.class));
     }
 
+    /**
+     * Guards against a request whose attempts are all refused by one crashed target, which is granted again and again
+     * until its arbiter ejects it, while another target serves.
+     */
+    @Test
+    void requestIsNotSentAgainToATargetThatRefusedItsConnection() {
+        arrive(1, true);
+        grant(T1);
+        end(1, TargetOutcome.CONNECTION_REFUSED);
+        for (int i = 0; i < 3; i++) {
+            grant(T1);
+            end(1, TargetOutcome.CONNECTION_REFUSED);
+        }
+        grant(T2);
+        end(1, TargetOutcome.COMPLETED);
+
+        assertEquals(0, count(Action.Fail.class));
+        assertEquals(
+                List.of(T1, T2),
+                dispatched().stream().map(Action.Dispatch::target).toList());
+        assertEquals(1, count(Action.Complete.class));
+    }
+
+    /** Guards against an endless exchange of grants and returns: a returned grant has to eject the target as well. */
+    @Test
+    void grantOfATargetThatRefusedAllWaitingRequestsIsReturnedAsAFault() {
+        arrive(1, true);
+        grant(T1);
+        end(1, TargetOutcome.CONNECTION_REFUSED);
+        actions.clear();
+        long returned = sequence;
+        grant(T1);
+
+        List<PeerMessage> sent = sent();
+        assertEquals(new PeerMessage.Ended(CELL, returned, 0, true), sent.get(0));
+        assertEquals(new PeerMessage.Demand(CELL, CUSTOMER, 1, RequestSpec.DEFAULT_URGENCY), sent.get(1));
+        assertEquals(0, count(Action.Dispatch.class));
+    }
+
+    /** Guards against a restarted target that stays ejected, since its probes are returned. */
+    @Test
+    void targetThatRefusedARequestIsProbedWithIt() {
+        arrive(1, true);
+        grant(T1);
+        end(1, TargetOutcome.CONNECTION_REFUSED);
+        nowMs += 1_000;
+        grant(T1);
+        end(1, TargetOutcome.COMPLETED);
+
+        assertEquals(1, count(Action.Complete.class));
+    }
+
+    /** Guards against a request that waits until its deadline, since each of the targets has refused it. */
+    @Test
+    void requestThatAllTargetsRefuseEndsAsNotRun() {
+        arrive(1, true);
+        for (int i = 0; i < 2; i++) {
+            grant(T1);
+            end(1, TargetOutcome.CONNECTION_REFUSED);
+            grant(T2);
+            end(1, TargetOutcome.CONNECTION_REFUSED);
+        }
+
+        assertEquals(ErrorType.TARGET_REFUSED, onlyFailure().type());
+        assertEquals(RunState.NOT_RUN, onlyFailure().run());
+    }
+
     @Test
     void nonRepeatableRequestIsNotRetriedAfterABrokenAttempt() {
         arrive(1, false);
@@ -309,6 +376,13 @@
         return actions.stream().filter(type::isInstance).count();
     }
 
+    private List<PeerMessage> sent() {
+        return actions.stream()
+                .filter(Action.SendPeer.class::isInstance)
+                .map(action -> ((Action.SendPeer) action).message())
+                .toList();
+    }
+
     private List<Action.Dispatch> dispatched() {
         return actions.stream()
                 .filter(Action.Dispatch.class::isInstance)
