Do not end a sound response for the estimate of a read of its body

What callers saw: while targets in trouble exhaust the memory for incomplete responses, a sound response of some kilobytes is cut.

Cause: FramingLimit held an estimate of ten times the size of each read of a body, 164 kB for 16 KiB, until the client had parsed it. At the limit this made the connection the largest holder, although nothing of its response is held, and it was evicted.

A read that probably brings a part of a body is now held only if the client has parsed it, found none, and waits for more. Ordinary bodies no longer touch the shared sum either.

passedThroughBodyIsNotEvictedWhileMemoryIsExhausted failed before (BROKEN_IN_ANSWER in place of COMPLETED). incompleteTrailersOfOneReadAreCounted passed before; it guards the other direction.

--- a/daemon/src/main/java/org/marjoramswitch/daemon/target/FramingLimit.java
+++ b/daemon/src/main/java/org/marjoramswitch/daemon/target/FramingLimit.java
@@ -77,6 +77,12 @@
         restart(connection, true);
     }
 
+    /** The client has read all that has arrived. Returns false if the memory for what it holds of it is exhausted. */
+    static boolean awaitsMore(ClientConnection connection) {
+        FramingLimit limit = ((Attachable) connection).getAttachment(KEY);
+        return limit == null || limit.held.hold(limit.heldBytes());
+    }
+
     private static void restart(ClientConnection connection, boolean inBody) {
         FramingLimit limit = ((Attachable) connection).getAttachment(KEY);
         if (limit != null) {
@@ -90,11 +96,12 @@
     @Override
     public int read(ByteBuffer target) throws IOException {
         int from = target.position();
+        boolean bodyExpected = isBodyExpected();
         int count = super.read(target);
         if (count > 0) {
-            lines += isBodyExpected() ? count / ESTIMATED_LINE_BYTES : lines(target, from);
+            lines += bodyExpected ? count / ESTIMATED_LINE_BYTES : lines(target, from);
         }
-        received(count);
+        received(count, bodyExpected);
         return count;
     }
 
@@ -104,15 +111,16 @@
         for (int i = 0; i < length; i++) {
             from[i] = targets[offset + i].position();
         }
+        boolean bodyExpected = isBodyExpected();
         long count = super.read(targets, offset, length);
-        if (count > 0 && isBodyExpected()) {
+        if (count > 0 && bodyExpected) {
             lines += count / ESTIMATED_LINE_BYTES;
         } else if (count > 0) {
             for (int i = 0; i < length; i++) {
                 lines += lines(targets[offset + i], from[i]);
             }
         }
-        received(count);
+        received(count, bodyExpected);
         return count;
     }
 
@@ -131,7 +139,7 @@
         return lines;
     }
 
-    private void received(long count) throws IOException {
+    private void received(long count, boolean bodyExpected) throws IOException {
         if (count <= 0) {
             return;
         }
@@ -140,7 +148,8 @@
             onExceeded.run();
             throw new ExceededException(MAX_BYTES + " bytes without a part of a body");
         }
-        if (!held.hold(heldBytes())) {
+        // A part of a body is not held here; whether the read brought one is known when the client has parsed it.
+        if (!bodyExpected && !held.hold(heldBytes())) {
             throw new ExceededException("the memory for responses");
         }
     }
--- a/daemon/src/main/java/org/marjoramswitch/daemon/target/ResponseReader.java
+++ b/daemon/src/main/java/org/marjoramswitch/daemon/target/ResponseReader.java
@@ -141,6 +141,9 @@
                     return ended();
                 }
                 if (count == 0) {
+                    if (!FramingLimit.awaitsMore(connection)) {
+                        return Progress.BROKEN;
+                    }
                     channel.resumeReads();
                     return Progress.MORE;
                 }
