Read a fast response once before the thread's other sockets

Cause: a reader that had more to read continued after the other sockets, but its channel kept its read listener, which read as well and added another task with each turn. The tasks of one response added up as long as its target sent faster than it was read.

fastResponseIsReadOnceBetweenOtherSockets failed before: 1,835,008 bytes between two turns of another socket, in place of 512 KiB at most.

--- a/daemon/src/main/java/org/marjoramswitch/daemon/target/HttpAttempt.java
+++ b/daemon/src/main/java/org/marjoramswitch/daemon/target/HttpAttempt.java
@@ -328,7 +328,11 @@
         switch (progress) {
             case MORE -> {}
             // A task that puts itself into the queue of its thread again would keep the thread from its other sockets.
-            case AGAIN -> connector.readBarrier(thread).afterReads(() -> read(opened));
+            case AGAIN -> {
+                // Otherwise the read listener would read, too, and add another task each time.
+                opened.suspend();
+                connector.readBarrier(thread).afterReads(() -> read(opened));
+            }
             case WHOLE -> end(TargetOutcome.COMPLETED);
             case NOT_STARTED -> end(TargetOutcome.REFUSED);
             case BROKEN -> connectionFailed();
--- a/daemon/src/test/java/org/marjoramswitch/daemon/target/HttpAttemptMemoryTest.java
+++ b/daemon/src/test/java/org/marjoramswitch/daemon/target/HttpAttemptMemoryTest.java
@@ -32,15 +32,19 @@
 import org.xnio.OptionMap;
 import org.xnio.Options;
 import org.xnio.Xnio;
+import org.xnio.XnioIoThread;
 import org.xnio.XnioWorker;
+import org.xnio.channels.StreamSinkChannel;
 
-/** Attempts while the memory for incomplete responses is exhausted. */
+/** Attempts while the memory for incomplete responses is exhausted, or whose target sends faster than it is read. */
 class HttpAttemptMemoryTest {
     private static final long TIMEOUT_S = 20;
     private static final long PROGRESS_TIMEOUT_MS = 15_000;
     private static final int MAX_RESPONSE_BYTES = 16 << 20;
     /** What a target that sends long rejections holds for each of them. */
     private static final int OTHER_HOLDER_BYTES = 40_000;
+    /** Two rounds of 16 reads of 16 KiB. */
+    private static final long MAX_BYTES_BETWEEN_TURNS = 512 << 10;
 
     private final MetricRegistry registry = new MetricRegistry();
     private final CountDownLatch firstBytes = new CountDownLatch(1);
@@ -158,4 +162,41 @@
             await(() -> connector.heldResponses().heldBytes() >= 8_000);
         }
     }
+
+    /** Guards against reading one response several times before the thread's other sockets are handled. */
+    @Test
+    void fastResponseIsReadOnceBetweenOtherSockets() throws Exception {
+        AtomicLong sinceTurn = new AtomicLong();
+        AtomicLong maxSinceTurn = new AtomicLong();
+        XnioIoThread thread = worker.getIoThread();
+        StreamSinkChannel other = thread.createHalfDuplexPipe().getRightSide();
+        other.getWriteSetter().set(writable -> sinceTurn.set(0));
+        Recorder recorder = new Recorder() {
+            @Override
+            public void onBytes(byte[] bytes) {
+                maxSinceTurn.accumulateAndGet(sinceTurn.addAndGet(bytes.length), Math::max);
+                super.onBytes(bytes);
+                // Slower than the target, so that there is always more to read.
+                long resumeNs = System.nanoTime() + TimeUnit.MICROSECONDS.toNanos(200);
+                while (System.nanoTime() - resumeNs < 0) {
+                    Thread.onSpinWait();
+                }
+            }
+        };
+        try (Socket socket = begin(recorder, "HTTP/1.1 200 OK\r\nContent-Length: 1000000000\r\n\r\n")) {
+            socket.getOutputStream().write('x');
+            assertTrue(firstBytes.await(TIMEOUT_S, TimeUnit.SECONDS));
+            other.resumeWrites();
+            byte[] part = new byte[64 << 10];
+            try {
+                while (!end.isDone()) {
+                    socket.getOutputStream().write(part);
+                }
+            } catch (IOException closed) {
+                // The response has exceeded its maximum size.
+            }
+            end.get(TIMEOUT_S, TimeUnit.SECONDS);
+        }
+        assertTrue(maxSinceTurn.get() <= MAX_BYTES_BETWEEN_TURNS, () -> maxSinceTurn + " bytes");
+    }
 }
