Do not continue a part of a server error with another target's response

A long server error is delivered as it arrives. If its connection breaks and its route is resumable, another attempt was started, and a response with the same status was appended to the part that the caller had.

partOfAServerErrorIsNotContinuedByAnotherAttempt failed before (40,000 bytes in place of 20,000).

--- a/daemon/src/main/java/org/marjoramswitch/daemon/core/OpenRequest.java
+++ b/daemon/src/main/java/org/marjoramswitch/daemon/core/OpenRequest.java
@@ -95,10 +95,10 @@
 
     /**
      * Makes {@code number} the current attempt. Returns false if the request has ended, or if the caller has received a
-     * part of a response that is not resumable.
+     * part of a response that cannot be continued.
      */
     synchronized boolean beginAttempt(int attemptNumber) {
-        if (ended || (headDelivered && !isResumable())) {
+        if (ended || (headDelivered && !isContinuable())) {
             return false;
         }
         attempt = attemptNumber;
@@ -283,9 +283,10 @@
                 && spec.repeatable();
     }
 
-    private boolean isResumable() {
+    /** Another attempt continues a stream of events; a part of an error cannot be continued. */
+    private boolean isContinuable() {
         PlacementSpec placement = spec.placement();
-        return placement != null && placement.resumable();
+        return placement != null && placement.resumable() && deliveredStatus < FIRST_SERVER_ERROR;
     }
 
     /** Delivers the failure to the caller; returns false if the caller already has an end. */
--- /dev/null
+++ b/daemon/src/test/java/org/marjoramswitch/daemon/core/OpenRequestTest.java
@@ -0,0 +1,72 @@
+package org.marjoramswitch.daemon.core;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Map;
+import org.junit.jupiter.api.Test;
+import org.marjoramswitch.daemon.exchange.ResponseListener;
+import org.marjoramswitch.daemon.exchange.TargetCall;
+import org.marjoramswitch.kernel.error.Failure;
+import org.marjoramswitch.kernel.model.CustomerId;
+import org.marjoramswitch.kernel.model.PlacementSpec;
+import org.marjoramswitch.kernel.model.PoolId;
+import org.marjoramswitch.kernel.model.RequestSpec;
+import org.marjoramswitch.kernel.model.TargetOutcome;
+import org.marjoramswitch.kernel.settings.TargetKind;
+
+class OpenRequestTest {
+    /** Above what is held back of a server error. */
+    private static final int LONG_ERROR_BYTES = 20_000;
+
+    private final List<byte[]> chunks = new ArrayList<>();
+    private final List<Integer> heads = new ArrayList<>();
+
+    private final ResponseListener caller = new ResponseListener() {
+        @Override
+        public void onHead(int status, Map<String, String> headers) {
+            heads.add(status);
+        }
+
+        @Override
+        public void onBytes(byte[] bytes) {
+            chunks.add(bytes);
+        }
+
+        @Override
+        public void onComplete() {}
+
+        @Override
+        public void onFailure(Failure failure) {}
+    };
+
+    private OpenRequest request(boolean resumable) {
+        PlacementSpec placement = new PlacementSpec(List.of(), 0, 0, 2, resumable);
+        RequestSpec spec =
+                new RequestSpec(1, CustomerId.of("a"), PoolId.of("p"), 3, true, 10, 0, 0, Long.MAX_VALUE, placement);
+        TargetCall call = TargetCall.of(TargetKind.MODEL_ENGINE, "GET", "/x", Map.of(), new byte[0], true);
+        return OpenRequest.of(spec, call, caller);
+    }
+
+    private int deliveredBytes() {
+        return chunks.stream().mapToInt(chunk -> chunk.length).sum();
+    }
+
+    /** Guards against a body that joins the beginning of one target's long error with the error of another. */
+    @Test
+    void partOfAServerErrorIsNotContinuedByAnotherAttempt() {
+        OpenRequest request = request(true);
+        request.beginAttempt(1);
+        request.onHead(1, 500, Map.of());
+        assertTrue(request.onBytes(1, new byte[LONG_ERROR_BYTES]));
+        assertEquals(TargetOutcome.BROKEN_IN_ANSWER, request.onAttemptEnd(1, TargetOutcome.BROKEN_IN_ANSWER));
+        if (request.beginAttempt(2)) {
+            request.onHead(2, 500, Map.of());
+            request.onBytes(2, new byte[LONG_ERROR_BYTES]);
+        }
+        assertEquals(List.of(500), heads);
+        assertEquals(LONG_ERROR_BYTES, deliveredBytes());
+    }
+}
