Hold a server error in one buffer

An error that arrives in chunks of a byte was held as an object for each byte, some 28 bytes in place of one, up to 460 kB for each request. The held error is not part of any sum.

errorInSmallPartsIsHeldAsOne failed before (10,000 parts). A process with the deploy file's heap and 256 such errors at a time stayed alive for 6 s before the change, so exhaustion was not shown.

--- a/daemon/src/main/java/org/marjoramswitch/daemon/core/OpenRequest.java
+++ b/daemon/src/main/java/org/marjoramswitch/daemon/core/OpenRequest.java
@@ -1,7 +1,6 @@
 package org.marjoramswitch.daemon.core;
 
-import java.util.ArrayList;
-import java.util.List;
+import java.io.ByteArrayOutputStream;
 import java.util.Map;
 import java.util.concurrent.TimeUnit;
 import java.util.concurrent.atomic.AtomicBoolean;
@@ -60,9 +59,7 @@
     private boolean ended;
     private @Nullable Head heldHead;
     /** Body of a server error response, held back until no further attempt will follow. */
-    private final List<byte[]> heldError = new ArrayList<>();
-
-    private int heldErrorBytes;
+    private final ByteArrayOutputStream heldError = new ByteArrayOutputStream(0);
 
     private int deliveredStatus;
     /** Whether the current attempt's status differs from that already sent to the caller, so it cannot continue it. */
@@ -104,7 +101,7 @@
         attempt = attemptNumber;
         attemptRunning = true;
         heldHead = null;
-        clearHeldError();
+        heldError.reset();
         mismatched = false;
         caller.onSent();
         return true;
@@ -202,9 +199,8 @@
             return false;
         }
         if (holdsBackError()) {
-            if (heldErrorBytes + bytes.length <= MAX_HELD_ERROR_BYTES) {
-                heldError.add(bytes);
-                heldErrorBytes += bytes.length;
+            if (heldError.size() + bytes.length <= MAX_HELD_ERROR_BYTES) {
+                heldError.writeBytes(bytes);
                 return false;
             }
             passOnHeldError();
@@ -250,13 +246,10 @@
 
     private void passOnHeldError() {
         releaseHead();
-        heldError.forEach(caller::onBytes);
-        clearHeldError();
-    }
-
-    private void clearHeldError() {
-        heldError.clear();
-        heldErrorBytes = 0;
+        if (heldError.size() > 0) {
+            caller.onBytes(heldError.toByteArray());
+            heldError.reset();
+        }
     }
 
     /** The call of the next attempt; requests the events after the last one that the caller received, if any. */
--- a/daemon/src/test/java/org/marjoramswitch/daemon/core/OpenRequestTest.java
+++ b/daemon/src/test/java/org/marjoramswitch/daemon/core/OpenRequestTest.java
@@ -1,6 +1,7 @@
 package org.marjoramswitch.daemon.core;
 
 import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertFalse;
 import static org.junit.jupiter.api.Assertions.assertTrue;
 
 import java.util.ArrayList;
@@ -69,4 +70,20 @@
         assertEquals(List.of(500), heads);
         assertEquals(LONG_ERROR_BYTES, deliveredBytes());
     }
+
+    /** Guards against an object for each byte of an error that arrives byte by byte. */
+    @Test
+    void errorInSmallPartsIsHeldAsOne() {
+        OpenRequest request = request(false);
+        request.beginAttempt(1);
+        request.onHead(1, 500, Map.of());
+        for (int i = 0; i < 10_000; i++) {
+            assertFalse(request.onBytes(1, new byte[] {(byte) i}));
+        }
+        request.onAttemptEnd(1, TargetOutcome.COMPLETED);
+        request.releaseError();
+        assertEquals(10_000, deliveredBytes());
+        assertEquals((byte) 9_999, chunks.get(chunks.size() - 1)[chunks.get(chunks.size() - 1).length - 1]);
+        assertTrue(chunks.size() <= 10, () -> chunks.size() + " parts");
+    }
 }
