Merge small unread chunks of a response

The memory budget counts the bytes of unread responses, not the array of each chunk. A response in chunks of a byte took some 28 times what was counted.

smallUnreadChunksAreMerged failed before (1,000 chunks held 1,000 of 100,000 bytes). A process with the deploy file's heap and 40 such unread responses stayed alive for 6 s before the change, so exhaustion was not shown.

--- a/daemon/src/main/java/org/marjoramswitch/daemon/caller/ResponseBuffer.java
+++ b/daemon/src/main/java/org/marjoramswitch/daemon/caller/ResponseBuffer.java
@@ -1,6 +1,7 @@
 package org.marjoramswitch.daemon.caller;
 
 import java.util.ArrayList;
+import java.util.Arrays;
 import java.util.List;
 import java.util.Map;
 import org.jspecify.annotations.Nullable;
@@ -29,6 +30,14 @@
     /** Limit of unread bytes while the customer's memory is exhausted; sufficient for a caller that keeps reading. */
     private static final int MAX_UNREAD_BYTES_WHEN_EXHAUSTED = 16 << 10;
 
+    /**
+     * Beyond this many chunks, small ones are merged, since the array of each is not counted: a response that arrives byte by
+     * byte would take thirty times the memory of its bytes.
+     */
+    private static final int MAX_SMALL_CHUNKS = 64;
+
+    private static final int MERGED_BYTES = 512;
+
     private final Limits limits;
     private final MemoryAccount account;
     private final EndListener endListener;
@@ -143,7 +152,9 @@
     /** Appends a chunk; false if the customer's memory is exhausted. */
     private boolean append(byte[] bytes) {
         totalBytes += bytes.length;
-        chunks.add(bytes);
+        if (!mergeWithLast(bytes)) {
+            chunks.add(bytes);
+        }
         boolean withinBudget = account.tryReserve(Kind.RESPONSES, bytes.length);
         if (!withinBudget) {
             account.forceReserve(Kind.RESPONSES, bytes.length);
@@ -154,6 +165,23 @@
         return withinBudget;
     }
 
+    private boolean mergeWithLast(byte[] bytes) {
+        int last = chunks.size() - 1;
+        if (last < MAX_SMALL_CHUNKS || chunks.get(last).length + bytes.length > MERGED_BYTES) {
+            return false;
+        }
+        for (Cursor cursor : cursors) {
+            if (cursor.nextChunk > firstChunk + last) {
+                return false;
+            }
+        }
+        byte[] before = chunks.get(last);
+        byte[] merged = Arrays.copyOf(before, before.length + bytes.length);
+        System.arraycopy(bytes, 0, merged, before.length, bytes.length);
+        chunks.set(last, merged);
+        return true;
+    }
+
     private void dropSlow(long unreadBytes, List<Cursor> dropped) {
         for (Cursor cursor : cursors) {
             if (totalBytes - cursor.readBytes > unreadBytes) {
--- a/daemon/src/test/java/org/marjoramswitch/daemon/caller/ResponseBufferTest.java
+++ b/daemon/src/test/java/org/marjoramswitch/daemon/caller/ResponseBufferTest.java
@@ -72,6 +72,49 @@
         assertNull(buffer.open(new Reader()), "the first bytes are freed");
     }
 
+    /** Guards against an object for each byte of an unread response that arrives byte by byte; objects are not counted. */
+    @Test
+    void smallUnreadChunksAreMerged() {
+        ResponseBuffer buffer = buffer(100_000, 0, false);
+        Reader reader = Reader.on(buffer);
+        StringBuilder sent = new StringBuilder();
+        for (int i = 0; i < 100_000; i++) {
+            char next = (char) ('a' + i % 26);
+            sent.append(next);
+            buffer.onBytes(new byte[] {(byte) next});
+        }
+        assertEquals(100_000, budget.usedBytes());
+        reader.read(1_000);
+        assertTrue(reader.read.toString().contentEquals(sent), "read " + reader.read.length() + " bytes");
+        assertEquals(0, budget.usedBytes());
+    }
+
+    /** Guards against bytes that are lost or repeated for a reader that has passed a chunk that others have not. */
+    @Test
+    void mergedChunksAreReadOnceByEachReader() {
+        Random random = new Random(1);
+        ResponseBuffer buffer = buffer(1_000_000, 0, false);
+        Reader quick = Reader.on(buffer);
+        Reader slow = Reader.on(buffer);
+        StringBuilder sent = new StringBuilder();
+        for (int i = 0; i < 20_000; i++) {
+            String next = "abcdefghij".substring(0, 1 + random.nextInt(10));
+            sent.append(next);
+            buffer.onBytes(next.getBytes(StandardCharsets.UTF_8));
+            if (random.nextInt(50) == 0) {
+                quick.read(random.nextInt(200));
+            }
+            if (random.nextInt(2_000) == 0) {
+                slow.read(random.nextInt(300));
+            }
+        }
+        quick.read(100_000);
+        slow.read(100_000);
+        assertEquals(sent.toString(), quick.read.toString());
+        assertEquals(sent.toString(), slow.read.toString());
+        assertEquals(0, budget.usedBytes());
+    }
+
     @Test
     void retainedResponseIsReplayedUntilDiscardedOrTooLarge() {
         ResponseBuffer buffer = buffer(100, 10, true);
