Count and log each eviction of a response

A response that was itself the largest holder when it grew, the usual case, ended as a broken one, without the counter targets.answers.evicted or the log event response_evicted. So did an incomplete head.

evictionOfTheGrowingResponseIsCounted and evictionOfAnIncompleteHeadIsCounted failed before (count 0).

--- a/daemon/src/main/java/org/marjoramswitch/daemon/target/FramingLimit.java
+++ b/daemon/src/main/java/org/marjoramswitch/daemon/target/FramingLimit.java
@@ -36,10 +36,13 @@
     private long lines;
     private boolean inBody;
 
-    private FramingLimit(StreamConnection connected, HeldResponses responses, Runnable onExceeded) {
+    private FramingLimit(StreamConnection connected, HeldResponses responses, Runnable onExceeded, Runnable onEvicted) {
         super(connected.getSourceChannel().getConduit());
         this.onExceeded = onExceeded;
-        this.held = responses.holder(() -> connected.getIoThread().execute(() -> IoUtils.safeClose(connected)));
+        this.held = responses.holder(() -> connected.getIoThread().execute(() -> {
+            onEvicted.run();
+            IoUtils.safeClose(connected);
+        }));
     }
 
     /** Thrown by a read after a limit was exceeded, which ends the connection. */
@@ -52,8 +55,9 @@
     }
 
     /** Installs a limit on a connection from which nothing has been read. */
-    static FramingLimit install(StreamConnection connected, HeldResponses responses, Runnable onExceeded) {
-        FramingLimit limit = new FramingLimit(connected, responses, onExceeded);
+    static FramingLimit install(
+            StreamConnection connected, HeldResponses responses, Runnable onExceeded, Runnable onEvicted) {
+        FramingLimit limit = new FramingLimit(connected, responses, onExceeded, onEvicted);
         connected.getSourceChannel().setConduit(limit);
         return limit;
     }
--- a/daemon/src/main/java/org/marjoramswitch/daemon/target/HeldResponses.java
+++ b/daemon/src/main/java/org/marjoramswitch/daemon/target/HeldResponses.java
@@ -98,7 +98,14 @@
             if (added > 0) {
                 evictWhileExceeded();
             }
-            return !evicted.get() && (added < 0 || heldBytes.get() <= 2 * maxBytes);
+            if (added > 0 && heldBytes.get() > 2 * maxBytes) {
+                evict();
+            }
+            return !evicted.get();
+        }
+
+        boolean isEvicted() {
+            return evicted.get();
         }
 
         /** Releases all bytes, which may be held again. */
--- a/daemon/src/main/java/org/marjoramswitch/daemon/target/HttpAttempt.java
+++ b/daemon/src/main/java/org/marjoramswitch/daemon/target/HttpAttempt.java
@@ -335,7 +335,13 @@
             }
             case WHOLE -> end(TargetOutcome.COMPLETED);
             case NOT_STARTED -> end(TargetOutcome.REFUSED);
-            case BROKEN -> connectionFailed();
+            case BROKEN -> {
+                if (held.isEvicted()) {
+                    evict();
+                } else {
+                    connectionFailed();
+                }
+            }
         }
     }
 
--- a/daemon/src/main/java/org/marjoramswitch/daemon/target/TargetConnector.java
+++ b/daemon/src/main/java/org/marjoramswitch/daemon/target/TargetConnector.java
@@ -175,7 +175,8 @@
         }
         try {
             StreamConnection connected = future.get();
-            FramingLimit limit = FramingLimit.install(connected, heldResponses, () -> framingExceeded(address));
+            FramingLimit limit = FramingLimit.install(
+                    connected, heldResponses, () -> framingExceeded(address), () -> headEvicted(address));
             ClientConnection connection = ClientConnections.over(connected, CONNECT_OPTIONS, bufferPool);
             limit.attachTo(connection);
             UnreadInput.attachTo(connection, connected);
@@ -197,6 +198,18 @@
         LOG.warn("framing_exceeded", "address", address, "limitBytes", FramingLimit.MAX_BYTES);
     }
 
+    private void headEvicted(TargetAddress address) {
+        metrics.responsesEvicted.inc();
+        LOG.warn(
+                "response_evicted",
+                "address",
+                address,
+                "heldBytes",
+                heldResponses.heldBytes(),
+                "maxBytes",
+                heldResponses.maxBytes());
+    }
+
     /** Receives the new connection, or null and whether the target's host refused it. */
     interface ConnectListener {
         void onConnect(@Nullable ClientConnection connection, boolean isRefused);
--- a/daemon/src/test/java/org/marjoramswitch/daemon/target/HttpAttemptMemoryTest.java
+++ b/daemon/src/test/java/org/marjoramswitch/daemon/target/HttpAttemptMemoryTest.java
@@ -143,6 +143,31 @@
         }
     }
 
+    /** Guards against evictions that are neither counted nor logged when the holder that grows is the largest. */
+    @Test
+    void evictionOfTheGrowingResponseIsCounted() throws Exception {
+        expectCountedEviction("HTTP/1.1 503 Busy\r\nContent-Length: 60000\r\n\r\n");
+    }
+
+    /** Guards against evictions of incomplete heads that are neither counted nor logged. */
+    @Test
+    void evictionOfAnIncompleteHeadIsCounted() throws Exception {
+        expectCountedEviction("HTTP/1.1 200 OK\r\nX-Long: ");
+    }
+
+    private void expectCountedEviction(String start) throws Exception {
+        exhaustMemory();
+        try (Socket socket = begin(new Recorder(), start)) {
+            try {
+                socket.getOutputStream().write("x".repeat(60_000).getBytes(StandardCharsets.US_ASCII));
+            } catch (IOException reset) {
+                // The outcome shows it.
+            }
+            assertEquals(TargetOutcome.BROKEN_BEFORE_ANSWER, end.get(TIMEOUT_S, TimeUnit.SECONDS));
+        }
+        await(() -> registry.counter("targets.answers.evicted").getCount() == 1);
+    }
+
     private static void await(BooleanSupplier condition) throws InterruptedException {
         long deadlineNs = System.nanoTime() + TimeUnit.SECONDS.toNanos(TIMEOUT_S);
         while (!condition.getAsBoolean()) {
