--- a/daemon/src/main/java/org/marjoramswitch/daemon/core/OpenRequest.java
+++ b/daemon/src/main/java/org/marjoramswitch/daemon/core/OpenRequest.java
@@ -1,7 +1,6 @@
 package org.marjoramswitch.daemon.core;
 
-import java.util.ArrayList;
-import java.util.List;
+import java.io.ByteArrayOutputStream;
 import java.util.Map;
 import java.util.concurrent.TimeUnit;
 import java.util.concurrent.atomic.AtomicBoolean;
@@ -60,9 +59,7 @@
     private boolean ended;
     private @Nullable Head heldHead;
     /** Body of a server error response, held back until no further attempt will follow. */
-    private final List<byte[]> heldError = new ArrayList<>();
-
-    private int heldErrorBytes;
+    private final ByteArrayOutputStream heldError = new ByteArrayOutputStream(0);
 
     private int deliveredStatus;
     /** Whether the current attempt's status differs from that already sent to the caller, so it cannot continue it. */
@@ -95,16 +92,16 @@
 
     /**
      * Makes {@code number} the current attempt. Returns false if the request has ended, or if the caller has received a
-     * part of a response that is not resumable.
+     * part of a response that cannot be continued.
      */
     synchronized boolean beginAttempt(int attemptNumber) {
-        if (ended || (headDelivered && !isResumable())) {
+        if (ended || (headDelivered && !isContinuable())) {
             return false;
         }
         attempt = attemptNumber;
         attemptRunning = true;
         heldHead = null;
-        clearHeldError();
+        heldError.reset();
         mismatched = false;
         caller.onSent();
         return true;
@@ -202,9 +199,8 @@
             return false;
         }
         if (holdsBackError()) {
-            if (heldErrorBytes + bytes.length <= MAX_HELD_ERROR_BYTES) {
-                heldError.add(bytes);
-                heldErrorBytes += bytes.length;
+            if (heldError.size() + bytes.length <= MAX_HELD_ERROR_BYTES) {
+                heldError.writeBytes(bytes);
                 return false;
             }
             passOnHeldError();
@@ -250,13 +246,10 @@
 
     private void passOnHeldError() {
         releaseHead();
-        heldError.forEach(caller::onBytes);
-        clearHeldError();
-    }
-
-    private void clearHeldError() {
-        heldError.clear();
-        heldErrorBytes = 0;
+        if (heldError.size() > 0) {
+            caller.onBytes(heldError.toByteArray());
+            heldError.reset();
+        }
     }
 
     /** The call of the next attempt; requests the events after the last one that the caller received, if any. */
@@ -283,9 +276,10 @@
                 && spec.repeatable();
     }
 
-    private boolean isResumable() {
+    /** Another attempt continues a stream of events; a part of an error cannot be continued. */
+    private boolean isContinuable() {
         PlacementSpec placement = spec.placement();
-        return placement != null && placement.resumable();
+        return placement != null && placement.resumable() && deliveredStatus < FIRST_SERVER_ERROR;
     }
 
     /** Delivers the failure to the caller; returns false if the caller already has an end. */
