Do not close a connection for an eviction that came too late

An eviction is carried out on the connection's I/O thread. If the client had parsed the incomplete head by then, the connection could carry the next, sound response, which was ended. Releasing the bytes now takes the eviction back. Found by reading in a review; HeldResponsesTest#releasedHolderIsNotEvictedAnyMore covers the account.

--- a/daemon/src/main/java/org/marjoramswitch/daemon/target/FramingLimit.java
+++ b/daemon/src/main/java/org/marjoramswitch/daemon/target/FramingLimit.java
@@ -39,10 +39,15 @@
     private FramingLimit(StreamConnection connected, HeldResponses responses, Runnable onExceeded, Runnable onEvicted) {
         super(connected.getSourceChannel().getConduit());
         this.onExceeded = onExceeded;
-        this.held = responses.holder(() -> connected.getIoThread().execute(() -> {
+        this.held = responses.holder(() -> connected.getIoThread().execute(() -> evict(connected, onEvicted)));
+    }
+
+    /** Closes the connection, unless what it held has been parsed since and it may carry a sound response. */
+    private void evict(StreamConnection connected, Runnable onEvicted) {
+        if (held.isEvicted()) {
             onEvicted.run();
             IoUtils.safeClose(connected);
-        }));
+        }
     }
 
     /** Thrown by a read after a limit was exceeded, which ends the connection. */
--- a/daemon/src/main/java/org/marjoramswitch/daemon/target/HeldResponses.java
+++ b/daemon/src/main/java/org/marjoramswitch/daemon/target/HeldResponses.java
@@ -49,7 +49,10 @@
         return maxBytes;
     }
 
-    /** @param onEvicted called at most once, on any thread; must lead to {@link Holder#close} */
+    /**
+     * @param onEvicted called on any thread; must lead to {@link Holder#close} unless {@link Holder#isEvicted} has become
+     *     false
+     */
     Holder holder(Runnable onEvicted) {
         return new Holder(onEvicted);
     }
@@ -108,10 +111,11 @@
             return evicted.get();
         }
 
-        /** Releases all bytes, which may be held again. */
-        void release() {
+        /** Releases all bytes; bytes may be held again, also if an eviction has not been carried out yet. */
+        synchronized void release() {
             if (bytes > 0) {
                 set(0);
+                evicted.set(false);
             }
         }
 
--- a/daemon/src/test/java/org/marjoramswitch/daemon/target/HeldResponsesTest.java
+++ b/daemon/src/test/java/org/marjoramswitch/daemon/target/HeldResponsesTest.java
@@ -69,6 +69,19 @@
         assertEquals(0, responses.heldBytes());
     }
 
+    /** Guards against closing a connection for an eviction whose bytes were parsed before it was carried out. */
+    @Test
+    void releasedHolderIsNotEvictedAnyMore() {
+        Holder large = holder("large");
+        large.hold(900_000);
+        holder("small").hold(200_000);
+        assertTrue(large.isEvicted());
+        large.release();
+        assertFalse(large.isEvicted());
+        assertTrue(large.hold(100_000));
+        assertEquals(300_000, responses.heldBytes());
+    }
+
     /** Guards against shared state on the path of ordinary responses. */
     @Test
     void doesNotCountSmallHolders() {
