--- a/daemon/src/main/java/org/marjoramswitch/daemon/target/HeldResponses.java
+++ b/daemon/src/main/java/org/marjoramswitch/daemon/target/HeldResponses.java
@@ -49,7 +49,10 @@
         return maxBytes;
     }
 
-    /** @param onEvicted called at most once, on any thread; must lead to {@link Holder#close} */
+    /**
+     * @param onEvicted called on any thread; must lead to {@link Holder#close} unless {@link Holder#isEvicted} has become
+     *     false
+     */
     Holder holder(Runnable onEvicted) {
         return new Holder(onEvicted);
     }
@@ -98,13 +101,21 @@
             if (added > 0) {
                 evictWhileExceeded();
             }
-            return !evicted.get() && (added < 0 || heldBytes.get() <= 2 * maxBytes);
+            if (added > 0 && heldBytes.get() > 2 * maxBytes) {
+                evict();
+            }
+            return !evicted.get();
+        }
+
+        boolean isEvicted() {
+            return evicted.get();
         }
 
-        /** Releases all bytes, which may be held again. */
-        void release() {
+        /** Releases all bytes; bytes may be held again, also if an eviction has not been carried out yet. */
+        synchronized void release() {
             if (bytes > 0) {
                 set(0);
+                evicted.set(false);
             }
         }
 
