Accept requests of a pool during a stop only after a complete run

Callers could see a cut response or 502 "unknown" for a request that they sent to a stopping instance whose pool had no complete run yet, for example shortly after its start.

Cause: StopPolicy rejects requests of a pool without observations, but it took the present duration of a run that had just begun, and the time until a caller left or a target broke off, for the time that runs take. These are lower bounds. They still raise the longest duration, but count only beside a complete run.

StopPolicyTest#runningRequestDoesNotShowHowLongRunsOfAnUnknownPoolTake and PlannedStopTest#runsThatWereBrokenOffDoNotShowHowLongRunsTake failed before (the requests were accepted).

The price: a stopping instance rejects, as not run, more requests of pools that it does not know, if their deadlines fall after the end of the drain.

--- a/kernel/src/main/java/org/marjoramswitch/kernel/entry/Entry.java
+++ b/kernel/src/main/java/org/marjoramswitch/kernel/entry/Entry.java
@@ -450,7 +450,7 @@
         placements.attemptEnded(request, AttemptRules.placementEnd(outcome), sink);
         if (!outcome.notRun()) {
             request.markMayHaveRun();
-            stopPolicy.ended(request, nowMs);
+            stopPolicy.ended(request, outcome == TargetOutcome.COMPLETED, nowMs);
         }
         if (outcome.answerBegun()) {
             // The report of the response's first byte may have been lost in a full ring.
--- a/kernel/src/main/java/org/marjoramswitch/kernel/entry/RecentDurations.java
+++ b/kernel/src/main/java/org/marjoramswitch/kernel/entry/RecentDurations.java
@@ -2,7 +2,7 @@
 
 /**
  * The longest of the durations that ended recently, over a window of between {@value #WINDOW_MS} ms and twice as much.
- * Constant memory and time.
+ * Durations of what was broken off are lower bounds: they count only beside complete ones. Constant memory and time.
  */
 final class RecentDurations {
     static final long NONE = -1;
@@ -11,6 +11,8 @@
     private long windowStartMs = Long.MIN_VALUE / 2;
     private long currentMs = NONE;
     private long previousMs = NONE;
+    private boolean currentHasComplete;
+    private boolean previousHasComplete;
 
     private RecentDurations() {}
 
@@ -18,15 +20,17 @@
         return new RecentDurations();
     }
 
-    void record(long durationMs, long nowMs) {
+    /** @param complete whether the duration is not only a lower bound */
+    void record(long durationMs, boolean complete, long nowMs) {
         advance(nowMs);
         currentMs = Math.max(currentMs, durationMs);
+        currentHasComplete |= complete;
     }
 
-    /** Returns the longest recent duration, or {@link #NONE}. */
+    /** Returns the longest recent duration, or {@link #NONE} if there is no complete one. */
     long longestMs(long nowMs) {
         advance(nowMs);
-        return Math.max(currentMs, previousMs);
+        return currentHasComplete || previousHasComplete ? Math.max(currentMs, previousMs) : NONE;
     }
 
     private void advance(long nowMs) {
@@ -34,8 +38,11 @@
         if (elapsedMs < WINDOW_MS) {
             return;
         }
-        previousMs = elapsedMs < 2 * WINDOW_MS ? currentMs : NONE;
+        boolean isNextWindow = elapsedMs < 2 * WINDOW_MS;
+        previousMs = isNextWindow ? currentMs : NONE;
+        previousHasComplete = isNextWindow && currentHasComplete;
         currentMs = NONE;
+        currentHasComplete = false;
         windowStartMs = nowMs;
     }
 }
--- a/kernel/src/main/java/org/marjoramswitch/kernel/entry/StopPolicy.java
+++ b/kernel/src/main/java/org/marjoramswitch/kernel/entry/StopPolicy.java
@@ -10,8 +10,8 @@
  * that are still open. A request that cannot is rejected as not run, so that its caller goes to another instance.
  *
  * <p>A request ends in time if its deadline falls before the end of the drain, or if the longest recent request of its
- * pool, with some headroom, would. Requests that are still running count with their present duration. A pool without
- * any is unknown, and only the deadline counts.
+ * pool, with some headroom, would. Requests that were broken off or are still running count with their duration so far,
+ * but do not show how long runs take. A pool without complete ones is unknown, and only the deadline counts.
  *
  * <p>For example, with 4 s left and a deadline in 7 s, a request is accepted if the longest recent one of its pool took
  * 2.5 s, and rejected if it took 3.5 s.
@@ -49,11 +49,11 @@
         return drainEndsAtMs != NOT_STOPPING;
     }
 
-    /** Records how long a request took that a target has run, also if its response was not complete. */
-    void ended(EntryRequest request, long nowMs) {
+    /** Records how long a request took that a target has run; a lower bound if its response was not complete. */
+    void ended(EntryRequest request, boolean complete, long nowMs) {
         PoolQueues pool = pools.apply(request.spec().pool());
-        pool.requestTimes().record(nowMs - request.arrivedAtMs(), nowMs);
-        pool.runTimes().record(nowMs - request.sentAtMs(), nowMs);
+        pool.requestTimes().record(nowMs - request.arrivedAtMs(), complete, nowMs);
+        pool.runTimes().record(nowMs - request.sentAtMs(), complete, nowMs);
     }
 
     /** Whether a request that arrives now can end in time, including its wait. */
@@ -62,6 +62,9 @@
             return true;
         }
         long longestMs = pools.apply(spec.pool()).requestTimes().longestMs(nowMs);
+        if (longestMs == RecentDurations.NONE) {
+            return false;
+        }
         for (EntryRequest request : open) {
             if (request.spec().pool().equals(spec.pool())) {
                 longestMs = Math.max(longestMs, nowMs - request.arrivedAtMs());
@@ -76,6 +79,9 @@
             return true;
         }
         long longestMs = pools.apply(spec.pool()).runTimes().longestMs(nowMs);
+        if (longestMs == RecentDurations.NONE) {
+            return false;
+        }
         for (EntryRequest request : open) {
             if (request.target() != null && request.spec().pool().equals(spec.pool())) {
                 longestMs = Math.max(longestMs, nowMs - request.sentAtMs());
@@ -91,7 +97,6 @@
     }
 
     private boolean fits(long longestMs, long nowMs) {
-        return longestMs != RecentDurations.NONE
-                && nowMs + Math.round(HEADROOM * longestMs) + DELIVERY_MS <= drainEndsAtMs;
+        return nowMs + Math.round(HEADROOM * longestMs) + DELIVERY_MS <= drainEndsAtMs;
     }
 }
--- a/kernel/src/test/java/org/marjoramswitch/kernel/PlannedStopTest.java
+++ b/kernel/src/test/java/org/marjoramswitch/kernel/PlannedStopTest.java
@@ -107,6 +107,27 @@
         assertTrue(isRunning(request));
     }
 
+    /** Guards against taking the time until a caller left or a target broke off for the time that runs take. */
+    @Test
+    void runsThatWereBrokenOffDoNotShowHowLongRunsTake() {
+        end(arrive(true, 1, false), TargetOutcome.CANCELLED);
+        end(arrive(true, 1, false), TargetOutcome.BROKEN_BEFORE_ANSWER);
+        end(arrive(true, 1, false), TargetOutcome.SERVER_ERROR);
+        stop();
+        assertRejected(arrive(true, 1, false), RunState.NOT_RUN);
+    }
+
+    /** Guards against ignoring how long a run lasted that was broken off. */
+    @Test
+    void runThatWasBrokenOffLateShowsThatRunsAreLong() {
+        long cancelled = arrive(true, 1, false);
+        advance(STOP_MS);
+        end(cancelled, TargetOutcome.CANCELLED);
+        completeAfter(100);
+        stop();
+        assertRejected(arrive(true, 1, false), RunState.NOT_RUN);
+    }
+
     private void completeAfter(long runMs) {
         long request = arrive(true, 1, false);
         advance(runMs);
--- a/kernel/src/test/java/org/marjoramswitch/kernel/entry/StopPolicyTest.java
+++ b/kernel/src/test/java/org/marjoramswitch/kernel/entry/StopPolicyTest.java
@@ -72,6 +72,15 @@
         assertFalse(policy.maySend(spec(FAR_DEADLINE_MS), NOW_MS));
     }
 
+    /** Guards against taking the present duration of a run that has just begun for the time that runs of its pool take. */
+    @Test
+    void runningRequestDoesNotShowHowLongRunsOfAnUnknownPoolTake() {
+        open.add(sent(NOW_MS - 10, NOW_MS - 10));
+        policy.stop(DRAIN_ENDS_MS);
+        assertFalse(policy.mayAccept(spec(FAR_DEADLINE_MS), NOW_MS));
+        assertFalse(policy.maySend(spec(FAR_DEADLINE_MS), NOW_MS));
+    }
+
     @Test
     void requestsThatAreNotPlacedAreNotLimited() {
         policy.stop(DRAIN_ENDS_MS);
@@ -84,17 +93,17 @@
     void durationsAreForgottenAfterTwoWindows() {
         RecentDurations durations = RecentDurations.create();
         assertEquals(RecentDurations.NONE, durations.longestMs(NOW_MS));
-        durations.record(500, NOW_MS);
-        durations.record(200, NOW_MS + 1_000);
+        durations.record(500, true, NOW_MS);
+        durations.record(200, true, NOW_MS + 1_000);
         assertEquals(500, durations.longestMs(NOW_MS + RecentDurations.WINDOW_MS - 1));
-        durations.record(100, NOW_MS + RecentDurations.WINDOW_MS);
+        durations.record(100, true, NOW_MS + RecentDurations.WINDOW_MS);
         assertEquals(500, durations.longestMs(NOW_MS + RecentDurations.WINDOW_MS + 1));
         assertEquals(100, durations.longestMs(NOW_MS + 2 * RecentDurations.WINDOW_MS));
         assertEquals(RecentDurations.NONE, durations.longestMs(NOW_MS + 4 * RecentDurations.WINDOW_MS));
     }
 
     private void ended(long arrivedAtMs, long sentAtMs, long nowMs) {
-        policy.ended(sent(arrivedAtMs, sentAtMs), nowMs);
+        policy.ended(sent(arrivedAtMs, sentAtMs), true, nowMs);
     }
 
     private static EntryRequest sent(long arrivedAtMs, long sentAtMs) {
