Forget the durations of a stop's pool after two windows

Cause: a window began when a duration was next recorded or asked for, so a duration could count for three windows, 90 s in place of 60 s, and a stopping instance rejected requests because of it. Windows now follow each other.

StopPolicyTest#readingADurationDoesNotExtendItsWindow failed before (500 in place of none); StopPolicyTest 9 of 9 pass.

--- a/kernel/src/main/java/org/marjoramswitch/kernel/entry/RecentDurations.java
+++ b/kernel/src/main/java/org/marjoramswitch/kernel/entry/RecentDurations.java
@@ -43,6 +43,6 @@
         previousHasComplete = isNextWindow && currentHasComplete;
         currentMs = NONE;
         currentHasComplete = false;
-        windowStartMs = nowMs;
+        windowStartMs = isNextWindow ? windowStartMs + WINDOW_MS : nowMs;
     }
 }
--- a/kernel/src/test/java/org/marjoramswitch/kernel/entry/StopPolicyTest.java
+++ b/kernel/src/test/java/org/marjoramswitch/kernel/entry/StopPolicyTest.java
@@ -102,6 +102,15 @@
         assertEquals(RecentDurations.NONE, durations.longestMs(NOW_MS + 4 * RecentDurations.WINDOW_MS));
     }
 
+    /** Guards against keeping a duration for three windows if it is asked for at the end of the second one. */
+    @Test
+    void readingADurationDoesNotExtendItsWindow() {
+        RecentDurations durations = RecentDurations.create();
+        durations.record(500, true, NOW_MS);
+        assertEquals(500, durations.longestMs(NOW_MS + 2 * RecentDurations.WINDOW_MS - 1));
+        assertEquals(RecentDurations.NONE, durations.longestMs(NOW_MS + 2 * RecentDurations.WINDOW_MS));
+    }
+
     private void ended(long arrivedAtMs, long sentAtMs, long nowMs) {
         policy.ended(sent(arrivedAtMs, sentAtMs), true, nowMs);
     }
