Give back reserved retries when the link to the arbiter breaks or it changes

Callers saw RETRY_BUDGET_SPENT although few retries were sent.

Cause: a reservation for the next attempt at a silent target was released when its arbiter changed or the link to it was established again, but its retry stayed with the request until it ended. A later attempt of that request used the retry after it had left the window of the budget, so that it was counted in no current window. The same held if the pool had no arbiter.

SilentTargetTest#retryIsAvailableAgainAfterTheLinkToTheArbiterBroke failed before (no second attempt after 20 reservations); SilentTargetTest 11 of 11 and StalledResponseTest 6 of 6 pass.

--- a/kernel/src/main/java/org/marjoramswitch/kernel/entry/Entry.java
+++ b/kernel/src/main/java/org/marjoramswitch/kernel/entry/Entry.java
@@ -347,13 +347,13 @@
     /** Adapts registrations and placement requests to changed arbiters, cells or links. */
     public void fleetChanged(long nowMs, ActionSink sink) {
         registrations.fleetChanged(nowMs, sink);
-        placements.fleetChanged(nowMs, sink);
+        placements.fleetChanged(nowMs, sink).forEach(this::giveBackReservedRetry);
     }
 
     /** Sends the state of this entry over a new link to a peer. */
     public void connected(InstanceId peer, long nowMs, ActionSink sink) {
         registrations.connected(peer, nowMs, sink);
-        placements.connected(peer, nowMs, sink);
+        placements.connected(peer, nowMs, sink).forEach(this::giveBackReservedRetry);
         crashReports.connected(peer, nowMs, sink);
     }
 
@@ -417,8 +417,8 @@
         }
         boolean replaceable = mayContinueElsewhere(request, answerBegun, nowMs);
         sink.accept(EntryLog.responseStalled(request, target, answerBegun, replaceable));
-        if (replaceable) {
-            placements.reserve(request, nowMs, sink);
+        if (replaceable && !placements.reserve(request, nowMs, sink)) {
+            giveBackReservedRetry(request);
         }
     }
 
@@ -531,7 +531,7 @@
         placements.releaseOverdue(nowMs, sink).forEach(this::giveBackReservedRetry);
         crashReports.tick(nowMs, sink);
         publishCrashes(sink);
-        placements.fleetChanged(nowMs, sink);
+        placements.fleetChanged(nowMs, sink).forEach(this::giveBackReservedRetry);
         if (targetBackoffs.expire(nowMs)) {
             placements.backoffEnded(nowMs, sink);
         }
--- a/kernel/src/main/java/org/marjoramswitch/kernel/entry/Placements.java
+++ b/kernel/src/main/java/org/marjoramswitch/kernel/entry/Placements.java
@@ -128,14 +128,18 @@
                 || (settings != null && settings.softwareVersion().equals(version));
     }
 
-    /** Requests a slot for the next attempt of a running request, if none is requested or reserved. */
-    void reserve(EntryRequest request, long nowMs, ActionSink sink) {
+    /**
+     * Requests a slot for the next attempt of a running request, if none is requested or reserved; false if there is no
+     * arbiter.
+     */
+    boolean reserve(EntryRequest request, long nowMs, ActionSink sink) {
         PlacementRequest running = byRequest.get(request.spec().requestId());
         InstanceId arbiter = running == null ? null : arbiter(running.cell, nowMs);
-        if (running == null
-                || arbiter == null
-                || replacements.containsKey(request.spec().requestId())) {
-            return;
+        if (replacements.containsKey(request.spec().requestId())) {
+            return true;
+        }
+        if (running == null || arbiter == null) {
+            return false;
         }
         PlacementRequest placement = new PlacementRequest(++lastId, request, running.cell, arbiter, nowMs);
         placement.reservedUntilMs = nowMs + RESERVATION_WAIT_MS;
@@ -143,6 +147,7 @@
         replacements.put(request.spec().requestId(), placement);
         sendHeld(placement.cell, arbiter, nowMs, sink);
         sendPlace(placement, nowMs, sink);
+        return true;
     }
 
     /** Whether the slot that was placed can serve the request's next attempt; it is kept for it in that case. */
@@ -374,13 +379,18 @@
         }
     }
 
-    /** Re-sends open placement requests whose cell or arbiter has changed. */
-    void fleetChanged(long nowMs, ActionSink sink) {
+    /**
+     * Re-sends open placement requests whose cell or arbiter has changed, and releases such reservations; returns the
+     * requests of these.
+     */
+    List<EntryRequest> fleetChanged(long nowMs, ActionSink sink) {
+        List<EntryRequest> released = new ArrayList<>();
         notifiedArbiters.entrySet().removeIf(known -> !known.getValue().equals(arbiter(known.getKey(), nowMs)));
         for (PlacementRequest placement : List.copyOf(byId.values())) {
             if (isReplacement(placement)) {
                 if (placement.hasMoved(placement.cell, arbiter(placement.cell, nowMs))) {
                     release(placement.request, sink);
+                    released.add(placement.request);
                 }
                 continue;
             }
@@ -390,10 +400,15 @@
                 move(placement, cell, arbiter, nowMs, sink);
             }
         }
+        return released;
     }
 
-    /** A new link to a peer is up: messages on the old one are lost, and the peer has dropped this entry's state. */
-    void connected(InstanceId peer, long nowMs, ActionSink sink) {
+    /**
+     * A new link to a peer is up: messages on the old one are lost, and the peer has dropped this entry's state. Returns
+     * the requests whose reservations are released.
+     */
+    List<EntryRequest> connected(InstanceId peer, long nowMs, ActionSink sink) {
+        List<EntryRequest> released = new ArrayList<>();
         notifiedArbiters.values().removeIf(peer::equals);
         for (PlacementRequest placement : List.copyOf(byId.values())) {
             if (!peer.equals(placement.arbiter)) {
@@ -401,11 +416,13 @@
             }
             if (isReplacement(placement)) {
                 release(placement.request, sink);
+                released.add(placement.request);
             } else {
                 sendHeld(placement.cell, peer, nowMs, sink);
                 sendPlace(placement, nowMs, sink);
             }
         }
+        return released;
     }
 
     /** The arbiters, other than this instance, from which a response is expected. */
--- a/kernel/src/test/java/org/marjoramswitch/kernel/SilentTargetTest.java
+++ b/kernel/src/test/java/org/marjoramswitch/kernel/SilentTargetTest.java
@@ -5,6 +5,7 @@
 import static org.junit.jupiter.api.Assertions.assertTrue;
 
 import java.util.Map;
+import java.util.stream.IntStream;
 import org.junit.jupiter.api.Test;
 import org.marjoramswitch.kernel.action.Action;
 import org.marjoramswitch.kernel.event.Event;
@@ -14,6 +15,7 @@
 class SilentTargetTest extends PlacementFleet {
     private static final int ATTEMPTS = 3;
     private static final int SILENT_REQUESTS = 40;
+    private static final int MANY_TARGETS = 20;
 
     /** Guards against ending a stream that only its target can continue, because the report of its beginning was lost. */
     @Test
@@ -121,6 +123,24 @@
         assertFalse(endedAsSilent.contains(1L));
     }
 
+    /** Guards against retries that stay taken because the link to the arbiter broke while a slot was requested. */
+    @Test
+    void retryIsAvailableAgainAfterTheLinkToTheArbiterBroke() {
+        targets(IntStream.range(0, MANY_TARGETS).mapToObj(i -> "t" + i).toArray(String[]::new));
+        for (int i = 0; i < MANY_TARGETS; i++) {
+            long silent = arrive(true, ATTEMPTS, true);
+            assertTrue(isRunning(silent), "request " + silent);
+            frozen.add(arbiter);
+            assertFalse(isEndedAsSilent(silent, false));
+            apply(entry, new Event.PeerLinkChanged(arbiter, true));
+            frozen.remove(arbiter);
+            deliver();
+        }
+        int sent = dispatched.size();
+        end(arrive(true, ATTEMPTS, true), TargetOutcome.BROKEN_BEFORE_ANSWER);
+        assertEquals(sent + 2, dispatched.size());
+    }
+
     private void fillTargets() {
         callerTimeoutMs = 60_000;
         for (int i = 0; i < 2 * SLOTS; i++) {
