Check all waiting requests of a stopping instance in one pass

Cause: each tick of a stop, every 10 ms on a busy instance, went through all open requests for each waiting one, on the decision thread. With 2,000 waiting and 4,000 open requests these are eight million steps in a tick, so that responses and retries would be delayed for the rest of the stop.

The longest running request of each pool is now found once for all waiting ones.

The load of a stop was not measured.

--- a/kernel/src/main/java/org/marjoramswitch/kernel/entry/Entry.java
+++ b/kernel/src/main/java/org/marjoramswitch/kernel/entry/Entry.java
@@ -290,14 +290,9 @@
 
     /** Ends waiting requests that could not end before the drain does, so that their callers can go elsewhere. */
     private void refuseUnfinishable(long nowMs, ActionSink sink) {
-        if (!stopPolicy.isStopping()) {
-            return;
-        }
-        for (EntryRequest request : List.copyOf(requests.values())) {
-            if (request.target() == null && !stopPolicy.maySend(request.spec(), nowMs)) {
-                dequeue(request, sink);
-                failLeaving(request, sink);
-            }
+        for (EntryRequest request : stopPolicy.unfinishable(nowMs)) {
+            dequeue(request, sink);
+            failLeaving(request, sink);
         }
     }
 
--- a/kernel/src/main/java/org/marjoramswitch/kernel/entry/StopPolicy.java
+++ b/kernel/src/main/java/org/marjoramswitch/kernel/entry/StopPolicy.java
@@ -1,6 +1,9 @@
 package org.marjoramswitch.kernel.entry;
 
 import java.util.Collection;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
 import java.util.function.Function;
 import org.marjoramswitch.kernel.model.PoolId;
 import org.marjoramswitch.kernel.model.RequestSpec;
@@ -75,19 +78,43 @@
 
     /** Whether a request that is sent to a target now can end in time. */
     boolean maySend(RequestSpec spec, long nowMs) {
+        if (endsInTime(spec, nowMs)) {
+            return true;
+        }
+        long longestRunMs = 0;
+        for (EntryRequest request : open) {
+            if (request.target() != null && request.spec().pool().equals(spec.pool())) {
+                longestRunMs = Math.max(longestRunMs, nowMs - request.sentAtMs());
+            }
+        }
+        return maySend(spec, longestRunMs, nowMs);
+    }
+
+    private boolean maySend(RequestSpec spec, long longestRunMs, long nowMs) {
         if (endsInTime(spec, nowMs)) {
             return true;
         }
         long longestMs = pools.apply(spec.pool()).runTimes().longestMs(nowMs);
-        if (longestMs == RecentDurations.NONE) {
-            return false;
+        return longestMs != RecentDurations.NONE && fits(Math.max(longestMs, longestRunMs), nowMs);
+    }
+
+    /** Returns the waiting requests that cannot end in time if they are sent now. */
+    List<EntryRequest> unfinishable(long nowMs) {
+        if (!isStopping()) {
+            return List.of();
         }
+        // All waiting requests are checked in each tick, so the running ones are not gone through for each of them.
+        Map<PoolId, Long> longestRunMs = new HashMap<>();
         for (EntryRequest request : open) {
-            if (request.target() != null && request.spec().pool().equals(spec.pool())) {
-                longestMs = Math.max(longestMs, nowMs - request.sentAtMs());
+            if (request.target() != null) {
+                longestRunMs.merge(request.spec().pool(), nowMs - request.sentAtMs(), Math::max);
             }
         }
-        return fits(longestMs, nowMs);
+        return open.stream()
+                .filter(request -> request.target() == null)
+                .filter(request -> !maySend(
+                        request.spec(), longestRunMs.getOrDefault(request.spec().pool(), 0L), nowMs))
+                .toList();
     }
 
     private boolean endsInTime(RequestSpec spec, long nowMs) {
--- a/kernel/src/test/java/org/marjoramswitch/kernel/entry/StopPolicyTest.java
+++ b/kernel/src/test/java/org/marjoramswitch/kernel/entry/StopPolicyTest.java
@@ -4,10 +4,13 @@
 import static org.junit.jupiter.api.Assertions.assertFalse;
 import static org.junit.jupiter.api.Assertions.assertTrue;
 
+import java.util.AbstractCollection;
 import java.util.ArrayList;
+import java.util.Iterator;
 import java.util.List;
 import java.util.Map;
 import java.util.TreeMap;
+import java.util.concurrent.atomic.AtomicLong;
 import org.junit.jupiter.api.Test;
 import org.marjoramswitch.kernel.crash.CrashSuspects;
 import org.marjoramswitch.kernel.model.CellId;
@@ -22,11 +25,11 @@
     private static final long NOW_MS = 100_000;
     private static final long DRAIN_ENDS_MS = NOW_MS + 6_800;
     private static final long FAR_DEADLINE_MS = NOW_MS + 8_000;
+    private static final int MANY_REQUESTS = 200;
 
     private final Map<PoolId, PoolQueues> pools = new TreeMap<>();
     private final List<EntryRequest> open = new ArrayList<>();
-    private final StopPolicy policy =
-            StopPolicy.of(id -> pools.computeIfAbsent(id, missing -> new PoolQueues(missing, "entry-1")), open);
+    private final StopPolicy policy = StopPolicy.of(this::pool, open);
 
     @Test
     void anyRequestIsAcceptedBeforeTheStop() {
@@ -81,6 +84,60 @@
         assertFalse(policy.maySend(spec(FAR_DEADLINE_MS), NOW_MS));
     }
 
+    /** Guards against a decision thread that is busy with each tick of the stop while thousands of requests wait. */
+    @Test
+    void eachCheckOfAllWaitingRequestsGoesThroughThemOnce() {
+        AtomicLong visited = new AtomicLong();
+        for (int i = 0; i < MANY_REQUESTS; i++) {
+            RequestSpec waiting = spec(FAR_DEADLINE_MS);
+            open.add(new EntryRequest(waiting, CrashSuspects.of(waiting), false, NOW_MS));
+        }
+        open.add(sent(NOW_MS - 100, NOW_MS - 100));
+        StopPolicy counted = StopPolicy.of(this::pool, new AbstractCollection<>() {
+            @Override
+            public Iterator<EntryRequest> iterator() {
+                Iterator<EntryRequest> each = open.iterator();
+                return new Iterator<>() {
+                    @Override
+                    public boolean hasNext() {
+                        return each.hasNext();
+                    }
+
+                    @Override
+                    public EntryRequest next() {
+                        visited.incrementAndGet();
+                        return each.next();
+                    }
+                };
+            }
+
+            @Override
+            public int size() {
+                return open.size();
+            }
+        });
+        counted.stop(DRAIN_ENDS_MS);
+        assertEquals(MANY_REQUESTS, counted.unfinishable(NOW_MS).size());
+        ended(NOW_MS - 500, NOW_MS - 500, NOW_MS);
+        assertEquals(0, counted.unfinishable(NOW_MS).size());
+        assertTrue(visited.get() <= 4L * open.size(), visited + " visited");
+    }
+
+    /** Guards against a check of all waiting requests that differs from the check of one of them. */
+    @Test
+    void waitingRequestIsUnfinishableOnceItMayNotBeSent() {
+        ended(NOW_MS - 100, NOW_MS - 100, NOW_MS);
+        RequestSpec spec = spec(FAR_DEADLINE_MS);
+        EntryRequest waiting = new EntryRequest(spec, CrashSuspects.of(spec), false, NOW_MS);
+        open.add(waiting);
+        open.add(sent(NOW_MS - 2_000, NOW_MS - 2_000));
+        assertEquals(List.of(), policy.unfinishable(NOW_MS));
+        policy.stop(DRAIN_ENDS_MS);
+        for (long atMs = NOW_MS; atMs < DRAIN_ENDS_MS; atMs += 50) {
+            assertEquals(policy.maySend(spec, atMs) ? List.of() : List.of(waiting), policy.unfinishable(atMs));
+        }
+    }
+
     @Test
     void requestsThatAreNotPlacedAreNotLimited() {
         policy.stop(DRAIN_ENDS_MS);
@@ -111,6 +168,10 @@
         assertEquals(RecentDurations.NONE, durations.longestMs(NOW_MS + 2 * RecentDurations.WINDOW_MS));
     }
 
+    private PoolQueues pool(PoolId id) {
+        return pools.computeIfAbsent(id, missing -> new PoolQueues(missing, "entry-1"));
+    }
+
     private void ended(long arrivedAtMs, long sentAtMs, long nowMs) {
         policy.ended(sent(arrivedAtMs, sentAtMs), true, nowMs);
     }
