--- a/kernel/src/main/java/org/marjoramswitch/kernel/entry/Entry.java
+++ b/kernel/src/main/java/org/marjoramswitch/kernel/entry/Entry.java
@@ -290,14 +290,9 @@
 
     /** Ends waiting requests that could not end before the drain does, so that their callers can go elsewhere. */
     private void refuseUnfinishable(long nowMs, ActionSink sink) {
-        if (!stopPolicy.isStopping()) {
-            return;
-        }
-        for (EntryRequest request : List.copyOf(requests.values())) {
-            if (request.target() == null && !stopPolicy.maySend(request.spec(), nowMs)) {
-                dequeue(request, sink);
-                failLeaving(request, sink);
-            }
+        for (EntryRequest request : stopPolicy.unfinishable(nowMs)) {
+            dequeue(request, sink);
+            failLeaving(request, sink);
         }
     }
 
@@ -347,13 +342,13 @@
     /** Adapts registrations and placement requests to changed arbiters, cells or links. */
     public void fleetChanged(long nowMs, ActionSink sink) {
         registrations.fleetChanged(nowMs, sink);
-        placements.fleetChanged(nowMs, sink);
+        placements.fleetChanged(nowMs, sink).forEach(this::giveBackReservedRetry);
     }
 
     /** Sends the state of this entry over a new link to a peer. */
     public void connected(InstanceId peer, long nowMs, ActionSink sink) {
         registrations.connected(peer, nowMs, sink);
-        placements.connected(peer, nowMs, sink);
+        placements.connected(peer, nowMs, sink).forEach(this::giveBackReservedRetry);
         crashReports.connected(peer, nowMs, sink);
     }
 
@@ -417,8 +412,8 @@
         }
         boolean replaceable = mayContinueElsewhere(request, answerBegun, nowMs);
         sink.accept(EntryLog.responseStalled(request, target, answerBegun, replaceable));
-        if (replaceable) {
-            placements.reserve(request, nowMs, sink);
+        if (replaceable && !placements.reserve(request, nowMs, sink)) {
+            giveBackReservedRetry(request);
         }
     }
 
@@ -450,7 +445,7 @@
         placements.attemptEnded(request, AttemptRules.placementEnd(outcome), sink);
         if (!outcome.notRun()) {
             request.markMayHaveRun();
-            stopPolicy.ended(request, nowMs);
+            stopPolicy.ended(request, outcome == TargetOutcome.COMPLETED, nowMs);
         }
         if (outcome.answerBegun()) {
             // The report of the response's first byte may have been lost in a full ring.
@@ -531,7 +526,7 @@
         placements.releaseOverdue(nowMs, sink).forEach(this::giveBackReservedRetry);
         crashReports.tick(nowMs, sink);
         publishCrashes(sink);
-        placements.fleetChanged(nowMs, sink);
+        placements.fleetChanged(nowMs, sink).forEach(this::giveBackReservedRetry);
         if (targetBackoffs.expire(nowMs)) {
             placements.backoffEnded(nowMs, sink);
         }
