--- a/daemon/src/main/java/org/marjoramswitch/daemon/platform/PrefixFollower.java
+++ b/daemon/src/main/java/org/marjoramswitch/daemon/platform/PrefixFollower.java
@@ -24,8 +24,9 @@
  * last entries remain in use.
  *
  * <p>When the watch breaks, the prefix is read again immediately, because changes before the break may have been
- * missed. The broken watch is kept until the read succeeds, since peers may report changes through it. If the last read failed or is more recent than the pause, the pause elapses first, so that a store that
- * closes each watch at its start is not read in a loop.
+ * missed. The broken watch is kept until the read succeeds, since peers may report changes through it. If the last read
+ * failed or is more recent than the pause, the pause elapses first, so that a store that closes each watch at its start
+ * is not read in a loop.
  */
 public final class PrefixFollower implements AutoCloseable {
     private static final KeyValueLog LOG = KeyValueLog.of(PrefixFollower.class);
--- a/kernel/src/main/java/org/marjoramswitch/kernel/entry/Entry.java
+++ b/kernel/src/main/java/org/marjoramswitch/kernel/entry/Entry.java
@@ -205,8 +205,10 @@
     private void replacementPlaced(
             EntryRequest request, TargetId silent, PeerMessage.Placed placed, long nowMs, ActionSink sink) {
         SendAdmission.Verdict verdict = admission.check(request, placed.target(), placed.startWithinMs(), nowMs);
-        if (verdict != SendAdmission.Verdict.ADMITTED || !placements.keepReserved(request, placed, nowMs)) {
-            sink.accept(EntryLog.replacementRejected(request, silent, verdict.name()));
+        boolean admitted = verdict == SendAdmission.Verdict.ADMITTED;
+        if (!admitted || !placements.keepReserved(request, placed, nowMs)) {
+            String reason = admitted ? "reservation_outdated" : verdict.name();
+            sink.accept(EntryLog.replacementRejected(request, silent, reason));
             releaseReserved(request, sink);
             return;
         }
