--- a/kernel/src/main/java/org/marjoramswitch/kernel/entry/StopPolicy.java
+++ b/kernel/src/main/java/org/marjoramswitch/kernel/entry/StopPolicy.java
@@ -9,7 +9,7 @@
 import org.marjoramswitch.kernel.model.RequestSpec;
 
 /**
- * Decides during the instance's planned stop whether a request can end before the drain does, which ends all requests
+ * Decides during a graceful shutdown whether a request can end before the drain does, which ends all requests
  * that are still open. A request that cannot is rejected as not run, so that its caller goes to another instance.
  *
  * <p>A request ends in time if its deadline falls before the end of the drain, or if the longest recent request of its
@@ -22,7 +22,7 @@
  * <p>Applies to placed requests only: the deadline of others does not bound their run.
  */
 final class StopPolicy {
-    /** Durations vary, and the recent ones are a sample. */
+    /** The next request may take longer than any recent one. */
     private static final double HEADROOM = 1.25;
     /** From the end of a run until its response has been written to the caller. */
     private static final long DELIVERY_MS = 150;
--- a/kernel/src/main/java/org/marjoramswitch/kernel/message/PeerMessage.java
+++ b/kernel/src/main/java/org/marjoramswitch/kernel/message/PeerMessage.java
@@ -426,7 +426,7 @@
     record WatchQuery(String prefix) implements PeerMessage {}
 
     /**
-     * Asks for the changes below a prefix after a revision. The response is {@link WatchNews} or, if the receiver does
+     * Requests the changes below a prefix after a revision. The response is {@link WatchNews} or, if the receiver does
      * not hold all of these changes any more, {@link WatchCopy}; there is none if the receiver knows of no change.
      */
     record WatchChangesQuery(String prefix, long afterRevision) implements PeerMessage {}
--- a/kernel/src/main/java/org/marjoramswitch/kernel/watch/WatchSharing.java
+++ b/kernel/src/main/java/org/marjoramswitch/kernel/watch/WatchSharing.java
@@ -27,9 +27,9 @@
  * watch until it receives heartbeats again. A partial outage, a partition or a crash of both watchers therefore delays
  * updates by that time only.
  *
- * <p>An instance that does not hear of the store, neither by its own watch nor by a watcher's heartbeat, asks one peer
- * after the other every {@value #HEARTBEAT_MS} ms for the changes after its own revision. An instance is the arbiter of
- * pools for its peers, which would otherwise use their targets by its outdated list for as long as its store is silent.
+ * <p>An instance that receives no updates, neither from its own watch nor by a watcher's heartbeat, queries one peer
+ * after the other every {@value #HEARTBEAT_MS} ms for the changes after its own revision. It may be the arbiter of pools
+ * for its peers, which would otherwise depend on its outdated list of targets for as long as the store does not respond.
  *
  * <p><b>Correctness.</b> There is no agreement protocol: each instance derives the watchers from its own view, and
  * views that differ for a moment only mean one watcher more or fewer. Forwarded changes carry the store's revisions, so
@@ -39,7 +39,7 @@
  * calls in 48 s, a seventh of all requests served to the fleet's users.
  *
  * <p><b>Cost.</b> A watcher sends each heartbeat to its data centre and to the other watchers; a change is sent once to
- * each instance of the data centre. Nothing is asked while the store responds; otherwise a query takes some 30 bytes for
+ * each instance of the data centre. No query is sent while the store responds; otherwise one takes some 30 bytes for
  * each prefix, and only a peer that knows of changes responds. Not thread-safe.
  */
 public final class WatchSharing {
@@ -250,7 +250,7 @@
                         .allMatch(known -> known.active && known.watching && !known.isSilent(nowMs));
     }
 
-    /** Asks the next peer for changes of the prefixes of which this instance does not hear in any other way. */
+    /** Queries the next peer for changes of the prefixes for which this instance receives no updates. */
     private void queryIfDisconnected(long nowMs, Consumer<WatchAction> sink) {
         List<InstanceId> holders = copyHolders();
         boolean hasWatcher = !isWatcher(nowMs) && nowMs - lastHeartbeatMs <= STANDALONE_AFTER_MS;
--- a/kernel/src/main/java/org/marjoramswitch/kernel/watch/WatchedPrefix.java
+++ b/kernel/src/main/java/org/marjoramswitch/kernel/watch/WatchedPrefix.java
@@ -25,12 +25,12 @@
  * <p>Not thread-safe.
  */
 final class WatchedPrefix {
-    /** Exceeds the removals of a day; each holds a key only. */
+    /** Bounds the memory for removals. A peer that may lack an older one gets a complete copy instead. */
     private static final int MAX_REMOVALS = 256;
 
     private final String prefix;
     private final Map<String, WatchedEntry> entries = new TreeMap<>();
-    /** The latest removals, in the order in which they became known. */
+    /** The latest removals, in the order of arrival. */
     private final Deque<WatchedEntry> removals = new ArrayDeque<>();
 
     private long completeRevision;
