Log how long connections wait before an I/O thread takes them

An instance that gets more connections than it serves reports threads that are at most 132 ms late, while callers wait for seconds. Neither the log nor a metric showed where. accepts_late reports the time since the listen queue was last empty, and the wait after the accept; request_ended reports the age of the connection and the number of its request. Gauges caller.unaccepted_ms and caller.connections_waiting.

--- a/daemon/src/main/java/org/marjoramswitch/daemon/caller/CallerAcceptor.java
+++ b/daemon/src/main/java/org/marjoramswitch/daemon/caller/CallerAcceptor.java
@@ -106,6 +106,7 @@
             Server server,
             PreparedRejections responses,
             UnreadRejectionReport report,
+            AcceptReport accepts,
             LongSupplier clockMs) {}
 
     /** @param taken set by the thread that serves the connection or rejects it */
@@ -176,11 +177,31 @@
         serveWaiting(nowMs);
         if (acceptable) {
             acceptAll(nowMs);
+        } else if (acceptKey.interestOps() != 0) {
+            parts.accepts().queueEmpty(nowMs);
         }
         rejectExpired(nowMs);
         removeEnded(nowMs);
         parts.report().flushIfDue(nowMs);
         updateInterest(nowMs);
+        reportRound(nowMs);
+    }
+
+    private void reportRound(long nowMs) {
+        String limit = "";
+        if (acceptNotBeforeMs > nowMs) {
+            limit = "FAULT";
+        } else if (waiting.size() >= MAX_WAITING) {
+            limit = "WAITING";
+        } else if (!hasRoom()) {
+            limit = "OPEN";
+        }
+        long oldestMs = Math.max(ageMs(waiting, nowMs), ageMs(handedOver, nowMs));
+        parts.accepts().roundEnded(limit, waiting.size(), rejecting.size(), served.get(), oldestMs, nowMs);
+    }
+
+    private static long ageMs(Deque<Waiting> line, long nowMs) {
+        return line.isEmpty() ? 0 : nowMs - line.getFirst().acceptedMs();
     }
 
     /** Returns whether connections wait to be accepted. */
@@ -208,8 +229,10 @@
             while (hasRoom()) {
                 SocketChannel channel = server.accept();
                 if (channel == null) {
+                    parts.accepts().queueEmpty(nowMs);
                     return;
                 }
+                parts.accepts().accepted();
                 accepted(channel, nowMs);
             }
         } catch (IOException e) {
@@ -241,6 +264,7 @@
 
     private void serve(Waiting connection) {
         served.incrementAndGet();
+        parts.accepts().handedOver();
         handedOver.addLast(connection);
         parts.server().serve(connection.channel(), connection::take, this::released);
     }
--- a/daemon/src/main/java/org/marjoramswitch/daemon/caller/CallerConnection.java
+++ b/daemon/src/main/java/org/marjoramswitch/daemon/caller/CallerConnection.java
@@ -46,6 +46,8 @@
     private String callerRequestId = "";
     private long deliveredBytes;
     private long lastReadMs;
+    private long openedMs;
+    private int requests;
 
     private CallerConnection(StreamConnection channel, ConnectionTimeouts timeouts) {
         this.channel = channel;
@@ -74,6 +76,7 @@
         source.setConduit(connection.new ObservedSource(source.getConduit()));
         ConduitStreamSinkChannel sink = channel.getSinkChannel();
         sink.setConduit(new ObservedSink(sink.getConduit(), connection));
+        connection.openedMs = timeouts.nowMs();
         connection.enter(Phase.IDLE);
         openListener.handleEvent(channel);
         connection.listenForClose();
@@ -98,10 +101,21 @@
     void requestBegins(HttpServerExchange begun) {
         exchange = begun;
         callerRequestId = "";
+        requests++;
         limits = timeouts.limits(sinceMs);
         enter(Phase.BUSY);
     }
 
+    /** Time since the connection was taken by its I/O thread. */
+    long openMs() {
+        return timeouts.nowMs() - openedMs;
+    }
+
+    /** Number of requests that were received on the connection. */
+    int requests() {
+        return requests;
+    }
+
     /** Bytes received since the request's first one. */
     long requestBytes() {
         return requestBytes;
--- a/daemon/src/main/java/org/marjoramswitch/daemon/caller/CallerExchange.java
+++ b/daemon/src/main/java/org/marjoramswitch/daemon/caller/CallerExchange.java
@@ -189,6 +189,10 @@
                 "progressTimeoutMs",
                 route == null ? 0 : route.callerProgressTimeoutMs(),
                 "bytes",
-                result.bytes());
+                result.bytes(),
+                "connectionMs",
+                CallerConnection.of(exchange).openMs(),
+                "connectionRequests",
+                CallerConnection.of(exchange).requests());
     }
 }
--- a/daemon/src/main/java/org/marjoramswitch/daemon/caller/ForwardServer.java
+++ b/daemon/src/main/java/org/marjoramswitch/daemon/caller/ForwardServer.java
@@ -165,6 +165,7 @@
                 server,
                 PreparedRejections.create(parts.decoder()),
                 UnreadRejectionReport.create(metrics, gate::rejectedUnread),
+                AcceptReport.create(metrics),
                 parts.clockMs());
     }
 
