Accept connections however many wait, and serve the newest first

What callers see: a request to an instance that gets more connections than it serves gets neither a response nor a rejection for as long as its caller waits, while the instance's own lag stays below the 60 ms from which admission control acts.

Cause: the accepting thread stopped accepting while 128 connections waited, and each waits for 100 to 200 ms before it is rejected, so that at most some 600 a second left the line. All others waited in the listen queue of the operating system, first in, first out, for as long as their callers; then they were accepted and served in vain. The pause of accepts kept the lag low, so the instance also reported headroom.

Change: connections are accepted however many wait, the newest is served first, none is served that should have been rejected, and the oldest is rejected first. Rejections get 0.6 of the processor once they are late. Beyond 1,000 waiting connections the oldest is closed unread. An instance that rejects connections unread reports no headroom and shortens the wait.

Tests: connectionsAreAcceptedHoweverManyWait times out without the change (128 of 700 accepted).

--- a/daemon/src/main/java/org/marjoramswitch/daemon/caller/AdmissionGate.java
+++ b/daemon/src/main/java/org/marjoramswitch/daemon/caller/AdmissionGate.java
@@ -122,7 +122,7 @@
 
     /** How long a connection may wait unread before it is rejected. */
     synchronized long maxWaitMs() {
-        return admission.isShedding() ? MAX_WAIT_SHEDDING_MS : MAX_WAIT_MS;
+        return admission.isRejecting(clockMs.getAsLong()) ? MAX_WAIT_SHEDDING_MS : MAX_WAIT_MS;
     }
 
     /** See {@link InstanceAdmission#headroomPercent}. */
--- a/daemon/src/main/java/org/marjoramswitch/daemon/caller/CallerAcceptor.java
+++ b/daemon/src/main/java/org/marjoramswitch/daemon/caller/CallerAcceptor.java
@@ -24,25 +24,32 @@
  * Accepts connections on a thread of its own, and either hands them over to be served or rejects them, so that callers
  * of an instance whose I/O threads are behind receive a rejection with a retry delay.
  *
- * <p>While the instance may accept, a connection is handed over at once. Otherwise it waits, unread, in the order of
- * accepts: it is handed over as soon as the instance may accept again, and rejected with a prepared response by {@link
- * RejectedConnection} once it has waited for {@link AdmissionGate#maxWaitMs}. The wait keeps a short pause, such as a garbage
- * collection, from rejecting anyone. A connection that was handed over, but that its I/O thread has not taken within the
- * same time, is taken back and rejected as well.
+ * <p>While the instance may accept, a connection is handed over at once. Otherwise it waits, unread, in {@link AcceptLine}:
+ * the newest is handed over as soon as the instance may accept again, and the oldest is rejected with a prepared response by
+ * {@link RejectedConnection} once it has waited for {@link AdmissionGate#maxWaitMs}. The wait keeps a short pause, such as a
+ * garbage collection, from rejecting anyone. A connection that was handed over, but that its I/O thread has not taken
+ * within the same time, is taken back and rejected as well.
  *
- * <p>Both hand-overs of connections that waited and rejections are limited by parts of the processor. What exceeds the
- * limits, or the bounds of connections, waits in the listen queue of the operating system.
+ * <p>Connections are accepted however many wait, because the listen queue of the operating system is served in its order
+ * and the age of what is in it is unknown: a connection that waits there for longer than its caller does is served in vain.
+ *
+ * <p>Both hand-overs of connections that waited and rejections are limited by parts of the processor. Rejections get a
+ * larger part once the oldest connection has waited for twice the time after which it should have been rejected. If there are
+ * still more, the oldest is closed unread, which costs least: its caller knows at once that its request was not run.
  */
 final class CallerAcceptor implements AutoCloseable {
     private static final KeyValueLog LOG = KeyValueLog.of(CallerAcceptor.class);
     /** As Undertow's listeners. */
     private static final int BACKLOG = 1_000;
 
+    /** Accepts in one round; connections that are being rejected have their turn after this. */
+    private static final int MAX_ACCEPTS = 128;
+
     private static final long CHECK_MS = 5;
     /** A longer time between two rounds is a pause of this thread as well, which says nothing of the I/O threads. */
     private static final long MAX_ROUND_MS = 25;
-    /** Each may hold some kilobytes of its request in the operating system. */
-    private static final int MAX_WAITING = 128;
+    /** What the listen queue holds as well, so that connections that wait here need no more memory than there. */
+    private static final int MAX_WAITING = BACKLOG;
 
     private static final int MAX_REJECTING = 256;
     /** Estimated processor time of a rejection by an I/O thread, the least that a hand-over leads to. */
@@ -51,6 +58,8 @@
     private static final double REJECTION_US = 125;
     /** The part of the processor for rejections; the rest is for requests that are served. */
     private static final double REJECTION_SHARE = 0.3;
+    /** As {@link #REJECTION_SHARE}, while rejections are late. */
+    private static final double LATE_REJECTION_SHARE = 0.6;
 
     private static final double BURST_MS = 20;
     private static final int INPUT_BYTES = 16 << 10;
@@ -63,13 +72,14 @@
     private final SelectionKey acceptKey;
     private final Thread thread;
     private final ByteBuffer input = ByteBuffer.allocateDirect(INPUT_BYTES);
-    private final Deque<Waiting> waiting = new ArrayDeque<>();
-    /** Connections that were handed over and may not have been taken yet, in the order of accepts. */
+    private final AcceptLine<Waiting> waiting = AcceptLine.withCapacity(MAX_WAITING);
+    /** Connections that were handed over and may not have been taken yet, in the order of the hand-overs. */
     private final Deque<Waiting> handedOver = new ArrayDeque<>();
 
     private final List<Rejection> rejecting = new ArrayList<>();
     private final RateLimit handOvers;
     private final RateLimit rejections;
+    private final RateLimit lateRejections;
     /** Connections that were handed over and are open. */
     private final AtomicInteger served = new AtomicInteger();
 
@@ -109,8 +119,11 @@
             AcceptReport accepts,
             LongSupplier clockMs) {}
 
-    /** @param taken set by the thread that serves the connection or rejects it */
-    private record Waiting(SocketChannel channel, long acceptedMs, long acceptedRunningMs, AtomicBoolean taken) {
+    /**
+     * @param sinceRunningMs when it was accepted or handed over, in the running time of this thread
+     * @param taken set by the thread that serves the connection or rejects it
+     */
+    private record Waiting(SocketChannel channel, long acceptedMs, long sinceRunningMs, AtomicBoolean taken) {
         boolean take() {
             return taken.compareAndSet(false, true);
         }
@@ -121,7 +134,8 @@
     private CallerAcceptor(HostPort address, Parts parts) throws IOException {
         this.parts = parts;
         this.handOvers = new RateLimit(parts.processorMillicores() / HAND_OVER_US, BURST_MS);
-        this.rejections = new RateLimit(REJECTION_SHARE * parts.processorMillicores() / REJECTION_US, BURST_MS);
+        this.rejections = rejectionLimit(REJECTION_SHARE, parts);
+        this.lateRejections = rejectionLimit(LATE_REJECTION_SHARE - REJECTION_SHARE, parts);
         this.selector = Selector.open();
         this.server = ServerSocketChannel.open();
         server.setOption(StandardSocketOptions.SO_REUSEADDR, true);
@@ -132,6 +146,10 @@
         thread.setDaemon(true);
     }
 
+    private static RateLimit rejectionLimit(double processorShare, Parts parts) {
+        return new RateLimit(processorShare * parts.processorMillicores() / REJECTION_US, BURST_MS);
+    }
+
     /** Binds the address and starts accepting. */
     static CallerAcceptor open(HostPort address, Parts parts) throws IOException {
         CallerAcceptor acceptor = new CallerAcceptor(address, parts);
@@ -174,12 +192,12 @@
         runningMs += Math.min(MAX_ROUND_MS, Math.max(0, nowMs - lastRoundMs));
         lastRoundMs = nowMs;
         boolean acceptable = proceedReady(nowMs);
-        serveWaiting(nowMs);
         if (acceptable) {
             acceptAll(nowMs);
         } else if (acceptKey.interestOps() != 0) {
             parts.accepts().queueEmpty(nowMs);
         }
+        serveWaiting(nowMs);
         rejectExpired(nowMs);
         removeEnded(nowMs);
         parts.report().flushIfDue(nowMs);
@@ -191,17 +209,11 @@
         String limit = "";
         if (acceptNotBeforeMs > nowMs) {
             limit = "FAULT";
-        } else if (waiting.size() >= MAX_WAITING) {
-            limit = "WAITING";
         } else if (!hasRoom()) {
             limit = "OPEN";
         }
-        long oldestMs = Math.max(ageMs(waiting, nowMs), ageMs(handedOver, nowMs));
-        parts.accepts().roundEnded(limit, waiting.size(), rejecting.size(), served.get(), oldestMs, nowMs);
-    }
-
-    private static long ageMs(Deque<Waiting> line, long nowMs) {
-        return line.isEmpty() ? 0 : nowMs - line.getFirst().acceptedMs();
+        long oldestWaitMs = waiting.oldestWaitMs(runningMs);
+        parts.accepts().roundEnded(limit, waiting.size(), rejecting.size(), served.get(), oldestWaitMs, nowMs);
     }
 
     /** Returns whether connections wait to be accepted. */
@@ -219,14 +231,18 @@
     }
 
     private void serveWaiting(long nowMs) {
-        while (!waiting.isEmpty() && parts.mayAccept().getAsBoolean() && handOvers.take(nowMs)) {
-            serve(waiting.removeFirst());
+        if (waiting.isEmpty()) {
+            return;
+        }
+        long maxWaitMs = parts.maxWaitMs().getAsLong();
+        while (waiting.hasFresh(maxWaitMs, runningMs) && parts.mayAccept().getAsBoolean() && handOvers.take(nowMs)) {
+            serve(waiting.removeNewest());
         }
     }
 
     private void acceptAll(long nowMs) {
         try {
-            while (hasRoom()) {
+            for (int i = 0; i < MAX_ACCEPTS && hasRoom(); i++) {
                 SocketChannel channel = server.accept();
                 if (channel == null) {
                     parts.accepts().queueEmpty(nowMs);
@@ -253,47 +269,75 @@
         if (waiting.isEmpty() && parts.mayAccept().getAsBoolean()) {
             serve(connection);
         } else {
-            waiting.addLast(connection);
+            addWaiting(connection, nowMs);
+        }
+    }
+
+    private void addWaiting(Waiting connection, long nowMs) {
+        if (waiting.isFull()) {
+            Waiting oldest = waiting.removeOldest();
+            IoUtils.safeClose(oldest.channel());
+            parts.report().closed(nowMs - oldest.acceptedMs());
         }
+        waiting.add(connection, runningMs);
     }
 
     private boolean hasRoom() {
-        int held = waiting.size() + rejecting.size();
-        return waiting.size() < MAX_WAITING && served.get() + held < parts.maxConnections();
+        return served.get() + waiting.size() + rejecting.size() < parts.maxConnections();
     }
 
     private void serve(Waiting connection) {
         served.incrementAndGet();
         parts.accepts().handedOver();
-        handedOver.addLast(connection);
+        handedOver.addLast(new Waiting(connection.channel(), connection.acceptedMs(), runningMs, connection.taken()));
         parts.server().serve(connection.channel(), connection::take, this::released);
     }
 
     private void rejectExpired(long nowMs) {
         handedOver.removeIf(connection -> connection.taken().get());
-        rejectExpired(waiting, nowMs);
-        int untaken = handedOver.size();
-        rejectExpired(handedOver, nowMs);
-        served.addAndGet(handedOver.size() - untaken);
+        if (waiting.isEmpty() && handedOver.isEmpty()) {
+            return;
+        }
+        long maxWaitMs = parts.maxWaitMs().getAsLong();
+        rejectWaiting(maxWaitMs, nowMs);
+        rejectUntaken(maxWaitMs, nowMs);
     }
 
-    private void rejectExpired(Deque<Waiting> line, long nowMs) {
-        long maxWaitMs = line.isEmpty() ? 0 : parts.maxWaitMs().getAsLong();
-        while (!line.isEmpty() && rejecting.size() < MAX_REJECTING) {
-            Waiting oldest = line.getFirst();
-            if (runningMs - oldest.acceptedRunningMs() < maxWaitMs || !rejections.take(nowMs)) {
-                return;
-            }
-            if (!oldest.take()) {
-                return; // its I/O thread has taken it just now; it is removed in the next round
+    private void rejectWaiting(long maxWaitMs, long nowMs) {
+        for (Waiting oldest = waiting.expired(maxWaitMs, runningMs);
+                oldest != null && mayReject(maxWaitMs, nowMs);
+                oldest = waiting.expired(maxWaitMs, runningMs)) {
+            waiting.removeOldest();
+            reject(oldest, nowMs);
+        }
+    }
+
+    private void rejectUntaken(long maxWaitMs, long nowMs) {
+        while (!handedOver.isEmpty()
+                && runningMs - handedOver.getFirst().sinceRunningMs() >= maxWaitMs
+                && mayReject(maxWaitMs, nowMs)) {
+            Waiting oldest = handedOver.removeFirst();
+            if (oldest.take()) {
+                served.decrementAndGet();
+                reject(oldest, nowMs);
             }
-            line.removeFirst();
-            RejectedConnection connection = new RejectedConnection(oldest.channel(), parts.responses(), input, nowMs);
-            connection.begin(selector, nowMs);
-            rejecting.add(new Rejection(connection, nowMs - oldest.acceptedMs()));
         }
     }
 
+    private boolean mayReject(long maxWaitMs, long nowMs) {
+        if (rejecting.size() >= MAX_REJECTING) {
+            return false;
+        }
+        boolean late = waiting.oldestWaitMs(runningMs) >= 2 * maxWaitMs;
+        return rejections.take(nowMs) || (late && lateRejections.take(nowMs));
+    }
+
+    private void reject(Waiting oldest, long nowMs) {
+        RejectedConnection connection = new RejectedConnection(oldest.channel(), parts.responses(), input, nowMs);
+        connection.begin(selector, nowMs);
+        rejecting.add(new Rejection(connection, nowMs - oldest.acceptedMs()));
+    }
+
     private void removeEnded(long nowMs) {
         rejecting.removeIf(entry -> {
             RejectedConnection connection = entry.connection();
@@ -325,7 +369,7 @@
 
     private void closeAll() {
         IoUtils.safeClose(server);
-        waiting.forEach(entry -> IoUtils.safeClose(entry.channel()));
+        waiting.removeAll().forEach(entry -> IoUtils.safeClose(entry.channel()));
         handedOver.stream().filter(Waiting::take).forEach(entry -> IoUtils.safeClose(entry.channel()));
         rejecting.forEach(entry -> entry.connection().close());
         IoUtils.safeClose(selector);
--- a/daemon/src/test/java/org/marjoramswitch/daemon/caller/UnreadRejectionTest.java
+++ b/daemon/src/test/java/org/marjoramswitch/daemon/caller/UnreadRejectionTest.java
@@ -1,6 +1,7 @@
 package org.marjoramswitch.daemon.caller;
 
 import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertThrows;
 import static org.junit.jupiter.api.Assertions.assertTrue;
 
 import com.codahale.metrics.MetricRegistry;
@@ -10,6 +11,7 @@
 import java.net.InetSocketAddress;
 import java.net.ServerSocket;
 import java.net.Socket;
+import java.net.SocketException;
 import java.net.SocketTimeoutException;
 import java.nio.charset.StandardCharsets;
 import java.util.ArrayList;
@@ -35,6 +37,8 @@
 @Timeout(60)
 class UnreadRejectionTest {
     private static final int CALLERS = 200;
+    private static final int MANY_CALLERS = 700;
+    private static final int MAX_WAITING = 1_000;
     private static final int CONNECT_TIMEOUT_MS = 1_000;
     private static final int READ_TIMEOUT_MS = 5_000;
     private static final String BODY = "x".repeat(2_000);
@@ -45,6 +49,9 @@
     /** Time by which the instance's clock is ahead, as after a pause of the process. */
     private final AtomicLong skippedMs = new AtomicLong();
 
+    /** The time at which the instance's clock stands still, 0 if it goes on. */
+    private final AtomicLong frozenMs = new AtomicLong();
+
     private final CountDownLatch caughtUp = new CountDownLatch(1);
     private final List<Socket> open = new ArrayList<>();
     private XnioWorker worker;
@@ -67,7 +74,7 @@
                         () -> RoutedSettings.NONE,
                         () -> false,
                         () -> 0,
-                        () -> System.nanoTime() / 1_000_000 + skippedMs.get(),
+                        this::nowMs,
                         AdmissionOptions.of(360, rejected -> {})),
                 worker,
                 metrics);
@@ -104,6 +111,35 @@
         awaitServed();
     }
 
+    /**
+     * Guards against connections that are left in the listen queue, whose age nobody knows, while others wait: their callers
+     * gave up before they were accepted, and were told nothing.
+     */
+    @Test
+    void connectionsAreAcceptedHoweverManyWait() throws IOException, InterruptedException {
+        holdUp();
+        frozenMs.set(System.nanoTime() / 1_000_000 + 60_000);
+        for (int i = 0; i < MANY_CALLERS; i++) {
+            send(REQUEST);
+        }
+        awaitGauge("caller.connections_waiting", MANY_CALLERS);
+    }
+
+    /** Guards against connections that stay in the listen queue while more wait than can be rejected. */
+    @Test
+    void oldestConnectionIsClosedUnreadIfTooManyWait() throws IOException, InterruptedException {
+        holdUp();
+        frozenMs.set(System.nanoTime() / 1_000_000 + 60_000);
+        Socket oldest = send(REQUEST);
+        awaitGauge("caller.connections_waiting", 1);
+        for (int i = 0; i < MAX_WAITING; i++) {
+            send(REQUEST);
+        }
+        assertThrows(SocketException.class, () -> oldest.getInputStream().read());
+        assertEquals(1, metrics.meter("caller.closed_unread").getCount());
+        awaitGauge("caller.connections_waiting", MAX_WAITING);
+    }
+
     /** Guards against requests that were rejected and are counted or told nowhere. */
     @Test
     void rejectedCallersAreCounted() throws IOException {
@@ -163,6 +199,11 @@
         assertEquals(0, metrics.meter("caller.connections_rejected").getCount());
     }
 
+    private long nowMs() {
+        long frozen = frozenMs.get();
+        return frozen == 0 ? System.nanoTime() / 1_000_000 + skippedMs.get() : frozen;
+    }
+
     private void holdUp() {
         holdUp(caughtUp);
     }
@@ -190,6 +231,12 @@
         }
     }
 
+    private void awaitGauge(String name, int value) throws InterruptedException {
+        while (!metrics.getGauges().get(name).getValue().equals(value)) {
+            Thread.sleep(5);
+        }
+    }
+
     private Socket send(String request) throws IOException {
         Socket socket = new Socket();
         open.add(socket);
--- a/kernel/src/main/java/org/marjoramswitch/kernel/admission/InstanceAdmission.java
+++ b/kernel/src/main/java/org/marjoramswitch/kernel/admission/InstanceAdmission.java
@@ -44,6 +44,9 @@
     /** Above the lag at which the limits are reduced, so that these decide while they can. */
     private static final long MAX_ACCEPT_LAG_MS = 40;
 
+    /** Spans several reports of connections that were rejected unread. */
+    private static final long UNREAD_KNOWN_MS = 1_000;
+
     private static final double REJECTION_BURST_MS = 20;
     private static final int FULL_PERCENT = 100;
     private static final float LOAD_FACTOR = 0.75f;
@@ -60,6 +63,7 @@
     private long rejections;
     private double rejectionBucket;
     private long rejectionsFilledAtMs;
+    private long rejectedUnreadAtMs = -UNREAD_KNOWN_MS;
 
     private InstanceAdmission(int processorMillicores) {
         this.processorMillicores = processorMillicores;
@@ -97,6 +101,7 @@
      * read.
      */
     public void rejectedUnread(long requests, long nowMs) {
+        rejectedUnreadAtMs = nowMs;
         recentRequests.distribute(requests, nowMs, rejectedTokens);
     }
 
@@ -201,6 +206,14 @@
         return limits.isActive();
     }
 
+    /**
+     * Whether requests are rejected, also unread. Connections that wait to be read keep the lag of the threads low, so
+     * that the limits alone do not show the overload.
+     */
+    public boolean isRejecting(long nowMs) {
+        return limits.isActive() || nowMs - rejectedUnreadAtMs < UNREAD_KNOWN_MS;
+    }
+
     /** The work that is admitted, in thousandths of a core; the whole processor while nothing is rejected. */
     public long admittedMillicores() {
         return limits.isActive() ? Math.round(limits.admittedMillicores()) : processorMillicores;
@@ -208,7 +221,7 @@
 
     /** The part of the processor that further requests could use: 0 while the instance rejects, up to 100. */
     public int headroomPercent(long nowMs) {
-        if (limits.isActive()) {
+        if (isRejecting(nowMs)) {
             return 0;
         }
         double free = 1 - offered.perMs(nowMs) / processorMillicores;
--- a/kernel/src/test/java/org/marjoramswitch/kernel/admission/InstanceAdmissionTest.java
+++ b/kernel/src/test/java/org/marjoramswitch/kernel/admission/InstanceAdmissionTest.java
@@ -154,6 +154,17 @@
         assertEquals(InstanceAdmission.MAX_CUSTOMERS, admission.customerCount());
     }
 
+    /** Guards against an instance that is offered further callers while it rejects connections before it has read them. */
+    @Test
+    void instanceThatRejectsUnreadHasNoHeadroom() {
+        InstanceAdmission admission = InstanceAdmission.create(OverloadedInstance.MILLICORES);
+        assertEquals(100, admission.headroomPercent(2_000));
+        admission.rejectedUnread(1, 2_000);
+        assertTrue(admission.isRejecting(2_500));
+        assertEquals(0, admission.headroomPercent(2_500));
+        assertEquals(100, admission.headroomPercent(3_000));
+    }
+
     /** Guards against callers of a flooding customer returning together, or when their time is nearly over. */
     @Test
     void rejectionsSpreadTheirRetriesAndAreReportedAsDemand() {
