Judge runs in a planned stop by their own route and by enough of them

Cause: StopPolicy went by the longest complete request of the pool in the last half minute to minute. One short request of another route of the pool, such as a readiness request, made the pool known, so that a route whose runs take 4.5 s was accepted until 2.7 s after SIGTERM and cut at the end of the drain. Evidence about one kind of work was taken for another, and one sample for a distribution.

A route is known from 10 complete runs on, for requests that may run once from 20 on: the next run exceeds the longest of n independent ones with a probability of 1 / (n + 1), and the caller of a request that may run once and is cut cannot learn whether it ran. An unknown route goes by its deadline only.

Promise spent: a route of which the instance has run fewer requests in the last half minute to minute is rejected from SIGTERM on, not run, unless its deadline falls before the end of the drain.

--- a/daemon/src/main/java/org/marjoramswitch/daemon/caller/RoutedCall.java
+++ b/daemon/src/main/java/org/marjoramswitch/daemon/caller/RoutedCall.java
@@ -49,7 +49,8 @@
                         0,
                         nowMs + Math.min(callerTimeoutMs(), route.timeoutMs()),
                         placement(nowMs - elapsedMs + route.objectiveMs() - CALLER_NETWORK_MS))
-                .withProgressTimeout(route.callerProgressTimeoutMs(), nowMs);
+                .withProgressTimeout(route.callerProgressTimeoutMs(), nowMs)
+                .withRoute(route.name());
     }
 
     /** The wait of the caller of a request that was read now. */
--- a/kernel/src/main/java/org/marjoramswitch/kernel/entry/PoolQueues.java
+++ b/kernel/src/main/java/org/marjoramswitch/kernel/entry/PoolQueues.java
@@ -20,8 +20,7 @@
     private final RetryBudget retriesNotRun = RetryBudget.create();
     private final RetryBudget retriesMayHaveRun = RetryBudget.create();
     private final WindowedRetryBudget windowedRetryBudget = WindowedRetryBudget.create();
-    private final RecentDurations requestTimes = RecentDurations.create();
-    private final RecentDurations runTimes = RecentDurations.create();
+    private final RouteDurations durations = RouteDurations.create();
     private final PrefixDirectory prefixes = new PrefixDirectory();
     private final Map<CustomerId, CellId> homes = new TreeMap<>();
     private final String instance;
@@ -62,14 +61,9 @@
         return windowedRetryBudget;
     }
 
-    /** Durations of placed requests from arrival to end. */
-    RecentDurations requestTimes() {
-        return requestTimes;
-    }
-
-    /** Durations of placed requests from the last send to the end. */
-    RecentDurations runTimes() {
-        return runTimes;
+    /** Recent durations of this entry's requests, by route. */
+    RouteDurations durations() {
+        return durations;
     }
 
     PrefixDirectory prefixes() {
--- a/kernel/src/main/java/org/marjoramswitch/kernel/entry/RecentDurations.java
+++ b/kernel/src/main/java/org/marjoramswitch/kernel/entry/RecentDurations.java
@@ -11,8 +11,8 @@
     private long windowStartMs = Long.MIN_VALUE / 2;
     private long currentMs = NONE;
     private long previousMs = NONE;
-    private boolean currentHasComplete;
-    private boolean previousHasComplete;
+    private int currentComplete;
+    private int previousComplete;
 
     private RecentDurations() {}
 
@@ -24,13 +24,19 @@
     void record(long durationMs, boolean complete, long nowMs) {
         advance(nowMs);
         currentMs = Math.max(currentMs, durationMs);
-        currentHasComplete |= complete;
+        currentComplete += complete ? 1 : 0;
     }
 
     /** Returns the longest recent duration, or {@link #NONE} if there is no complete one. */
     long longestMs(long nowMs) {
         advance(nowMs);
-        return currentHasComplete || previousHasComplete ? Math.max(currentMs, previousMs) : NONE;
+        return currentComplete + previousComplete > 0 ? Math.max(currentMs, previousMs) : NONE;
+    }
+
+    /** Returns the number of recent durations that are not only lower bounds. */
+    int completeCount(long nowMs) {
+        advance(nowMs);
+        return currentComplete + previousComplete;
     }
 
     private void advance(long nowMs) {
@@ -40,9 +46,9 @@
         }
         boolean isNextWindow = elapsedMs < 2 * WINDOW_MS;
         previousMs = isNextWindow ? currentMs : NONE;
-        previousHasComplete = isNextWindow && currentHasComplete;
+        previousComplete = isNextWindow ? currentComplete : 0;
         currentMs = NONE;
-        currentHasComplete = false;
+        currentComplete = 0;
         windowStartMs = isNextWindow ? windowStartMs + WINDOW_MS : nowMs;
     }
 }
--- a/kernel/src/main/java/org/marjoramswitch/kernel/entry/StopPolicy.java
+++ b/kernel/src/main/java/org/marjoramswitch/kernel/entry/StopPolicy.java
@@ -5,6 +5,7 @@
 import java.util.List;
 import java.util.Map;
 import java.util.function.Function;
+import org.marjoramswitch.kernel.entry.RouteDurations.Durations;
 import org.marjoramswitch.kernel.model.PoolId;
 import org.marjoramswitch.kernel.model.RequestSpec;
 
@@ -13,10 +14,11 @@
  * that are still open. A request that cannot is rejected as not run, so that its caller goes to another instance.
  *
  * <p>A request ends in time if its deadline falls before the end of the drain, or if the longest recent request of its
- * pool, with some headroom, would. Requests that were broken off or are still running count with their duration so far,
- * but do not show how long runs take. A pool without complete ones is unknown, and only the deadline counts.
+ * kind, with some headroom, would. A kind is a route and a pool: a route's short requests show nothing about another
+ * route. Requests that were broken off or are still running count with their duration so far, but do not show how long
+ * runs take. A kind with too few complete runs is unknown, and only the deadline counts.
  *
- * <p>For example, with 4 s left and a deadline in 7 s, a request is accepted if the longest recent one of its pool took
+ * <p>For example, with 4 s left and a deadline in 7 s, a request is accepted if the longest recent one of its kind took
  * 2.5 s, and rejected if it took 3.5 s.
  *
  * <p>Applies to placed requests only: the deadline of others does not bound their run.
@@ -24,6 +26,17 @@
 final class StopPolicy {
     /** The next request may take longer than any recent one. */
     private static final double HEADROOM = 1.25;
+    /**
+     * Complete runs that make a kind known. The next run exceeds the longest of {@code n} independent ones with a
+     * probability of {@code 1 / (n + 1)}, thus one in eleven even without headroom. More would make routes unknown that
+     * are used once every few seconds.
+     */
+    private static final int MIN_RUNS = 10;
+    /**
+     * The same for requests that may run once, one in twenty-one: if one of them is cut, its caller cannot learn whether it
+     * ran, whereas a rejected one runs at another instance.
+     */
+    private static final int MIN_RUNS_ONCE = 20;
     /** From the end of a run until its response has been written to the caller. */
     private static final long DELIVERY_MS = 150;
 
@@ -54,9 +67,10 @@
 
     /** Records how long a request took that a target has run; a lower bound if its response was not complete. */
     void ended(EntryRequest request, boolean complete, long nowMs) {
-        PoolQueues pool = pools.apply(request.spec().pool());
-        pool.requestTimes().record(nowMs - request.arrivedAtMs(), complete, nowMs);
-        pool.runTimes().record(nowMs - request.sentAtMs(), complete, nowMs);
+        Kind kind = Kind.of(request.spec());
+        pools.apply(kind.pool())
+                .durations()
+                .record(kind.route(), nowMs - request.arrivedAtMs(), nowMs - request.sentAtMs(), complete, nowMs);
     }
 
     /** Whether a request that arrives now can end in time, including its wait. */
@@ -64,12 +78,13 @@
         if (endsInTime(spec, nowMs)) {
             return true;
         }
-        long longestMs = pools.apply(spec.pool()).requestTimes().longestMs(nowMs);
+        long longestMs = longestMs(spec, Durations::requests, nowMs);
         if (longestMs == RecentDurations.NONE) {
             return false;
         }
+        Kind kind = Kind.of(spec);
         for (EntryRequest request : open) {
-            if (request.spec().pool().equals(spec.pool())) {
+            if (kind.includes(request.spec())) {
                 longestMs = Math.max(longestMs, nowMs - request.arrivedAtMs());
             }
         }
@@ -82,8 +97,9 @@
             return true;
         }
         long longestRunMs = 0;
+        Kind kind = Kind.of(spec);
         for (EntryRequest request : open) {
-            if (request.target() != null && request.spec().pool().equals(spec.pool())) {
+            if (request.target() != null && kind.includes(request.spec())) {
                 longestRunMs = Math.max(longestRunMs, nowMs - request.sentAtMs());
             }
         }
@@ -94,7 +110,7 @@
         if (endsInTime(spec, nowMs)) {
             return true;
         }
-        long longestMs = pools.apply(spec.pool()).runTimes().longestMs(nowMs);
+        long longestMs = longestMs(spec, Durations::runs, nowMs);
         return longestMs != RecentDurations.NONE && fits(Math.max(longestMs, longestRunMs), nowMs);
     }
 
@@ -104,19 +120,31 @@
             return List.of();
         }
         // All waiting requests are checked in each tick, so the running ones are not gone through for each of them.
-        Map<PoolId, Long> longestRunMs = new HashMap<>();
+        Map<Kind, Long> longestRunMs = new HashMap<>();
         for (EntryRequest request : open) {
             if (request.target() != null) {
-                longestRunMs.merge(request.spec().pool(), nowMs - request.sentAtMs(), Math::max);
+                longestRunMs.merge(Kind.of(request.spec()), nowMs - request.sentAtMs(), Math::max);
             }
         }
         return open.stream()
                 .filter(request -> request.target() == null)
-                .filter(request -> !maySend(
-                        request.spec(), longestRunMs.getOrDefault(request.spec().pool(), 0L), nowMs))
+                .filter(request ->
+                        !maySend(request.spec(), longestRunMs.getOrDefault(Kind.of(request.spec()), 0L), nowMs))
                 .toList();
     }
 
+    /** The longest recent duration of the request's kind, or {@link RecentDurations#NONE} if the kind is unknown. */
+    private long longestMs(RequestSpec spec, Function<Durations, RecentDurations> type, long nowMs) {
+        Kind kind = Kind.of(spec);
+        Durations durations = pools.apply(kind.pool()).durations().of(kind.route());
+        if (durations == null) {
+            return RecentDurations.NONE;
+        }
+        RecentDurations recent = type.apply(durations);
+        int minRuns = spec.repeatable() ? MIN_RUNS : MIN_RUNS_ONCE;
+        return recent.completeCount(nowMs) < minRuns ? RecentDurations.NONE : recent.longestMs(nowMs);
+    }
+
     private boolean endsInTime(RequestSpec spec, long nowMs) {
         return !isStopping()
                 || spec.placement() == null
@@ -126,4 +154,20 @@
     private boolean fits(long longestMs, long nowMs) {
         return nowMs + Math.round(HEADROOM * longestMs) + DELIVERY_MS <= drainEndsAtMs;
     }
+
+    /** Requests whose runs are expected to be of similar length. */
+    private record Kind(PoolId pool, String route) {
+        static Kind of(RequestSpec spec) {
+            return new Kind(spec.pool(), routeOf(spec));
+        }
+
+        boolean includes(RequestSpec spec) {
+            return pool.equals(spec.pool()) && route.equals(routeOf(spec));
+        }
+
+        private static String routeOf(RequestSpec spec) {
+            String route = spec.route();
+            return route == null ? "" : route;
+        }
+    }
 }
--- a/kernel/src/main/java/org/marjoramswitch/kernel/model/RequestSpec.java
+++ b/kernel/src/main/java/org/marjoramswitch/kernel/model/RequestSpec.java
@@ -17,6 +17,7 @@
  * @param digest equal for requests with equal customer, path and body; 0 if unknown
  * @param progressTimeoutMs how long the caller waits without receiving a part of the response; 0 if until its deadline
  * @param readAtMs when the request was read; the progress timeout counts from then
+ * @param route the name of the route on which the request arrived; null if it arrived on none
  */
 public record RequestSpec(
         long requestId,
@@ -31,7 +32,8 @@
         @Nullable PlacementSpec placement,
         long digest,
         long progressTimeoutMs,
-        long readAtMs) {
+        long readAtMs,
+        @Nullable String route) {
     public static final int DEFAULT_URGENCY = 3;
     public static final int LOWEST_URGENCY = 7;
 
@@ -101,20 +103,26 @@
                 placement,
                 digest,
                 0,
-                0);
+                0,
+                null);
     }
 
     /** Returns the request with this digest. */
     public RequestSpec withDigest(long newDigest) {
-        return with(newDigest, progressTimeoutMs, readAtMs);
+        return with(newDigest, progressTimeoutMs, readAtMs, route);
     }
 
     /** Returns the request with this progress timeout of its caller, which counts from {@code startMs}. */
     public RequestSpec withProgressTimeout(long timeoutMs, long startMs) {
-        return with(digest, timeoutMs, startMs);
+        return with(digest, timeoutMs, startMs, route);
+    }
+
+    /** Returns the request with this route. */
+    public RequestSpec withRoute(String newRoute) {
+        return with(digest, progressTimeoutMs, readAtMs, newRoute);
     }
 
-    private RequestSpec with(long newDigest, long newProgressTimeoutMs, long newReadAtMs) {
+    private RequestSpec with(long newDigest, long newProgressTimeoutMs, long newReadAtMs, @Nullable String newRoute) {
         return new RequestSpec(
                 requestId,
                 customer,
@@ -128,6 +136,7 @@
                 placement,
                 newDigest,
                 newProgressTimeoutMs,
-                newReadAtMs);
+                newReadAtMs,
+                newRoute);
     }
 }
--- a/kernel/src/test/java/org/marjoramswitch/kernel/PlannedStopTest.java
+++ b/kernel/src/test/java/org/marjoramswitch/kernel/PlannedStopTest.java
@@ -19,6 +19,8 @@
 class PlannedStopTest extends PlacementFleet {
     private static final long STOP_MS = 4_000;
     private static final long RUN_MS = 1_500;
+    /** Complete runs that make a route known, also for requests that may run once. */
+    private static final int KNOWN_RUNS = 20;
 
     /** Deadlines fall after the end of the drain. */
     @BeforeEach
@@ -110,9 +112,11 @@
     /** Guards against taking the time until a caller left or a target broke off for the time that runs take. */
     @Test
     void runsThatWereBrokenOffDoNotShowHowLongRunsTake() {
-        end(arrive(true, 1, false), TargetOutcome.CANCELLED);
-        end(arrive(true, 1, false), TargetOutcome.BROKEN_BEFORE_ANSWER);
-        end(arrive(true, 1, false), TargetOutcome.SERVER_ERROR);
+        for (int i = 0; i < KNOWN_RUNS; i++) {
+            end(arrive(true, 1, false), TargetOutcome.CANCELLED);
+            end(arrive(true, 1, false), TargetOutcome.BROKEN_BEFORE_ANSWER);
+            end(arrive(true, 1, false), TargetOutcome.SERVER_ERROR);
+        }
         stop();
         assertRejected(arrive(true, 1, false), RunState.NOT_RUN);
     }
@@ -129,9 +133,11 @@
     }
 
     private void completeAfter(long runMs) {
-        long request = arrive(true, 1, false);
-        advance(runMs);
-        end(request, TargetOutcome.COMPLETED);
+        for (int i = 0; i < KNOWN_RUNS; i++) {
+            long request = arrive(true, 1, false);
+            advance(runMs);
+            end(request, TargetOutcome.COMPLETED);
+        }
     }
 
     private void stop() {
