Let a request whose silent attempt was ended wait for a slot

Cause: the slot for the next attempt is reserved when the end of the silent attempt is ordered. It may be lost until the attempt has ended: the arbiter or the link to it changes, the targets enter a backoff, or the I/O thread ends the attempt more than 1 s later. The request was then placed like a new one, whose time for a slot had passed, so the arbiter rejected it and the caller received "unknown", although it still waited. Other requests could also take the retry that was given back with the slot.

Promise spent: a request for which no slot becomes free ends as unknown at the end of its caller's time, not at the first rejection.

--- a/kernel/src/main/java/org/marjoramswitch/kernel/entry/Entry.java
+++ b/kernel/src/main/java/org/marjoramswitch/kernel/entry/Entry.java
@@ -89,6 +89,7 @@
     private final SendAdmission admission;
     private final StopPolicy stopPolicy;
     private final ListWaits listWaits = new ListWaits();
+    private final SlotWaits slotWaits = new SlotWaits();
     private int totalWaiting;
     private boolean draining;
     private long lastTickMs;
@@ -184,6 +185,7 @@
             request.streamStarted();
         }
         placements.responseStarted(request, nowMs, sink);
+        request.silentAttemptEnded(false);
         releaseReserved(request, sink);
     }
 
@@ -213,6 +215,7 @@
             return;
         }
         sink.accept(EntryLog.silentAttemptReplaced(request, silent, placed.target()));
+        request.silentAttemptEnded(true);
         sink.accept(new Action.EndSilentAttempt(request.spec().requestId(), silent));
     }
 
@@ -222,8 +225,9 @@
         giveBackReservedRetry(request);
     }
 
+    /** Gives back the retry unless the silent attempt is about to end: the next one must not lack a retry then. */
     private void giveBackReservedRetry(EntryRequest request) {
-        if (request.takeReservedRetry()) {
+        if (!request.isSilentAttemptEnded() && request.takeReservedRetry()) {
             pool(request.spec().pool()).windowedRetryBudget().giveBack(request.retryReservedAtMs());
         }
     }
@@ -255,7 +259,7 @@
         if (onlyTarget && verdict == SendAdmission.Verdict.TARGET_IN_BACKOFF) {
             // The arbiter selected an excluded target for lack of another one. It would do so again until the backoff
             // has elapsed.
-            refuseForBackoff(request, targetBackoffs.remainingMs(List.of(placed.target()), nowMs), sink);
+            refuseForBackoff(request, targetBackoffs.remainingMs(List.of(placed.target()), nowMs), nowMs, sink);
             return;
         }
         if (verdict.excludesTarget()) {
@@ -278,8 +282,10 @@
         fail(request, type, RETRY_AFTER_MS, request.spec().pool().name(), sink);
     }
 
-    private void endListWaits(long nowMs, ActionSink sink) {
-        for (EntryRequest request : listWaits.takeDue(nowMs)) {
+    private void endPlacementWaits(long nowMs, ActionSink sink) {
+        List<EntryRequest> due = listWaits.takeDue(nowMs);
+        due.addAll(slotWaits.takeDue(nowMs));
+        for (EntryRequest request : due) {
             if (requests.get(request.spec().requestId()) == request) {
                 requestPlacement(request, nowMs, sink);
             }
@@ -334,6 +340,9 @@
             requestPlacement(request, nowMs, sink);
             return;
         }
+        if (!refused.streamLost() && slotWaits.add(request, nowMs)) {
+            return;
+        }
         totalWaiting--;
         // The arbiter's log explains the rejection under this cell and placement id.
         String placement = refused.cell() + "#" + refused.placementId();
@@ -445,6 +454,7 @@
         request.progressReported(ended.sinceProgressMs(), nowMs);
         settle(request, outcome, ended.usage(), link, sink);
         placements.attemptEnded(request, AttemptRules.placementEnd(outcome), sink);
+        request.silentAttemptEnded(request.isSilentAttemptEnded() && outcome.isSilent());
         if (!outcome.notRun()) {
             request.markMayHaveRun();
             stopPolicy.ended(request, outcome == TargetOutcome.COMPLETED, nowMs);
@@ -522,7 +532,7 @@
         expire(nowMs, sink);
         refuseUnfinishable(nowMs, sink);
         registrations.tick(nowMs, sink);
-        endListWaits(nowMs, sink);
+        endPlacementWaits(nowMs, sink);
         replaceSilentPlacementArbiters(nowMs, sink);
         refuseOverdue(nowMs, sink);
         placements.releaseOverdue(nowMs, sink).forEach(this::giveBackReservedRetry);
@@ -552,6 +562,9 @@
     /** Rejects requests whose arbiter did not respond in time, instead of holding them until their deadlines. */
     private void refuseOverdue(long nowMs, ActionSink sink) {
         for (EntryRequest request : placements.takeOverdue(nowMs, sink)) {
+            if (slotWaits.add(request, nowMs)) {
+                continue;
+            }
             totalWaiting--;
             RequestSpec spec = request.spec();
             long retryAfterMs = RetryAfterPolicy.spreadAfterMs(spec.deadlineMs(), spec.requestId(), nowMs);
@@ -634,7 +647,7 @@
         }
         long backoffRemainingMs = placements.backoffRemainingMs(request, nowMs);
         if (backoffRemainingMs > 0) {
-            refuseForBackoff(request, backoffRemainingMs, sink);
+            refuseForBackoff(request, backoffRemainingMs, nowMs, sink);
             return;
         }
         if (!placements.requestPlacement(request, nowMs, sink)) {
@@ -647,7 +660,10 @@
      * Rejects a request while all its targets are in backoff, so that its caller can retry elsewhere instead of
      * waiting.
      */
-    private void refuseForBackoff(EntryRequest request, long backoffRemainingMs, ActionSink sink) {
+    private void refuseForBackoff(EntryRequest request, long backoffRemainingMs, long nowMs, ActionSink sink) {
+        if (slotWaits.add(request, nowMs)) {
+            return;
+        }
         totalWaiting--;
         fail(
                 request,
@@ -859,6 +875,7 @@
     private void remove(EntryRequest request, ActionSink sink) {
         requests.remove(request.spec().requestId());
         timeouts.remove(request);
+        request.silentAttemptEnded(false);
         releaseReserved(request, sink);
     }
 
--- a/kernel/src/main/java/org/marjoramswitch/kernel/entry/EntryRequest.java
+++ b/kernel/src/main/java/org/marjoramswitch/kernel/entry/EntryRequest.java
@@ -43,6 +43,8 @@
     private boolean retryReserved;
 
     private long retryReservedAtMs;
+    /** Whether this entry has ended the last attempt because its target is silent, or is about to. */
+    private boolean silentAttemptEnded;
     /** When the running attempt's response began; {@link #NOT_BEGUN} before. */
     private long responseBeganAtMs = NOT_BEGUN;
 
@@ -206,6 +208,15 @@
         return reserved;
     }
 
+    /** Whether this entry has ended the last attempt because its target is silent, or is about to. */
+    boolean isSilentAttemptEnded() {
+        return silentAttemptEnded;
+    }
+
+    void silentAttemptEnded(boolean ended) {
+        silentAttemptEnded = ended;
+    }
+
     Set<TargetId> failedTargets() {
         return failedAt;
     }
@@ -267,6 +278,7 @@
 
     void attemptStarted(TargetId atTarget, String softwareVersion, CellId inCell, long grantSequence, long nowMs) {
         attempts++;
+        silentAttemptEnded = false;
         target = atTarget;
         sentAtMs = nowMs;
         responseBeganAtMs = NOT_BEGUN;
--- a/kernel/src/main/java/org/marjoramswitch/kernel/model/TargetOutcome.java
+++ b/kernel/src/main/java/org/marjoramswitch/kernel/model/TargetOutcome.java
@@ -46,6 +46,11 @@
         return this == BROKEN_BEFORE_ANSWER || this == BROKEN_IN_ANSWER;
     }
 
+    /** Whether the progress timeout elapsed. */
+    public boolean isSilent() {
+        return this == SILENT_BEFORE_ANSWER || this == SILENT_IN_ANSWER;
+    }
+
     /** Whether a part of the response had reached the caller, so that a new attempt could corrupt it. */
     public boolean answerBegun() {
         return this == BROKEN_IN_ANSWER || this == SILENT_IN_ANSWER;
--- a/kernel/src/test/java/org/marjoramswitch/kernel/SilentTargetTest.java
+++ b/kernel/src/test/java/org/marjoramswitch/kernel/SilentTargetTest.java
@@ -8,7 +8,10 @@
 import java.util.stream.IntStream;
 import org.junit.jupiter.api.Test;
 import org.marjoramswitch.kernel.action.Action;
+import org.marjoramswitch.kernel.error.ErrorType;
 import org.marjoramswitch.kernel.event.Event;
+import org.marjoramswitch.kernel.model.RunState;
+import org.marjoramswitch.kernel.model.TargetId;
 import org.marjoramswitch.kernel.model.TargetOutcome;
 
 /** Targets that fall silent within a response. */
@@ -16,6 +19,11 @@
     private static final int ATTEMPTS = 3;
     private static final int SILENT_REQUESTS = 40;
     private static final int MANY_TARGETS = 20;
+    private static final long BACKOFF_MS = 2_000;
+    /** Longer than a reserved slot is kept. */
+    private static final long LATE_END_MS = 1_500;
+    /** Longer than an arbiter holds a late request. */
+    private static final long ARBITER_HOLD_MS = 2_500;
 
     /** Guards against ending a stream that only its target can continue, because the report of its beginning was lost. */
     @Test
@@ -141,6 +149,118 @@
         assertEquals(sent + 2, dispatched.size());
     }
 
+    /** Guards against ending a request as unknown because the link to the arbiter broke while its silent attempt ended. */
+    @Test
+    void requestWaitsForAnotherSlotAfterTheLinkToTheArbiterBroke() {
+        long silent = silentRequest();
+        apply(entry, new Event.PeerLinkChanged(arbiter, true));
+        assertWaitsForASlot(silent);
+    }
+
+    /** Guards against ending a request as unknown because its silent attempt ended after the reserved slot was released. */
+    @Test
+    void requestWaitsForAnotherSlotIfItsAttemptEndsLate() {
+        long silent = silentRequest();
+        advance(LATE_END_MS);
+        assertWaitsForASlot(silent);
+    }
+
+    /** Guards against ending a request as unknown because all targets entered a backoff while its silent attempt ended. */
+    @Test
+    void requestWaitsForTheEndOfABackoff() {
+        long silent = silentRequest();
+        backOff("t1", "t2");
+        int sent = dispatched.size();
+        end(silent, TargetOutcome.SILENT_BEFORE_ANSWER);
+        advance(BACKOFF_MS / 2);
+        assertFalse(ends.containsKey(silent));
+        assertEquals(sent, dispatched.size());
+        advance(BACKOFF_MS);
+        assertEquals(silent, dispatched.get(sent).requestId());
+    }
+
+    /** Guards against requests that wait for a slot for longer than their callers do, or that end as not run. */
+    @Test
+    void waitForASlotEndsWithTheDeadline() {
+        long silent = silentRequest();
+        advance(LATE_END_MS);
+        takeFreeSlots();
+        end(silent, TargetOutcome.SILENT_BEFORE_ANSWER);
+        advance(callerTimeoutMs);
+        assertEquals(RunState.UNKNOWN, failure(silent).failure().run());
+        assertEquals(ErrorType.WAIT_TIMEOUT, failure(silent).failure().type());
+    }
+
+    /** Guards against a slot for a request whose caller has left while it waited for one. */
+    @Test
+    void callerMayLeaveDuringTheWaitForASlot() {
+        long silent = silentRequest();
+        advance(LATE_END_MS);
+        takeFreeSlots();
+        int sent = dispatched.size();
+        end(silent, TargetOutcome.SILENT_BEFORE_ANSWER);
+        advance(ARBITER_HOLD_MS);
+        apply(entry, new Event.CallerGone(silent));
+        assertEquals(ErrorType.CALLER_GONE, failure(silent).failure().type());
+        completeAllBut(silent);
+        advance(CALLER_TIMEOUT_MS);
+        assertEquals(sent, dispatched.size());
+    }
+
+    /** Guards against ending a request for lack of a retry because others took it after the reserved slot was released. */
+    @Test
+    void retryIsKeptUntilTheSilentAttemptEnds() {
+        long silent = silentRequest();
+        advance(LATE_END_MS);
+        for (int i = 0; i < SILENT_REQUESTS; i++) {
+            long broken = arrive(true, ATTEMPTS, true);
+            end(broken, TargetOutcome.BROKEN_BEFORE_ANSWER);
+            end(broken, TargetOutcome.COMPLETED);
+        }
+        int sent = dispatched.size();
+        end(silent, TargetOutcome.SILENT_BEFORE_ANSWER);
+        assertFalse(ends.containsKey(silent));
+        assertEquals(sent + 1, dispatched.size());
+    }
+
+    /** A running request, the end of whose silent attempt was requested. */
+    private long silentRequest() {
+        callerTimeoutMs = 4 * CALLER_TIMEOUT_MS;
+        long silent = arrive(true, ATTEMPTS, true);
+        assertTrue(isEndedAsSilent(silent, false));
+        return silent;
+    }
+
+    private void assertWaitsForASlot(long silent) {
+        takeFreeSlots();
+        int sent = dispatched.size();
+        end(silent, TargetOutcome.SILENT_BEFORE_ANSWER);
+        advance(ARBITER_HOLD_MS);
+        assertFalse(ends.containsKey(silent), () -> String.valueOf(ends.get(silent)));
+        assertEquals(sent, dispatched.size());
+        completeAllBut(silent);
+        advance(ARBITER_HOLD_MS);
+        assertEquals(silent, dispatched.get(sent).requestId());
+    }
+
+    private void takeFreeSlots() {
+        for (int i = 1; i < 2 * SLOTS; i++) {
+            assertTrue(isRunning(arrive(true, ATTEMPTS, true)), "request " + i);
+        }
+    }
+
+    private void completeAllBut(long silent) {
+        for (long request = silent + 1; request <= requests; request++) {
+            end(request, TargetOutcome.COMPLETED);
+        }
+    }
+
+    private void backOff(String... names) {
+        for (String name : names) {
+            apply(entry, new Event.TargetBackoffRequested(TargetId.of(name), BACKOFF_MS));
+        }
+    }
+
     private void fillTargets() {
         callerTimeoutMs = 60_000;
         for (int i = 0; i < 2 * SLOTS; i++) {
