Limit what the key-value store's client reads and holds

Cause: the client had no limit on a head or on trailers, held up to 64 MiB for each response in an array that doubles, added up nothing, and read a response that always has more on its I/O thread without end.

Change, in the manner of the targets' client: FramingLimit for heads and trailers (64 KiB), a limit of a sixteenth of the heap for a response (at most 64 MiB as before), one sum of twice that for all incomplete responses (HeldResponses), bytes in segments, and after 16 reads the thread's other sockets are read first (ReadBarrier). These classes are public now. The client opens its streams itself, since FramingLimit must be installed before the first read.

Promise spent: with a heap of 100 MB a response above 6.25 MB fails.

--- a/daemon/src/main/java/org/marjoramswitch/daemon/platform/GatewayCaller.java
+++ b/daemon/src/main/java/org/marjoramswitch/daemon/platform/GatewayCaller.java
@@ -1,13 +1,14 @@
 package org.marjoramswitch.daemon.platform;
 
 import io.undertow.util.HeaderMap;
-import java.io.ByteArrayOutputStream;
 import java.nio.ByteBuffer;
 import java.util.ArrayList;
 import java.util.List;
 import org.jspecify.annotations.Nullable;
 import org.marjoramswitch.daemon.log.KeyValueLog;
 import org.marjoramswitch.daemon.settings.HostPort;
+import org.marjoramswitch.daemon.target.HeldResponses;
+import org.marjoramswitch.daemon.target.PendingBytes;
 import org.marjoramswitch.kernel.error.ErrorType;
 import org.xnio.XnioExecutor;
 
@@ -191,7 +192,8 @@
     private final class Attempt implements GatewayExchange.Listener {
         private final GatewayCall call;
         private final GatewayConnections.Link link;
-        private final ByteArrayOutputStream body = new ByteArrayOutputStream();
+        private final PendingBytes body = new PendingBytes();
+        private final HeldResponses.Holder held;
         private XnioExecutor.@Nullable Key timer;
         private int status;
         private HeaderMap headers = NO_HEADERS;
@@ -200,6 +202,7 @@
         private Attempt(GatewayCall call, GatewayConnections.Link link) {
             this.call = call;
             this.link = link;
+            this.held = connections.holder(() -> onFailed("the memory for responses is exhausted"));
         }
 
         @Override
@@ -216,7 +219,10 @@
             }
             byte[] copy = new byte[bytes.remaining()];
             bytes.get(copy);
-            body.writeBytes(copy);
+            body.add(copy, 0, copy.length);
+            if (!held.hold(body.allocatedBytes())) {
+                onFailed("the memory for responses is exhausted");
+            }
         }
 
         @Override
@@ -247,6 +253,7 @@
 
         private void end() {
             ended = true;
+            held.close();
             if (timer != null) {
                 timer.remove();
             }
--- a/daemon/src/main/java/org/marjoramswitch/daemon/platform/GatewayConnections.java
+++ b/daemon/src/main/java/org/marjoramswitch/daemon/platform/GatewayConnections.java
@@ -1,12 +1,10 @@
 package org.marjoramswitch.daemon.platform;
 
-import io.undertow.client.ClientCallback;
 import io.undertow.client.ClientConnection;
-import io.undertow.client.UndertowClient;
+import io.undertow.client.http.ClientConnections;
 import io.undertow.connector.ByteBufferPool;
 import io.undertow.server.DefaultByteBufferPool;
 import java.io.IOException;
-import java.net.URI;
 import java.util.ArrayDeque;
 import java.util.Deque;
 import java.util.HashMap;
@@ -15,9 +13,14 @@
 import java.util.Set;
 import org.jspecify.annotations.Nullable;
 import org.marjoramswitch.daemon.settings.HostPort;
+import org.marjoramswitch.daemon.target.FramingLimit;
+import org.marjoramswitch.daemon.target.HeldResponses;
+import org.marjoramswitch.daemon.target.ReadBarrier;
+import org.xnio.IoFuture;
 import org.xnio.IoUtils;
 import org.xnio.OptionMap;
 import org.xnio.Options;
+import org.xnio.StreamConnection;
 import org.xnio.XnioExecutor;
 
 /**
@@ -27,15 +30,22 @@
  */
 final class GatewayConnections {
     private static final int BUFFER_BYTES = 16 << 10;
+    private static final OptionMap CONNECT_OPTIONS = OptionMap.create(Options.TCP_NODELAY, true);
+    /** All responses together may hold this many times the maximum size of one. */
+    private static final long HELD_RESPONSES = 2;
 
     private final GatewayRuntime runtime;
     private final ByteBufferPool buffers = new DefaultByteBufferPool(true, BUFFER_BYTES);
+    private final HeldResponses responses;
+    private final ReadBarrier barrier;
     private final Map<HostPort, Deque<Link>> idle = new HashMap<>();
     private final Set<Link> open = new HashSet<>();
     private boolean closed;
 
     private GatewayConnections(GatewayRuntime runtime) {
         this.runtime = runtime;
+        this.responses = HeldResponses.of(HELD_RESPONSES * runtime.options().maxResponseBytes());
+        this.barrier = ReadBarrier.of(runtime.ioThread());
     }
 
     static GatewayConnections on(GatewayRuntime runtime) {
@@ -49,6 +59,15 @@
         void onConnectFailed(String reason);
     }
 
+    /**
+     * Counts what a response holds until it is complete.
+     *
+     * @param onEvicted called on the I/O thread if the response must end, because all responses together hold too much
+     */
+    HeldResponses.Holder holder(Runnable onEvicted) {
+        return responses.holder(() -> runtime.ioThread().execute(onEvicted));
+    }
+
     /** Obtains a pooled connection, or a new one if none is fresh enough. */
     void acquire(HostPort address, long nowMs, Listener listener) {
         Deque<Link> pooled = idle.getOrDefault(address, new ArrayDeque<>());
@@ -69,13 +88,9 @@
         Connecting connecting = new Connecting(address, listener);
         connecting.timer =
                 runtime.after(runtime.options().timeouts().connectMs(), () -> connecting.fail("no connection in time"));
-        UndertowClient.getInstance()
-                .connect(
-                        connecting,
-                        URI.create("http://" + address),
-                        runtime.ioThread(),
-                        buffers,
-                        OptionMap.create(Options.TCP_NODELAY, true));
+        IoFuture<StreamConnection> opening =
+                runtime.ioThread().openStreamConnection(address.toSocketAddress(), null, CONNECT_OPTIONS);
+        opening.addNotifier((future, ignored) -> runtime.ioThread().execute(() -> connecting.opened(future)), null);
     }
 
     /** Returns a connection to the pool after a complete exchange. */
@@ -135,7 +150,7 @@
         }
 
         void send(String method, String path, String body, GatewayExchange.Listener listener) {
-            exchange = GatewayExchange.send(connection, buffers, address, method, path, body, listener);
+            exchange = GatewayExchange.send(connection, buffers, barrier, address, method, path, body, listener);
         }
 
         /** Closes the connection; its exchange, if any, receives no further callbacks. */
@@ -156,7 +171,7 @@
     }
 
     /** An attempt to connect. Ends exactly once: with a connection, a failure or a timeout. */
-    private final class Connecting implements ClientCallback<ClientConnection> {
+    private final class Connecting {
         private final HostPort address;
         private final Listener listener;
         private XnioExecutor.@Nullable Key timer;
@@ -167,25 +182,34 @@
             this.listener = listener;
         }
 
-        @Override
-        public void completed(ClientConnection connection) {
+        private void opened(IoFuture<? extends StreamConnection> future) {
+            if (future.getStatus() != IoFuture.Status.DONE) {
+                fail(String.valueOf(future.getException().getMessage()));
+                return;
+            }
+            try {
+                connected(future.get());
+            } catch (IOException e) {
+                fail(String.valueOf(e.getMessage()));
+            }
+        }
+
+        private void connected(StreamConnection stream) {
             if (ended || closed) {
-                IoUtils.safeClose(connection);
+                IoUtils.safeClose(stream);
                 fail("the store is closed");
                 return;
             }
             end();
+            FramingLimit limit = FramingLimit.install(stream, responses, () -> {}, () -> {});
+            ClientConnection connection = ClientConnections.over(stream, CONNECT_OPTIONS, buffers);
+            limit.attachTo(connection);
             Link link = new Link(address, connection);
             open.add(link);
             connection.addCloseListener(gone -> link.onClosedByPeer());
             listener.onConnected(link);
         }
 
-        @Override
-        public void failed(IOException e) {
-            fail(String.valueOf(e.getMessage()));
-        }
-
         private void fail(String reason) {
             if (ended) {
                 return;
--- a/daemon/src/main/java/org/marjoramswitch/daemon/platform/GatewayExchange.java
+++ b/daemon/src/main/java/org/marjoramswitch/daemon/platform/GatewayExchange.java
@@ -14,12 +14,16 @@
 import java.io.IOException;
 import java.nio.ByteBuffer;
 import org.marjoramswitch.daemon.settings.HostPort;
+import org.marjoramswitch.daemon.target.FramingLimit;
+import org.marjoramswitch.daemon.target.ReadBarrier;
 import org.xnio.ChannelListener;
 import org.xnio.channels.StreamSinkChannel;
 import org.xnio.channels.StreamSourceChannel;
 
 /** One HTTP request and its response on a connection; runs on the connection's I/O thread. */
 final class GatewayExchange {
+    /** Bounds consecutive reads, so that other connections of the I/O thread get their share. */
+    private static final int MAX_CONSECUTIVE_READS = 16;
 
     /** Receives the events of an exchange; the last one is either {@code onComplete} or {@code onFailed}. */
     interface Listener {
@@ -38,13 +42,16 @@
 
     private final ClientConnection connection;
     private final ByteBufferPool buffers;
+    private final ReadBarrier barrier;
     private final Listener listener;
     private boolean requestWritten;
     private boolean ended;
 
-    private GatewayExchange(ClientConnection connection, ByteBufferPool buffers, Listener listener) {
+    private GatewayExchange(
+            ClientConnection connection, ByteBufferPool buffers, ReadBarrier barrier, Listener listener) {
         this.connection = connection;
         this.buffers = buffers;
+        this.barrier = barrier;
         this.listener = listener;
     }
 
@@ -52,12 +59,13 @@
     static GatewayExchange send(
             ClientConnection connection,
             ByteBufferPool buffers,
+            ReadBarrier barrier,
             HostPort address,
             String method,
             String path,
             String body,
             Listener listener) {
-        GatewayExchange exchange = new GatewayExchange(connection, buffers, listener);
+        GatewayExchange exchange = new GatewayExchange(connection, buffers, barrier, listener);
         ClientRequest request =
                 new ClientRequest().setMethod(HttpString.tryFromString(method)).setPath(path);
         request.getRequestHeaders().put(Headers.HOST, address.toString());
@@ -66,6 +74,7 @@
                     .put(Headers.CONTENT_TYPE, "application/json")
                     .put(Headers.CONTENT_LENGTH, body.length());
         }
+        FramingLimit.awaitsHead(connection);
         connection.sendRequest(request, exchange.requestCallback(body));
         return exchange;
     }
@@ -107,6 +116,7 @@
                 if (ended) {
                     return;
                 }
+                FramingLimit.progressed(connection);
                 listener.onHead(
                         exchange.getResponse().getResponseCode(),
                         exchange.getResponse().getResponseHeaders());
@@ -128,11 +138,11 @@
     private void drain(StreamSourceChannel channel) {
         try (PooledByteBuffer pooled = buffers.allocate()) {
             ByteBuffer buffer = pooled.getBuffer();
-            while (!ended) {
+            for (int reads = 0; reads < MAX_CONSECUTIVE_READS && !ended; reads++) {
                 buffer.clear();
                 int count = channel.read(buffer);
                 if (count == 0) {
-                    channel.resumeReads();
+                    awaitMore(channel);
                     return;
                 }
                 if (count < 0) {
@@ -140,11 +150,36 @@
                     return;
                 }
                 buffer.flip();
+                FramingLimit.progressed(connection);
                 listener.onBytes(buffer);
             }
         } catch (IOException e) {
             fail("the response was interrupted: " + e);
+            return;
+        }
+        continueLater(channel);
+    }
+
+    private void awaitMore(StreamSourceChannel channel) {
+        if (FramingLimit.awaitsMore(connection)) {
+            channel.resumeReads();
+        } else {
+            fail("the memory for responses is exhausted");
+        }
+    }
+
+    /** Reads on once the thread's other sockets have been read. */
+    private void continueLater(StreamSourceChannel channel) {
+        if (ended) {
+            return;
         }
+        // Otherwise the read listener would read, too, and add another task each time.
+        channel.suspendReads();
+        barrier.afterReads(() -> {
+            if (!ended) {
+                drain(channel);
+            }
+        });
     }
 
     private void complete() {
--- a/daemon/src/main/java/org/marjoramswitch/daemon/platform/GatewayWatch.java
+++ b/daemon/src/main/java/org/marjoramswitch/daemon/platform/GatewayWatch.java
@@ -3,7 +3,6 @@
 import com.fasterxml.jackson.databind.JsonNode;
 import io.undertow.util.HeaderMap;
 import io.undertow.util.Methods;
-import java.io.ByteArrayOutputStream;
 import java.io.IOException;
 import java.nio.ByteBuffer;
 import java.util.concurrent.Executor;
@@ -12,6 +11,8 @@
 import org.marjoramswitch.daemon.log.KeyValueLog;
 import org.marjoramswitch.daemon.platform.KeyValueStore.WatchEvent;
 import org.marjoramswitch.daemon.settings.HostPort;
+import org.marjoramswitch.daemon.target.HeldResponses;
+import org.marjoramswitch.daemon.target.PendingBytes;
 import org.marjoramswitch.kernel.error.ErrorType;
 import org.xnio.XnioExecutor;
 
@@ -199,13 +200,15 @@
     /** A connection of the watch. */
     private final class Stream implements GatewayConnections.Listener, GatewayExchange.Listener {
         private final HostPort address;
-        private final ByteArrayOutputStream line = new ByteArrayOutputStream();
+        private final PendingBytes line = new PendingBytes();
+        private final HeldResponses.Holder held;
         private GatewayConnections.@Nullable Link link;
         private XnioExecutor.@Nullable Key acknowledgeTimer;
         private boolean closed;
 
         private Stream(HostPort address) {
             this.address = address;
+            this.held = caller.connections().holder(() -> fail("the memory for responses is exhausted"));
         }
 
         @Override
@@ -236,18 +239,26 @@
 
         @Override
         public void onBytes(ByteBuffer bytes) {
-            while (bytes.hasRemaining() && !closed) {
-                byte next = bytes.get();
-                if (next != '\n') {
-                    line.write(next);
-                    continue;
+            byte[] received = new byte[bytes.remaining()];
+            bytes.get(received);
+            int lineBegin = 0;
+            for (int i = 0; i < received.length && !closed; i++) {
+                if (received[i] == '\n') {
+                    line.add(received, lineBegin, i - lineBegin);
+                    lineBegin = i + 1;
+                    byte[] message = line.toByteArray();
+                    line.clear();
+                    receiveLine(message);
                 }
-                byte[] message = line.toByteArray();
-                line.reset();
-                receiveLine(message);
             }
+            if (closed) {
+                return;
+            }
+            line.add(received, lineBegin, received.length - lineBegin);
             if (line.size() > runtime.options().maxResponseBytes()) {
                 fail("a message is larger than " + runtime.options().maxResponseBytes() + " bytes");
+            } else if (!held.hold(line.allocatedBytes())) {
+                fail("the memory for responses is exhausted");
             }
         }
 
@@ -302,6 +313,7 @@
 
         private void close() {
             closed = true;
+            held.close();
             if (acknowledgeTimer != null) {
                 acknowledgeTimer.remove();
             }
--- a/daemon/src/main/java/org/marjoramswitch/daemon/platform/KeyValueOptions.java
+++ b/daemon/src/main/java/org/marjoramswitch/daemon/platform/KeyValueOptions.java
@@ -15,7 +15,9 @@
         long watchMaxAgeMs,
         int maxResponseBytes,
         long seed) {
-    private static final int MAX_RESPONSE_BYTES = 64 << 20;
+    private static final long MAX_RESPONSE_BYTES = 64 << 20;
+    /** A response and the objects that are parsed from it take several times its size. */
+    private static final long HEAP_DIVISOR = 16;
 
     /**
      * @param callMs maximum duration of a call, including waits and retries
@@ -50,10 +52,14 @@
                 new Pool(4, 10_000),
                 new Backoff(50, 2_000),
                 3_000,
-                MAX_RESPONSE_BYTES,
+                (int) Math.min(MAX_RESPONSE_BYTES, Runtime.getRuntime().maxMemory() / HEAP_DIVISOR),
                 seed);
     }
 
+    public KeyValueOptions withMaxResponseBytes(int changedBytes) {
+        return new KeyValueOptions(timeouts, budget, pool, backoff, watchMaxAgeMs, changedBytes, seed);
+    }
+
     public KeyValueOptions withTimeouts(long callMs, long attemptMs, long connectMs) {
         Timeouts changed = new Timeouts(callMs, attemptMs, connectMs);
         return new KeyValueOptions(changed, budget, pool, backoff, watchMaxAgeMs, maxResponseBytes, seed);
--- a/daemon/src/main/java/org/marjoramswitch/daemon/target/FramingLimit.java
+++ b/daemon/src/main/java/org/marjoramswitch/daemon/target/FramingLimit.java
@@ -11,13 +11,13 @@
 import org.xnio.conduits.StreamSourceConduit;
 
 /**
- * Bounds the bytes that a target may send without a part of a body. The HTTP client collects heads and trailers of any size,
+ * Bounds the bytes that a server may send without a part of a body. The HTTP client collects heads and trailers of any size,
  * so one without end would take all memory within a second. Their memory counts in {@link HeldResponses}, since many
  * connections may hold a part of a head at a time.
  *
  * <p>Accessed on the connection's I/O thread.
  */
-final class FramingLimit extends AbstractStreamSourceConduit<StreamSourceConduit> {
+public final class FramingLimit extends AbstractStreamSourceConduit<StreamSourceConduit> {
     /** Far above the size of any head, and above that of the chunk frames between two reads of a body. */
     static final long MAX_BYTES = 64 << 10;
 
@@ -60,14 +60,15 @@
     }
 
     /** Installs a limit on a connection from which nothing has been read. */
-    static FramingLimit install(
+    public static FramingLimit install(
             StreamConnection connected, HeldResponses responses, Runnable onExceeded, Runnable onEvicted) {
         FramingLimit limit = new FramingLimit(connected, responses, onExceeded, onEvicted);
         connected.getSourceChannel().setConduit(limit);
         return limit;
     }
 
-    void attachTo(ClientConnection connection) {
+    /** Must be called when the connection has been created over the limited stream. */
+    public void attachTo(ClientConnection connection) {
         ((Attachable) connection).putAttachment(KEY, this);
         connection.addCloseListener(closed -> held.close());
     }
@@ -77,17 +78,17 @@
     }
 
     /** Restarts the count: a request is about to be sent. */
-    static void awaitsHead(ClientConnection connection) {
+    public static void awaitsHead(ClientConnection connection) {
         restart(connection, false);
     }
 
     /** Restarts the count: a head or a part of a body was received. */
-    static void progressed(ClientConnection connection) {
+    public static void progressed(ClientConnection connection) {
         restart(connection, true);
     }
 
     /** The client has read all that has arrived. Returns false if the memory for what it holds of it is exhausted. */
-    static boolean awaitsMore(ClientConnection connection) {
+    public static boolean awaitsMore(ClientConnection connection) {
         FramingLimit limit = ((Attachable) connection).getAttachment(KEY);
         return limit == null || limit.held.hold(limit.heldBytes());
     }
--- a/daemon/src/main/java/org/marjoramswitch/daemon/target/HeldResponses.java
+++ b/daemon/src/main/java/org/marjoramswitch/daemon/target/HeldResponses.java
@@ -7,7 +7,7 @@
 import org.jspecify.annotations.Nullable;
 
 /**
- * Bounds the memory of what all connections of an instance have received from targets and hold until it is complete: heads,
+ * Bounds the memory of what all connections of an instance have received from servers and hold until it is complete: heads,
  * events, rejections. Each part has a limit of its own, but hundreds of parts below their limits would exhaust the heap.
  *
  * <p>When the sum exceeds its limit, the holder of most bytes is evicted, not the one that happens to receive bytes at
@@ -17,7 +17,7 @@
  * <p>Holders of at most {@value #UNCOUNTED_BYTES} bytes are not counted, so that ordinary responses share no state. Their
  * memory is part of the estimate for each open request. Thread-safe.
  */
-final class HeldResponses {
+public final class HeldResponses {
     /** The rest is for callers' requests and responses, the instance's own state and garbage. */
     private static final double HEAP_SHARE = 0.1;
 
@@ -32,7 +32,7 @@
         this.maxBytes = maxBytes;
     }
 
-    static HeldResponses of(long maxBytes) {
+    public static HeldResponses of(long maxBytes) {
         return new HeldResponses(maxBytes);
     }
 
@@ -53,7 +53,7 @@
      * @param onEvicted called on any thread; must lead to {@link Holder#close} unless {@link Holder#isEvicted} has become
      *     false
      */
-    Holder holder(Runnable onEvicted) {
+    public Holder holder(Runnable onEvicted) {
         return new Holder(onEvicted);
     }
 
@@ -78,7 +78,7 @@
     }
 
     /** The bytes of one connection or attempt. */
-    final class Holder {
+    public final class Holder {
         private final Runnable onEvicted;
         private final AtomicBoolean evicted = new AtomicBoolean();
         private volatile long bytes;
@@ -89,7 +89,7 @@
         }
 
         /** Sets the bytes that are held now; false if this holder must not go on. */
-        boolean hold(long newBytes) {
+        public boolean hold(long newBytes) {
             long counted = newBytes <= UNCOUNTED_BYTES ? 0 : newBytes;
             long added = counted - bytes;
             if (added == 0) {
@@ -120,7 +120,7 @@
         }
 
         /** Releases all bytes; nothing can be held afterwards. */
-        synchronized void close() {
+        public synchronized void close() {
             set(0);
             closed = true;
         }
--- a/daemon/src/main/java/org/marjoramswitch/daemon/target/PendingBytes.java
+++ b/daemon/src/main/java/org/marjoramswitch/daemon/target/PendingBytes.java
@@ -8,7 +8,7 @@
  * Collects bytes that are delivered later. They are kept in segments, so that growing and delivering them copies nothing. Used
  * by one thread at a time.
  */
-final class PendingBytes {
+public final class PendingBytes {
     private static final byte[] NONE = new byte[0];
     private static final int FIRST_SEGMENT_BYTES = 512;
     private static final int MAX_SEGMENT_BYTES = 16 << 10;
@@ -19,7 +19,7 @@
     private int size;
     private int allocatedBytes;
 
-    int size() {
+    public int size() {
         return size;
     }
 
@@ -28,11 +28,11 @@
     }
 
     /** The memory that the bytes take. */
-    int allocatedBytes() {
+    public int allocatedBytes() {
         return allocatedBytes;
     }
 
-    void add(byte[] bytes, int from, int count) {
+    public void add(byte[] bytes, int from, int count) {
         int added = 0;
         while (added < count) {
             if (segmentBytes == segment.length) {
@@ -75,7 +75,7 @@
         return used;
     }
 
-    byte[] toByteArray() {
+    public byte[] toByteArray() {
         byte[] all = new byte[size];
         int position = 0;
         for (byte[] full : fullSegments) {
@@ -86,7 +86,7 @@
         return all;
     }
 
-    void clear() {
+    public void clear() {
         fullSegments.clear();
         segment = NONE;
         segmentBytes = 0;
--- a/daemon/src/main/java/org/marjoramswitch/daemon/target/ReadBarrier.java
+++ b/daemon/src/main/java/org/marjoramswitch/daemon/target/ReadBarrier.java
@@ -19,7 +19,7 @@
  *
  * <p>Confined to its I/O thread.
  */
-final class ReadBarrier {
+public final class ReadBarrier {
     private static final int TURNS = 2;
     /** Used if no pipe can be opened. */
     private static final long FALLBACK_MS = 10;
@@ -32,12 +32,12 @@
         this.thread = thread;
     }
 
-    static ReadBarrier of(XnioIoThread thread) {
+    public static ReadBarrier of(XnioIoThread thread) {
         return new ReadBarrier(thread);
     }
 
     /** Runs the task after all sockets that are readable now have been read once. */
-    void afterReads(Runnable task) {
+    public void afterReads(Runnable task) {
         StreamSinkChannel opened = openedPipe();
         if (opened == null) {
             thread.executeAfter(task, FALLBACK_MS, TimeUnit.MILLISECONDS);
