Bound the memory of all server errors that are held back

Cause: the error of a repeatable request is held back, up to 16 KiB, until no other attempt follows. Nothing added these up, so thousands of requests at targets in trouble could hold more than the heap has left.

Change: one sum for all, a fiftieth of the heap (HeldErrors). While it is exhausted, an error is delivered as it arrives, like one above 16 KiB. The bytes are released when the error is delivered, when the next attempt begins and when the request fails.

Promise spent: a server error may reach the caller although another target could have served the request, while errors take a fiftieth of the heap.

--- a/daemon/src/main/java/org/marjoramswitch/daemon/core/DecisionLoop.java
+++ b/daemon/src/main/java/org/marjoramswitch/daemon/core/DecisionLoop.java
@@ -60,6 +60,7 @@
     private final Consumer<InstanceId> peerDisconnector;
     private final EventRing ring;
     private final OpenRequests requests;
+    private final HeldErrors heldErrors = HeldErrors.ofHeap(Runtime.getRuntime().maxMemory());
     private final ActionRunner actions;
     private final DecisionMetrics metrics;
     private final DecisionLag lag = new DecisionLag();
@@ -114,7 +115,7 @@
 
     @Override
     public void submit(RequestSpec request, TargetCall call, ResponseListener listener) {
-        OpenRequest openRequest = OpenRequest.of(request, call, listener);
+        OpenRequest openRequest = OpenRequest.of(request, call, listener, heldErrors);
         if (closed) {
             openRequest.fail(Failure.notRun(ErrorType.INSTANCE_LEAVING, 0, ""));
             return;
--- a/daemon/src/main/java/org/marjoramswitch/daemon/core/OpenRequest.java
+++ b/daemon/src/main/java/org/marjoramswitch/daemon/core/OpenRequest.java
@@ -41,6 +41,7 @@
     private final RequestSpec spec;
     private final TargetCall call;
     private final ResponseListener caller;
+    private final HeldErrors heldErrors;
     private final AtomicBoolean callerGone = new AtomicBoolean();
 
     /** Written by the decision thread, read by the I/O threads. */
@@ -67,14 +68,15 @@
 
     private String deliveredEventId = "";
 
-    private OpenRequest(RequestSpec spec, TargetCall call, ResponseListener caller) {
+    private OpenRequest(RequestSpec spec, TargetCall call, ResponseListener caller, HeldErrors heldErrors) {
         this.spec = spec;
         this.call = call;
         this.caller = caller;
+        this.heldErrors = heldErrors;
     }
 
-    static OpenRequest of(RequestSpec spec, TargetCall call, ResponseListener caller) {
-        return new OpenRequest(spec, call, caller);
+    static OpenRequest of(RequestSpec spec, TargetCall call, ResponseListener caller, HeldErrors heldErrors) {
+        return new OpenRequest(spec, call, caller, heldErrors);
     }
 
     long id() {
@@ -101,7 +103,7 @@
         attempt = attemptNumber;
         attemptRunning = true;
         heldHead = null;
-        heldError.reset();
+        clearHeldError();
         mismatched = false;
         caller.onSent();
         return true;
@@ -199,8 +201,7 @@
             return false;
         }
         if (holdsBackError()) {
-            if (heldError.size() + bytes.length <= MAX_HELD_ERROR_BYTES) {
-                heldError.writeBytes(bytes);
+            if (hold(bytes)) {
                 return false;
             }
             passOnHeldError();
@@ -248,8 +249,22 @@
         releaseHead();
         if (heldError.size() > 0) {
             caller.onBytes(heldError.toByteArray());
-            heldError.reset();
+            clearHeldError();
+        }
+    }
+
+    /** Holds back a part of a server error; returns false if it is to be delivered instead. */
+    private boolean hold(byte[] bytes) {
+        if (heldError.size() + bytes.length > MAX_HELD_ERROR_BYTES || !heldErrors.tryHold(bytes.length)) {
+            return false;
         }
+        heldError.writeBytes(bytes);
+        return true;
+    }
+
+    private void clearHeldError() {
+        heldErrors.release(heldError.size());
+        heldError.reset();
     }
 
     /** The call of the next attempt; requests the events after the last one that the caller received, if any. */
@@ -288,6 +303,7 @@
             return false;
         }
         ended = true;
+        clearHeldError();
         caller.onFailure(failure);
         return true;
     }
--- a/daemon/src/test/java/org/marjoramswitch/daemon/core/OpenRequestTest.java
+++ b/daemon/src/test/java/org/marjoramswitch/daemon/core/OpenRequestTest.java
@@ -10,6 +10,7 @@
 import org.junit.jupiter.api.Test;
 import org.marjoramswitch.daemon.exchange.ResponseListener;
 import org.marjoramswitch.daemon.exchange.TargetCall;
+import org.marjoramswitch.kernel.error.ErrorType;
 import org.marjoramswitch.kernel.error.Failure;
 import org.marjoramswitch.kernel.model.CustomerId;
 import org.marjoramswitch.kernel.model.PlacementSpec;
@@ -22,6 +23,10 @@
     /** Above what is held back of a server error. */
     private static final int LONG_ERROR_BYTES = 20_000;
 
+    /** Below what is held back of one server error. */
+    private static final int ERROR_BYTES = 10_000;
+
+    private final HeldErrors heldErrors = HeldErrors.of(2 * ERROR_BYTES);
     private final List<byte[]> chunks = new ArrayList<>();
     private final List<Integer> heads = new ArrayList<>();
 
@@ -48,7 +53,15 @@
         RequestSpec spec =
                 new RequestSpec(1, CustomerId.of("a"), PoolId.of("p"), 3, true, 10, 0, 0, Long.MAX_VALUE, placement);
         TargetCall call = TargetCall.of(TargetKind.MODEL_ENGINE, "GET", "/x", Map.of(), new byte[0], true);
-        return OpenRequest.of(spec, call, caller);
+        return OpenRequest.of(spec, call, caller, heldErrors);
+    }
+
+    private OpenRequest requestWithError() {
+        OpenRequest request = request(false);
+        request.beginAttempt(1);
+        request.onHead(1, 500, Map.of());
+        request.onBytes(1, new byte[ERROR_BYTES]);
+        return request;
     }
 
     private int deliveredBytes() {
@@ -71,6 +84,33 @@
         assertEquals(LONG_ERROR_BYTES, deliveredBytes());
     }
 
+    /** Guards against thousands of errors below the limit of one that together take all memory. */
+    @Test
+    void serverErrorIsDeliveredWhileTheMemoryForHeldOnesIsExhausted() {
+        requestWithError();
+        requestWithError();
+        assertEquals(0, deliveredBytes());
+        OpenRequest third = requestWithError();
+        assertEquals(ERROR_BYTES, deliveredBytes());
+        assertEquals(TargetOutcome.COMPLETED, third.onAttemptEnd(1, TargetOutcome.COMPLETED));
+        assertFalse(third.beginAttempt(2));
+        assertEquals(2 * ERROR_BYTES, heldErrors.heldBytes());
+    }
+
+    /** Guards against errors that are counted after their requests have ended, so that none is held back any more. */
+    @Test
+    void memoryOfAServerErrorIsReleasedWithItsRequest() {
+        requestWithError().fail(Failure.unknown(ErrorType.TARGET_BROKE, ""));
+        assertEquals(0, heldErrors.heldBytes());
+        requestWithError().beginAttempt(2);
+        assertEquals(0, heldErrors.heldBytes());
+        OpenRequest last = requestWithError();
+        last.onAttemptEnd(1, TargetOutcome.COMPLETED);
+        last.releaseError();
+        assertEquals(0, heldErrors.heldBytes());
+        assertEquals(ERROR_BYTES, deliveredBytes());
+    }
+
     /** Guards against an object for each byte of an error that arrives byte by byte. */
     @Test
     void errorInSmallPartsIsHeldAsOne() {
