Count a delivered server error against its target

Cause: a complete server error that is too long to be held back was reported as COMPLETED, so it counted as a success of its target, for the retry budget and for the arbiter, where a short one counts as a fault.

Change: outcome SERVER_ERROR_DELIVERED, a fault of the target after which the request is complete and no attempt follows. Errors of requests that may run once are reported as before. The condition in CrashReports moves to TargetOutcome#isWhole.

--- a/daemon/src/main/java/org/marjoramswitch/daemon/core/OpenRequest.java
+++ b/daemon/src/main/java/org/marjoramswitch/daemon/core/OpenRequest.java
@@ -233,7 +233,7 @@
             return TargetOutcome.SERVER_ERROR;
         }
         deliverEnd();
-        return outcome;
+        return mayHoldBackError(deliveredStatus) ? TargetOutcome.SERVER_ERROR_DELIVERED : outcome;
     }
 
     /** Delivers a server error response that was held back; called when no further attempt will follow. */
@@ -284,11 +284,11 @@
 
     private boolean holdsBackError() {
         Head head = heldHead;
-        return !headDelivered
-                && head != null
-                && head.status() >= FIRST_SERVER_ERROR
-                && spec.placement() != null
-                && spec.repeatable();
+        return !headDelivered && head != null && mayHoldBackError(head.status());
+    }
+
+    private boolean mayHoldBackError(int status) {
+        return status >= FIRST_SERVER_ERROR && spec.placement() != null && spec.repeatable();
     }
 
     /** Another attempt continues a stream of events; a part of an error cannot be continued. */
--- a/kernel/src/main/java/org/marjoramswitch/kernel/entry/CrashReports.java
+++ b/kernel/src/main/java/org/marjoramswitch/kernel/entry/CrashReports.java
@@ -80,7 +80,7 @@
      * @return the digests for which a crash was recorded that was not known
      */
     List<Long> attemptEnded(EntryRequest request, TargetId target, TargetOutcome outcome, long nowMs) {
-        if (outcome == TargetOutcome.COMPLETED || outcome == TargetOutcome.SERVER_ERROR) {
+        if (outcome.isWhole()) {
             gossip.requestServed(request.suspects().request());
         }
         if (outcome == TargetOutcome.COMPLETED) {
--- a/kernel/src/main/java/org/marjoramswitch/kernel/entry/Entry.java
+++ b/kernel/src/main/java/org/marjoramswitch/kernel/entry/Entry.java
@@ -813,6 +813,10 @@
             complete(request, sink);
             return;
         }
+        if (outcome == TargetOutcome.SERVER_ERROR_DELIVERED) {
+            complete(request, sink);
+            return;
+        }
         if (outcome == TargetOutcome.CANCELLED && request.isExpired() && !request.callerGone()) {
             fail(request, ErrorType.REQUEST_TIMEOUT, 0, String.valueOf(request.target()), sink);
             return;
--- a/kernel/src/main/java/org/marjoramswitch/kernel/model/TargetOutcome.java
+++ b/kernel/src/main/java/org/marjoramswitch/kernel/model/TargetOutcome.java
@@ -20,6 +20,8 @@
     SILENT_IN_ANSWER(false, true),
     /** The complete response was read and reports an error; it is sent to the caller if no retry succeeds. */
     SERVER_ERROR(false, true),
+    /** As {@link #SERVER_ERROR}, but the response was too long to be held back and has been sent to the caller. */
+    SERVER_ERROR_DELIVERED(false, true),
     /** The entry cancelled the attempt because the caller disconnected. */
     CANCELLED(false, false);
 
@@ -46,6 +48,11 @@
         return this == BROKEN_BEFORE_ANSWER || this == BROKEN_IN_ANSWER;
     }
 
+    /** Whether the complete response was read, with any status. */
+    public boolean isWhole() {
+        return this == COMPLETED || this == SERVER_ERROR || this == SERVER_ERROR_DELIVERED;
+    }
+
     /** Whether the progress timeout elapsed. */
     public boolean isSilent() {
         return this == SILENT_BEFORE_ANSWER || this == SILENT_IN_ANSWER;
--- a/kernel/src/test/java/org/marjoramswitch/kernel/PlacementFleetTest.java
+++ b/kernel/src/test/java/org/marjoramswitch/kernel/PlacementFleetTest.java
@@ -215,6 +215,15 @@
         assertTrue(ends.get(request) instanceof Action.Complete);
     }
 
+    /** Guards against another attempt after an error that the caller has received. */
+    @Test
+    void deliveredTargetErrorIsTheResponseOfARepeatableRequest() {
+        long request = arrive(true, 2, false);
+        end(request, TargetOutcome.SERVER_ERROR_DELIVERED);
+        assertTrue(ends.get(request) instanceof Action.Complete);
+        assertEquals(1, dispatched.size());
+    }
+
     /** Guards against work past the deadline: the caller receives a failure and the attempt is cancelled. */
     @Test
     void runningRequestEndsAtItsDeadline() {
