Reject the oldest waiting connection in place of closing it

Cause: with 1,000 connections waiting the oldest was closed unread. Its caller learned at once that it was not run, but not when to return, and tried again at once.

Change: each accept beyond 1,000 waiting connections rejects the oldest, so that every caller is told when to return.

--- a/daemon/src/main/java/org/marjoramswitch/daemon/caller/CallerAcceptor.java
+++ b/daemon/src/main/java/org/marjoramswitch/daemon/caller/CallerAcceptor.java
@@ -34,8 +34,8 @@
  * and the age of what is in it is unknown: a connection that waits there for longer than its caller does is served in vain.
  *
  * <p>Both hand-overs of connections that waited and rejections are limited by parts of the processor. Rejections get a
- * larger part once the oldest connection has waited for twice the time after which it should have been rejected. If there are
- * still more, the oldest is closed unread, which costs least: its caller knows at once that its request was not run.
+ * larger part once the oldest connection has waited for twice the time after which it should have been rejected. If
+ * still too many wait, each further accept rejects the oldest.
  */
 final class CallerAcceptor implements AutoCloseable {
     private static final KeyValueLog LOG = KeyValueLog.of(CallerAcceptor.class);
@@ -210,7 +210,7 @@
         if (acceptNotBeforeMs > nowMs) {
             limit = "FAULT";
         } else if (!hasRoom()) {
-            limit = "OPEN";
+            limit = waiting.isFull() ? "REJECTING" : "OPEN";
         }
         long oldestWaitMs = waiting.oldestWaitMs(runningMs);
         parts.accepts().roundEnded(limit, waiting.size(), rejecting.size(), served.get(), oldestWaitMs, nowMs);
@@ -275,14 +275,15 @@
 
     private void addWaiting(Waiting connection, long nowMs) {
         if (waiting.isFull()) {
-            Waiting oldest = waiting.removeOldest();
-            IoUtils.safeClose(oldest.channel());
-            parts.report().closed(nowMs - oldest.acceptedMs());
+            reject(waiting.removeOldest(), nowMs);
         }
         waiting.add(connection, runningMs);
     }
 
     private boolean hasRoom() {
+        if (waiting.isFull() && rejecting.size() >= MAX_REJECTING) {
+            return false;
+        }
         return served.get() + waiting.size() + rejecting.size() < parts.maxConnections();
     }
 
--- a/daemon/src/main/java/org/marjoramswitch/daemon/caller/UnreadRejectionReport.java
+++ b/daemon/src/main/java/org/marjoramswitch/daemon/caller/UnreadRejectionReport.java
@@ -16,10 +16,8 @@
     private final LongConsumer unreadDemand;
     private final Meter rejectedMeter;
     private final Meter goneMeter;
-    private final Meter closedMeter;
     private long rejected;
     private long gone;
-    private long closed;
     private long maxWaitMs;
     private long reportedAtMs;
 
@@ -27,7 +25,6 @@
         this.unreadDemand = unreadDemand;
         this.rejectedMeter = registry.meter("caller.connections_rejected");
         this.goneMeter = registry.meter("caller.gone_unread");
-        this.closedMeter = registry.meter("caller.closed_unread");
     }
 
     /** @param unreadDemand receives the number of requests that were not read */
@@ -52,19 +49,8 @@
         maxWaitMs = Math.max(maxWaitMs, waitMs);
     }
 
-    /**
-     * Counts a connection that was closed without a response.
-     *
-     * @param waitMs time from its accept until it was closed
-     */
-    void closed(long waitMs) {
-        closed++;
-        closedMeter.mark();
-        maxWaitMs = Math.max(maxWaitMs, waitMs);
-    }
-
     boolean isEmpty() {
-        return rejected + gone + closed == 0;
+        return rejected + gone == 0;
     }
 
     /** Reports what was counted, if the interval has passed. */
@@ -79,20 +65,10 @@
         if (isEmpty()) {
             return;
         }
-        LOG.info(
-                "connections_rejected",
-                "count",
-                rejected,
-                "goneUnread",
-                gone,
-                "closedUnread",
-                closed,
-                "maxWaitMs",
-                maxWaitMs);
-        unreadDemand.accept(rejected + gone + closed);
+        LOG.info("connections_rejected", "count", rejected, "goneUnread", gone, "maxWaitMs", maxWaitMs);
+        unreadDemand.accept(rejected + gone);
         rejected = 0;
         gone = 0;
-        closed = 0;
         maxWaitMs = 0;
     }
 }
