Bound the time for which a connection waits unread

What callers see: with fewer rejections than arrivals a connection waits for as long as its caller does, in the line of waiting connections or after it was handed over to an I/O thread that does not take it. With most of the permitted connections open, new ones stay in the listen queue.

Cause: the line was bounded by its number and not by its age, rejections went to the line before older connections that were handed over, and waiting connections counted towards the limit of open ones. Found by a reviewer, whose tests are taken over.

Change: the connection that was accepted first is rejected first, whether it was handed over or not; after 500 ms, or to make room for a newer one, it is rejected whatever the limits are. An instance counts as rejecting from 20 unread rejections a second on, no longer from the first one. The time since the listen queue was last empty no longer includes the time for which the accepting thread was idle.

Tests: CallerAcceptorTest.

--- a/daemon/src/main/java/org/marjoramswitch/daemon/caller/CallerAcceptor.java
+++ b/daemon/src/main/java/org/marjoramswitch/daemon/caller/CallerAcceptor.java
@@ -34,8 +34,8 @@
  * and the age of what is in it is unknown: a connection that waits there for longer than its caller does is served in vain.
  *
  * <p>Both hand-overs of connections that waited and rejections are limited by parts of the processor. Rejections get a
- * larger part once the oldest connection has waited for twice the time after which it should have been rejected. If
- * still too many wait, each further accept rejects the oldest.
+ * larger part once the oldest connection has waited for twice the time after which it should have been rejected. What has
+ * waited for {@link #MAX_UNREAD_MS}, or has no place left, is rejected whatever the limits are.
  */
 final class CallerAcceptor implements AutoCloseable {
     private static final KeyValueLog LOG = KeyValueLog.of(CallerAcceptor.class);
@@ -48,9 +48,12 @@
     private static final long CHECK_MS = 5;
     /** A longer time between two rounds is a pause of this thread as well, which says nothing of the I/O threads. */
     private static final long MAX_ROUND_MS = 25;
-    /** What the listen queue holds as well, so that connections that wait here need no more memory than there. */
+    /** As many as the listen queue holds; each may hold some kilobytes of its request in the operating system. */
     private static final int MAX_WAITING = BACKLOG;
 
+    /** Callers abandon a request that was not read after a second or a third of their time, so they are told before. */
+    private static final long MAX_UNREAD_MS = 500;
+
     private static final int MAX_REJECTING = 256;
     /** Estimated processor time of a rejection by an I/O thread, the least that a hand-over leads to. */
     private static final double HAND_OVER_US = 450;
@@ -168,8 +171,13 @@
         lastRoundMs = parts.clockMs().getAsLong();
         while (!closed) {
             try {
-                selector.select(isIdle() ? 0 : CHECK_MS);
-                round(parts.clockMs().getAsLong());
+                boolean idle = isIdle();
+                selector.select(idle ? 0 : CHECK_MS);
+                long nowMs = parts.clockMs().getAsLong();
+                if (idle) {
+                    parts.accepts().queueEmpty(nowMs);
+                }
+                round(nowMs);
             } catch (IOException | RuntimeException e) {
                 // Accepting must not end with one fault, and a fault that repeats must not use the processor.
                 LOG.error("accept_round_failed", "reason", String.valueOf(e));
@@ -209,8 +217,8 @@
         String limit = "";
         if (acceptNotBeforeMs > nowMs) {
             limit = "FAULT";
-        } else if (!hasRoom()) {
-            limit = waiting.isFull() ? "REJECTING" : "OPEN";
+        } else if (!canAccept()) {
+            limit = rejecting.size() >= MAX_REJECTING ? "REJECTING" : "OPEN";
         }
         long oldestWaitMs = waiting.oldestWaitMs(runningMs);
         parts.accepts().roundEnded(limit, waiting.size(), rejecting.size(), served.get(), oldestWaitMs, nowMs);
@@ -242,7 +250,7 @@
 
     private void acceptAll(long nowMs) {
         try {
-            for (int i = 0; i < MAX_ACCEPTS && hasRoom(); i++) {
+            for (int i = 0; i < MAX_ACCEPTS && canAccept(); i++) {
                 SocketChannel channel = server.accept();
                 if (channel == null) {
                     parts.accepts().queueEmpty(nowMs);
@@ -274,17 +282,19 @@
     }
 
     private void addWaiting(Waiting connection, long nowMs) {
-        if (waiting.isFull()) {
+        if (!hasRoom()) {
             reject(waiting.removeOldest(), nowMs);
         }
         waiting.add(connection, runningMs);
     }
 
+    /** Without room, a connection takes the place of the oldest that waits, which is rejected. */
+    private boolean canAccept() {
+        return hasRoom() || (!waiting.isEmpty() && rejecting.size() < MAX_REJECTING);
+    }
+
     private boolean hasRoom() {
-        if (waiting.isFull() && rejecting.size() >= MAX_REJECTING) {
-            return false;
-        }
-        return served.get() + waiting.size() + rejecting.size() < parts.maxConnections();
+        return !waiting.isFull() && served.get() + waiting.size() + rejecting.size() < parts.maxConnections();
     }
 
     private void serve(Waiting connection) {
@@ -299,38 +309,45 @@
         if (waiting.isEmpty() && handedOver.isEmpty()) {
             return;
         }
-        long maxWaitMs = parts.maxWaitMs().getAsLong();
-        rejectWaiting(maxWaitMs, nowMs);
-        rejectUntaken(maxWaitMs, nowMs);
+        rejectExpired(parts.maxWaitMs().getAsLong(), nowMs);
     }
 
-    private void rejectWaiting(long maxWaitMs, long nowMs) {
-        for (Waiting oldest = waiting.expired(maxWaitMs, runningMs);
-                oldest != null && mayReject(maxWaitMs, nowMs);
-                oldest = waiting.expired(maxWaitMs, runningMs)) {
-            waiting.removeOldest();
-            reject(oldest, nowMs);
+    /** Rejects those first that were accepted first, whether they were handed over or not. */
+    private void rejectExpired(long maxWaitMs, long nowMs) {
+        while (true) {
+            Waiting oldest = waiting.expired(maxWaitMs, runningMs);
+            Waiting untaken = untakenMs() < maxWaitMs ? null : handedOver.peekFirst();
+            if ((oldest == null && untaken == null) || !mayReject(maxWaitMs, nowMs)) {
+                return;
+            }
+            if (untaken == null || (oldest != null && oldest.acceptedMs() < untaken.acceptedMs())) {
+                reject(waiting.removeOldest(), nowMs);
+            } else {
+                rejectUntaken(handedOver.removeFirst(), nowMs);
+            }
         }
     }
 
-    private void rejectUntaken(long maxWaitMs, long nowMs) {
-        while (!handedOver.isEmpty()
-                && runningMs - handedOver.getFirst().sinceRunningMs() >= maxWaitMs
-                && mayReject(maxWaitMs, nowMs)) {
-            Waiting oldest = handedOver.removeFirst();
-            if (oldest.take()) {
-                served.decrementAndGet();
-                reject(oldest, nowMs);
-            }
+    private void rejectUntaken(Waiting connection, long nowMs) {
+        if (connection.take()) {
+            served.decrementAndGet();
+            reject(connection, nowMs);
         }
     }
 
+    /** How long the first of the connections that were handed over has not been taken; 0 if there is none. */
+    private long untakenMs() {
+        return handedOver.isEmpty() ? 0 : runningMs - handedOver.getFirst().sinceRunningMs();
+    }
+
     private boolean mayReject(long maxWaitMs, long nowMs) {
         if (rejecting.size() >= MAX_REJECTING) {
             return false;
         }
-        boolean late = waiting.oldestWaitMs(runningMs) >= 2 * maxWaitMs;
-        return rejections.take(nowMs) || (late && lateRejections.take(nowMs));
+        long longestMs = Math.max(waiting.oldestWaitMs(runningMs), untakenMs());
+        return rejections.take(nowMs)
+                || (longestMs >= 2 * maxWaitMs && lateRejections.take(nowMs))
+                || longestMs >= MAX_UNREAD_MS;
     }
 
     private void reject(Waiting oldest, long nowMs) {
@@ -359,7 +376,7 @@
     /** Stops looking for connections that could not be accepted, which would make each selection return at once. */
     private void updateInterest(long nowMs) {
         full = true;
-        if (nowMs < acceptNotBeforeMs || !hasRoom()) {
+        if (nowMs < acceptNotBeforeMs || !canAccept()) {
             acceptKey.interestOps(0);
             return;
         }
--- a/kernel/src/main/java/org/marjoramswitch/kernel/admission/InstanceAdmission.java
+++ b/kernel/src/main/java/org/marjoramswitch/kernel/admission/InstanceAdmission.java
@@ -44,8 +44,8 @@
     /** Above the lag at which the limits are reduced, so that these decide while they can. */
     private static final long MAX_ACCEPT_LAG_MS = 40;
 
-    /** Spans several reports of connections that were rejected unread. */
-    private static final long UNREAD_KNOWN_MS = 1_000;
+    /** Unread rejections of a short pause decay below this within a second; a lasting overload causes hundreds a second. */
+    private static final double MIN_UNREAD_PER_MS = 0.02;
 
     private static final double REJECTION_BURST_MS = 20;
     private static final int FULL_PERCENT = 100;
@@ -57,13 +57,13 @@
     private final Map<CustomerId, CustomerDemand> customers = new LinkedHashMap<>(16, LOAD_FACTOR, true);
     private final RejectedTokens rejectedTokens = new RejectedTokens();
     private final DecayingRate offered = new DecayingRate();
+    private final DecayingRate rejectedUnread = new DecayingRate();
     private final RecentRequests recentRequests = new RecentRequests();
     private long sampleBeganAtMs;
     private long sampledLagMs;
     private long rejections;
     private double rejectionBucket;
     private long rejectionsFilledAtMs;
-    private long rejectedUnreadAtMs = -UNREAD_KNOWN_MS;
 
     private InstanceAdmission(int processorMillicores) {
         this.processorMillicores = processorMillicores;
@@ -101,7 +101,7 @@
      * read.
      */
     public void rejectedUnread(long requests, long nowMs) {
-        rejectedUnreadAtMs = nowMs;
+        rejectedUnread.add(requests, nowMs);
         recentRequests.distribute(requests, nowMs, rejectedTokens);
     }
 
@@ -211,7 +211,7 @@
      * that the limits alone do not show the overload.
      */
     public boolean isRejecting(long nowMs) {
-        return limits.isActive() || nowMs - rejectedUnreadAtMs < UNREAD_KNOWN_MS;
+        return limits.isActive() || rejectedUnread.perMs(nowMs) >= MIN_UNREAD_PER_MS;
     }
 
     /** The work that is admitted, in thousandths of a core; the whole processor while nothing is rejected. */
