Keep changes of peers that find the follower's queue full

Cause: while its own watch is broken, PrefixFollower receives changes from peers through a queue of 2,048 events. If its listener is slow, the queue overflows and changes are dropped; the read that would make up for them fails as long as the store is silent.

Change: after the watch has broken, the last change of each key that finds the queue full is kept in a map and applied after the queue's events.

Evidence: PrefixFollowerTest#changesOfPeersAreKeptWhileTheListenerIsBusy (5,000 changes) fails without the change (time-out after 20 s) and passes with it, one run each, aarch64, beside other builds; the other tests of the class and FleetListReaderTest pass.

--- a/daemon/src/main/java/org/marjoramswitch/daemon/platform/PrefixFollower.java
+++ b/daemon/src/main/java/org/marjoramswitch/daemon/platform/PrefixFollower.java
@@ -274,6 +274,9 @@
     private final class WatchedEntries {
         private final Map<String, Entry> entries = new TreeMap<>();
         private final MpscArrayQueue<WatchEvent> events = new MpscArrayQueue<>(MAX_EVENTS);
+        /** The last change of each key that found the ring full after the watch broke; guarded by itself. */
+        private final Map<String, WatchEvent> overflow = new TreeMap<>();
+
         private long revision;
         private volatile boolean broken;
         private volatile boolean overflowed;
@@ -292,6 +295,8 @@
             }
             if (event instanceof WatchEvent.Broken) {
                 broken = true;
+            } else if (broken) {
+                offerOfPeers(event);
             } else if (!events.offer(event)) {
                 overflowed = true;
                 broken = true;
@@ -299,6 +304,20 @@
             LockSupport.unpark(thread);
         }
 
+        /** Accepts a change that no read would repeat while the store is silent, so it must not be dropped. */
+        private void offerOfPeers(WatchEvent event) {
+            synchronized (overflow) {
+                if (overflow.isEmpty() && events.offer(event)) {
+                    return;
+                }
+                if (event instanceof WatchEvent.Put put) {
+                    overflow.put(put.entry().key(), event);
+                } else if (event instanceof WatchEvent.Deleted deleted) {
+                    overflow.put(deleted.key(), event);
+                }
+            }
+        }
+
         /**
          * Blocks until there are changes or a redelivery is due, and applies changes; false once the watch is broken.
          */
@@ -314,7 +333,12 @@
 
         /** Applies the pending changes; returns their number. */
         private int drain() {
-            return events.drain(this::apply);
+            synchronized (overflow) {
+                int changes = events.drain(this::apply) + overflow.size();
+                overflow.values().forEach(this::apply);
+                overflow.clear();
+                return changes;
+            }
         }
 
         private void apply(WatchEvent event) {
--- a/daemon/src/test/java/org/marjoramswitch/daemon/platform/PrefixFollowerTest.java
+++ b/daemon/src/test/java/org/marjoramswitch/daemon/platform/PrefixFollowerTest.java
@@ -5,6 +5,7 @@
 
 import java.util.List;
 import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.CountDownLatch;
 import java.util.concurrent.TimeUnit;
 import java.util.concurrent.atomic.AtomicInteger;
 import java.util.function.Consumer;
@@ -20,6 +21,9 @@
     /** No test waits this long; the tests detect that the follower is sleeping. */
     private static final long LONG_PAUSE_MS = TimeUnit.HOURS.toMillis(1);
 
+    /** More than the follower's queue holds. */
+    private static final int MANY_CHANGES = 5_000;
+
     private final ReadStore store = new ReadStore();
     private @Nullable PrefixFollower follower;
 
@@ -61,6 +65,41 @@
         assertEquals(1, store.reads.get());
     }
 
+    /** Guards against changes of peers that are dropped, and not read later, because the listener is slow. */
+    @Test
+    void changesOfPeersAreKeptWhileTheListenerIsBusy() throws Exception {
+        CountDownLatch busy = new CountDownLatch(1);
+        CountDownLatch release = new CountDownLatch(1);
+        AtomicInteger known = new AtomicInteger();
+        follower = PrefixFollower.start(store, PREFIX, LONG_PAUSE_MS, 1, (entries, revision) -> {
+            known.set(entries.size());
+            if (!entries.isEmpty()) {
+                busy.countDown();
+                awaitUninterruptibly(release);
+            }
+        });
+        until(() -> store.listener != null);
+        store.unreachable = true;
+        store.breakWatch();
+        for (int i = 0; busy.getCount() > 0; i++) {
+            store.change(PREFIX + 0, 2 + i);
+            TimeUnit.MILLISECONDS.sleep(1);
+        }
+        for (int i = 0; i < MANY_CHANGES; i++) {
+            store.change(PREFIX + i, MANY_CHANGES + i);
+        }
+        release.countDown();
+        until(() -> known.get() == MANY_CHANGES);
+    }
+
+    private static void awaitUninterruptibly(CountDownLatch latch) {
+        try {
+            latch.await();
+        } catch (InterruptedException e) {
+            Thread.currentThread().interrupt();
+        }
+    }
+
     private void follow(long pauseMs) {
         follower = PrefixFollower.start(store, PREFIX, pauseMs, 1, (entries, revision) -> {});
     }
@@ -78,6 +117,13 @@
         private volatile boolean closesWatches;
         private volatile @Nullable Consumer<WatchEvent> listener;
 
+        private void change(String key, long revision) {
+            Consumer<WatchEvent> current = listener;
+            if (current != null) {
+                current.accept(new WatchEvent.Put(new Entry(key, "", revision, revision, 1, 0)));
+            }
+        }
+
         private void breakWatch() {
             Consumer<WatchEvent> current = listener;
             if (current != null) {
