Report the lag of a decision loop that is held up

What callers see: while a decision takes long, their requests wait in the ring, and the instance seems on time and admits more.

Cause: the lag was that of the last event that was taken, so no event that still waits showed in it.

Evidence: loopThatIsHeldUpReportsItsLag times out without the change.

Change: the time since the present decision began counts as lag. A loop that was woken and gets no processor time is still not seen.

--- a/daemon/src/main/java/org/marjoramswitch/daemon/core/DecisionLoop.java
+++ b/daemon/src/main/java/org/marjoramswitch/daemon/core/DecisionLoop.java
@@ -51,6 +51,9 @@
     private static final int RING_PER_REQUEST = 8;
     private static final int MAX_BATCH = 256;
     private static final long JOIN_MS = 5_000;
+    /** No value of {@link System#nanoTime} in practice. */
+    private static final long NONE = Long.MIN_VALUE;
+
     private static final Event TICK = new Event.Tick();
     private static final KeyValueLog LOG = KeyValueLog.of(DecisionLoop.class);
 
@@ -68,6 +71,9 @@
     private final Set<InstanceId> cutLinks = ConcurrentHashMap.newKeySet();
     private volatile boolean closed;
     private volatile long lagMs;
+    /** When the present decision began, {@link #NONE} between two decisions. */
+    private volatile long decidingSinceNs = NONE;
+
     private long nowMs = Long.MIN_VALUE;
     private long tickedAtNs = System.nanoTime();
 
@@ -98,9 +104,15 @@
         return actions.drained();
     }
 
-    /** Time that the last event waited in the ring; 0 when the ring is empty. */
+    /**
+     * Time that the last event waited in the ring, or that the present decision has taken, whichever is longer; 0 when the
+     * ring is empty. While a decision is held up, no event is taken whose wait would show it.
+     */
     public long lagMs() {
-        return lagMs;
+        long decidingNs = decidingSinceNs;
+        return decidingNs == NONE
+                ? lagMs
+                : Math.max(lagMs, TimeUnit.NANOSECONDS.toMillis(System.nanoTime() - decidingNs));
     }
 
     /** Number of the customer's requests that have arrived here and not ended. */
@@ -258,6 +270,7 @@
     private void decide(Event event) {
         metrics.countTaken(event);
         nowMs = Math.max(nowMs, clockMs.getAsLong());
+        decidingSinceNs = System.nanoTime();
         try (Timer.Context timing = metrics.decisionTime().time()) {
             observer.onEvent(event, nowMs);
             List<Action> decided = decider.apply(event, nowMs);
@@ -266,6 +279,8 @@
             metrics.countFault();
             LOG.error(fault, "decision_failed", "error", ErrorType.INTERNAL.number(), "on", event);
             actions.onDecisionFailed(event);
+        } finally {
+            decidingSinceNs = NONE;
         }
     }
 
--- a/daemon/src/test/java/org/marjoramswitch/daemon/core/DecisionLoopTest.java
+++ b/daemon/src/test/java/org/marjoramswitch/daemon/core/DecisionLoopTest.java
@@ -14,6 +14,7 @@
 import java.util.concurrent.atomic.AtomicInteger;
 import org.junit.jupiter.api.AfterEach;
 import org.junit.jupiter.api.Test;
+import org.junit.jupiter.api.Timeout;
 import org.marjoramswitch.daemon.exchange.ResponseListener;
 import org.marjoramswitch.daemon.exchange.TargetCall;
 import org.marjoramswitch.daemon.exchange.TargetClient;
@@ -119,6 +120,28 @@
         assertEquals(1, metrics.counter("decision.refused.request_arrived").getCount());
     }
 
+    /** Guards against an instance that seems on time, and admits more, while its decisions are held up. */
+    @Test
+    @Timeout(60)
+    void loopThatIsHeldUpReportsItsLag() throws Exception {
+        CountDownLatch resume = new CountDownLatch(1);
+        start(
+                (event, nowMs) -> {
+                    awaitUninterrupted(resume);
+                    return List.of();
+                },
+                10);
+        submit(1);
+        submit(2);
+        while (loop.lagMs() < 100) {
+            Thread.sleep(5);
+        }
+        resume.countDown();
+        while (loop.lagMs() > 0) {
+            Thread.sleep(5);
+        }
+    }
+
     /**
      * Guards against losing the end of an attempt while a peer floods the instance. The decision thread is blocked, the
      * peer's messages fill their share of the ring and its link is cut; the end of the attempt uses reserved capacity,
