Reject what lies unread when an instance exits

What callers see: beside a planned stop or a restart, a whole request gets neither a response nor a rejection; its connection is closed.

Cause: the exit waits for open requests, and a request that has arrived and is not read yet is none. At an instance whose I/O threads are behind, requests lie unread for as long, and the worker is closed at once.

Log event final_requests_read.

Not covered: connections that wait to be accepted or served, and what arrives after that read.

--- a/daemon/src/main/java/org/marjoramswitch/daemon/InstanceCore.java
+++ b/daemon/src/main/java/org/marjoramswitch/daemon/InstanceCore.java
@@ -8,6 +8,8 @@
 import java.util.Map;
 import java.util.TreeMap;
 import java.util.TreeSet;
+import java.util.concurrent.CountDownLatch;
+import java.util.concurrent.RejectedExecutionException;
 import java.util.function.BiPredicate;
 import java.util.function.Consumer;
 import java.util.function.IntSupplier;
@@ -30,6 +32,7 @@
 import org.marjoramswitch.daemon.platform.KeyValueStore;
 import org.marjoramswitch.daemon.settings.HostPort;
 import org.marjoramswitch.daemon.settings.LocalSettings;
+import org.marjoramswitch.daemon.target.ReadBarrier;
 import org.marjoramswitch.kernel.InstanceKernel;
 import org.marjoramswitch.kernel.KernelOptions;
 import org.marjoramswitch.kernel.action.Action;
@@ -46,6 +49,7 @@
 import org.xnio.OptionMap;
 import org.xnio.Options;
 import org.xnio.Xnio;
+import org.xnio.XnioIoThread;
 import org.xnio.XnioWorker;
 
 /**
@@ -357,11 +361,16 @@
         components.close();
     }
 
-    /** Closing the worker drops responses that its threads have not written yet. */
+    /**
+     * Closing the worker drops requests that its threads have not read yet, which nothing counts as open, and responses that
+     * they have not written yet.
+     */
     private void awaitResponses() {
         long startMs = clock.getAsLong();
         long endMs = startMs + MAX_FINAL_WRITES_MS;
         try {
+            boolean allRead = afterReads().await(MAX_FINAL_WRITES_MS, MILLISECONDS);
+            LOG.info("final_requests_read", "instance", self.id(), "whole", allRead);
             while (!hasNoOpenCallerRequests() && clock.getAsLong() < endMs) {
                 MILLISECONDS.sleep(FINAL_WRITES_POLL_MS);
             }
@@ -378,6 +387,21 @@
                 clock.getAsLong() - startMs);
     }
 
+    /** Returns a latch that opens once each I/O thread has read the sockets that are readable now. */
+    private CountDownLatch afterReads() {
+        XnioWorker current = worker();
+        CountDownLatch unread = new CountDownLatch(current.getIoThreadCount());
+        for (int i = 0; i < current.getIoThreadCount(); i++) {
+            XnioIoThread thread = current.getIoThread(i);
+            try {
+                thread.execute(() -> ReadBarrier.of(thread).afterReads(unread::countDown));
+            } catch (RejectedExecutionException closedAlready) {
+                unread.countDown();
+            }
+        }
+        return unread;
+    }
+
     private XnioWorker startWorker() throws IOException {
         XnioWorker started = Xnio.getInstance()
                 .createWorker(OptionMap.builder()
--- a/daemon/src/main/java/org/marjoramswitch/daemon/caller/AcceptReport.java
+++ b/daemon/src/main/java/org/marjoramswitch/daemon/caller/AcceptReport.java
@@ -45,11 +45,6 @@
         queueEmptyAtMs = nowMs;
     }
 
-    /** How long the oldest connection may have been in the listen queue. */
-    long unacceptedMs() {
-        return unacceptedMs;
-    }
-
     /**
      * Ends a round.
      *
