Let few runs of a route count in proportion at a stopping instance

What callers see: an instance that has run little of a route rejects it from SIGTERM on, although its runs take milliseconds.

Cause: the change before took a route with fewer than 10 complete runs, 20 where requests may run once, for unknown.

Change: with fewer runs the longest one counts in proportion, after one run ten times as long (twenty times where requests may run once).

--- a/kernel/src/main/java/org/marjoramswitch/kernel/entry/StopPolicy.java
+++ b/kernel/src/main/java/org/marjoramswitch/kernel/entry/StopPolicy.java
@@ -16,7 +16,7 @@
  * <p>A request ends in time if its deadline falls before the end of the drain, or if the longest recent request of its
  * kind, with some headroom, would. A kind is a route and a pool: a route's short requests show nothing about another
  * route. Requests that were broken off or are still running count with their duration so far, but do not show how long
- * runs take. A kind with too few complete runs is unknown, and only the deadline counts.
+ * runs take. With few complete runs the longest one counts more, and without any only the deadline counts.
  *
  * <p>For example, with 4 s left and a deadline in 7 s, a request is accepted if the longest recent one of its kind took
  * 2.5 s, and rejected if it took 3.5 s.
@@ -27,16 +27,16 @@
     /** The next request may take longer than any recent one. */
     private static final double HEADROOM = 1.25;
     /**
-     * Complete runs that make a kind known. The next run exceeds the longest of {@code n} independent ones with a
-     * probability of {@code 1 / (n + 1)}, thus one in eleven even without headroom. More would make routes unknown that
-     * are used once every few seconds.
+     * Complete runs from which on the longest one counts as it is. The next run exceeds the longest of {@code n} independent
+     * ones with a probability of {@code 1 / (n + 1)}, thus one in eleven even without headroom. With fewer runs the longest one
+     * counts in proportion: it says little about long runs, but a few milliseconds leave time for any error.
      */
-    private static final int MIN_RUNS = 10;
+    private static final int ENOUGH_RUNS = 10;
     /**
      * The same for requests that may run once, one in twenty-one: if one of them is cut, its caller cannot learn whether it
      * ran, whereas a rejected one runs at another instance.
      */
-    private static final int MIN_RUNS_ONCE = 20;
+    private static final int ENOUGH_RUNS_ONCE = 20;
     /** From the end of a run until its response has been written to the caller. */
     private static final long DELIVERY_MS = 150;
 
@@ -133,7 +133,10 @@
                 .toList();
     }
 
-    /** The longest recent duration of the request's kind, or {@link RecentDurations#NONE} if the kind is unknown. */
+    /**
+     * The longest recent duration of the request's kind, more if only a few runs have completed, or {@link
+     * RecentDurations#NONE} if none has.
+     */
     private long longestMs(RequestSpec spec, Function<Durations, RecentDurations> type, long nowMs) {
         Kind kind = Kind.of(spec);
         Durations durations = pools.apply(kind.pool()).durations().of(kind.route());
@@ -141,8 +144,12 @@
             return RecentDurations.NONE;
         }
         RecentDurations recent = type.apply(durations);
-        int minRuns = spec.repeatable() ? MIN_RUNS : MIN_RUNS_ONCE;
-        return recent.completeCount(nowMs) < minRuns ? RecentDurations.NONE : recent.longestMs(nowMs);
+        int complete = recent.completeCount(nowMs);
+        if (complete == 0) {
+            return RecentDurations.NONE;
+        }
+        int enough = spec.repeatable() ? ENOUGH_RUNS : ENOUGH_RUNS_ONCE;
+        return recent.longestMs(nowMs) * Math.max(enough, complete) / complete;
     }
 
     private boolean endsInTime(RequestSpec spec, long nowMs) {
