Log customers' requests at a rejecting instance and customers that are underserved

Of a request that is rejected unread, the key is read from the bytes of its head that have arrived, so its demand is reported for its own customer. Only the remainder is distributed by an estimate. No decision changes but for the tokens that the arbiters count as asked.

--- a/daemon/src/main/java/org/marjoramswitch/daemon/caller/AdmissionGate.java
+++ b/daemon/src/main/java/org/marjoramswitch/daemon/caller/AdmissionGate.java
@@ -4,13 +4,16 @@
 import com.codahale.metrics.Meter;
 import com.codahale.metrics.MetricRegistry;
 import java.util.List;
+import java.util.Map;
 import java.util.function.Consumer;
 import java.util.function.LongSupplier;
 import org.marjoramswitch.daemon.log.KeyValueLog;
 import org.marjoramswitch.kernel.admission.AdmissionRequest;
 import org.marjoramswitch.kernel.admission.AdmissionResult;
+import org.marjoramswitch.kernel.admission.CustomerLoad;
 import org.marjoramswitch.kernel.admission.InstanceAdmission;
 import org.marjoramswitch.kernel.message.PeerMessage.CustomerTokens;
+import org.marjoramswitch.kernel.model.CustomerId;
 
 /**
  * Calls {@link InstanceAdmission} from the I/O threads, under one lock, and publishes its state. A request holds the lock
@@ -54,10 +57,13 @@
         long nowMs = clockMs.getAsLong();
         AdmissionResult result;
         List<CustomerTokens> due;
+        List<CustomerLoad> loads;
         synchronized (this) {
             result = admission.admit(request, nowMs);
             due = admission.takeRejectedDemand(nowMs);
+            loads = admission.takeLoads(nowMs);
         }
+        loads.forEach(AdmissionGate::log);
         if (result instanceof AdmissionResult.Rejected) {
             rejected.mark();
         } else {
@@ -69,12 +75,16 @@
         return result;
     }
 
-    /** Reports requests that were rejected unread as demand. */
-    void rejectedUnread(long requests) {
+    /**
+     * Reports requests that were rejected unread as demand.
+     *
+     * @param unknown number of requests whose customer is not known
+     */
+    void rejectedUnread(Map<CustomerId, Integer> byCustomer, long unknown) {
         long nowMs = clockMs.getAsLong();
         List<CustomerTokens> due;
         synchronized (this) {
-            admission.rejectedUnread(requests, nowMs);
+            admission.rejectedUnread(byCustomer, unknown, nowMs);
             due = admission.takeRejectedDemand(nowMs);
         }
         if (!due.isEmpty()) {
@@ -96,6 +106,23 @@
         logChange(lagMs, nowMs);
     }
 
+    private static void log(CustomerLoad load) {
+        LOG.info(
+                "customer_load",
+                "customer",
+                load.customer(),
+                "admitted",
+                load.admitted(),
+                "admittedTokens",
+                load.admittedTokens(),
+                "rejected",
+                load.rejected(),
+                "rejectedTokens",
+                load.rejectedTokens(),
+                "unread",
+                load.unread());
+    }
+
     private void logChange(long lagMs, long nowMs) {
         if (wasShedding == admission.isShedding()) {
             return;
--- a/daemon/src/main/java/org/marjoramswitch/daemon/caller/CallerAcceptor.java
+++ b/daemon/src/main/java/org/marjoramswitch/daemon/caller/CallerAcceptor.java
@@ -15,9 +15,12 @@
 import java.util.concurrent.atomic.AtomicBoolean;
 import java.util.concurrent.atomic.AtomicInteger;
 import java.util.function.BooleanSupplier;
+import java.util.function.Function;
 import java.util.function.LongSupplier;
+import org.jspecify.annotations.Nullable;
 import org.marjoramswitch.daemon.log.KeyValueLog;
 import org.marjoramswitch.daemon.settings.HostPort;
+import org.marjoramswitch.kernel.model.CustomerId;
 import org.xnio.IoUtils;
 
 /**
@@ -108,12 +111,14 @@
      *
      * @param maxConnections maximum number of open connections
      * @param processorMillicores the instance's processor limit
+     * @param customers returns the customer of an Authorization header's value, null if there is none
      * @param mayAccept whether a connection may be served now
      * @param maxWaitMs how long a connection may wait to be served before it is rejected
      */
     record Parts(
             int maxConnections,
             int processorMillicores,
+            Function<String, @Nullable CustomerId> customers,
             BooleanSupplier mayAccept,
             LongSupplier maxWaitMs,
             Server server,
@@ -367,12 +372,17 @@
                 serve(new Waiting(connection.channel(), nowMs, runningMs, new AtomicBoolean()));
             } else {
                 boolean told = connection.state() == RejectedConnection.State.REJECTED;
-                parts.report().add(told, entry.waitMs());
+                parts.report().add(told, customerOf(connection.head()), entry.waitMs());
             }
             return true;
         });
     }
 
+    private @Nullable CustomerId customerOf(@Nullable UnreadHead head) {
+        String authorization = head == null ? null : head.authorization();
+        return authorization == null ? null : parts.customers().apply(authorization);
+    }
+
     /** Stops looking for connections that could not be accepted, which would make each selection return at once. */
     private void updateInterest(long nowMs) {
         full = true;
--- a/daemon/src/main/java/org/marjoramswitch/daemon/caller/ForwardServer.java
+++ b/daemon/src/main/java/org/marjoramswitch/daemon/caller/ForwardServer.java
@@ -20,6 +20,7 @@
 import org.marjoramswitch.daemon.route.RoutedSettings;
 import org.marjoramswitch.daemon.settings.HostPort;
 import org.marjoramswitch.kernel.addresses.HeadroomRamp;
+import org.marjoramswitch.kernel.model.CustomerId;
 import org.xnio.IoUtils;
 import org.xnio.OptionMap;
 import org.xnio.XnioIoThread;
@@ -157,9 +158,11 @@
 
     private static CallerAcceptor.Parts acceptorParts(
             Parts parts, AdmissionGate gate, LagProbe lag, MetricRegistry metrics, CallerAcceptor.Server server) {
+        ApiKeys apiKeys = ApiKeys.create();
         return new CallerAcceptor.Parts(
                 parts.options().maxConnections(),
                 parts.admission().processorMillicores(),
+                authorization -> customerOf(apiKeys, parts.settings().get(), authorization),
                 () -> gate.mayAccept(lag.overdueMs()),
                 gate::maxWaitMs,
                 server,
@@ -169,6 +172,10 @@
                 parts.clockMs());
     }
 
+    private static @Nullable CustomerId customerOf(ApiKeys apiKeys, RoutedSettings current, String authorization) {
+        return apiKeys.customer(current.version(), current.customers(), authorization);
+    }
+
     private static List<XnioIoThread> ioThreads(XnioWorker worker) {
         return IntStream.range(0, worker.getIoThreadCount())
                 .mapToObj(worker::getIoThread)
--- a/daemon/src/main/java/org/marjoramswitch/daemon/caller/RejectedConnection.java
+++ b/daemon/src/main/java/org/marjoramswitch/daemon/caller/RejectedConnection.java
@@ -40,6 +40,7 @@
     private long receivedBytes;
     private int matchedMethod;
     private int matchedEnd;
+    private @Nullable UnreadHead head;
 
     /** The progress of a rejection. */
     enum State {
@@ -73,6 +74,12 @@
         return channel;
     }
 
+    /** The request's head; null if it was not received at once. */
+    @Nullable
+    UnreadHead head() {
+        return head;
+    }
+
     /** Whether nothing more is to be done on this connection by this class. */
     boolean hasEnded() {
         return state == State.SILENT || state == State.REJECTED || state == State.GONE;
@@ -149,6 +156,9 @@
             return;
         }
         input.flip();
+        if (receivedBytes == 0) {
+            head = UnreadHead.parse(input);
+        }
         while (input.hasRemaining() && matchedEnd < HEAD_END.length) {
             match(input.get());
         }
--- a/daemon/src/main/java/org/marjoramswitch/daemon/caller/UnreadRejectionReport.java
+++ b/daemon/src/main/java/org/marjoramswitch/daemon/caller/UnreadRejectionReport.java
@@ -2,8 +2,11 @@
 
 import com.codahale.metrics.Meter;
 import com.codahale.metrics.MetricRegistry;
-import java.util.function.LongConsumer;
+import java.util.HashMap;
+import java.util.Map;
+import org.jspecify.annotations.Nullable;
 import org.marjoramswitch.daemon.log.KeyValueLog;
+import org.marjoramswitch.kernel.model.CustomerId;
 
 /**
  * Counts connections that were rejected, logs them as one event for each interval, and reports them as demand. Used by
@@ -13,32 +16,38 @@
     private static final KeyValueLog LOG = KeyValueLog.of(UnreadRejectionReport.class);
     private static final long INTERVAL_MS = 100;
 
-    private final LongConsumer unreadDemand;
+    /** Receives the number of requests that were rejected unread by customer, and of those whose customer is not known. */
+    interface Demand {
+        void rejected(Map<CustomerId, Integer> byCustomer, long unknown);
+    }
+
+    private final Demand demand;
     private final Meter rejectedMeter;
     private final Meter goneMeter;
+    private final Map<CustomerId, Integer> byCustomer = new HashMap<>();
     private long rejected;
     private long gone;
     private long maxWaitMs;
     private long reportedAtMs;
 
-    private UnreadRejectionReport(MetricRegistry registry, LongConsumer unreadDemand) {
-        this.unreadDemand = unreadDemand;
+    private UnreadRejectionReport(MetricRegistry registry, Demand demand) {
+        this.demand = demand;
         this.rejectedMeter = registry.meter("caller.connections_rejected");
         this.goneMeter = registry.meter("caller.gone_unread");
     }
 
-    /** @param unreadDemand receives the number of requests that were not read */
-    static UnreadRejectionReport create(MetricRegistry registry, LongConsumer unreadDemand) {
-        return new UnreadRejectionReport(registry, unreadDemand);
+    static UnreadRejectionReport create(MetricRegistry registry, Demand demand) {
+        return new UnreadRejectionReport(registry, demand);
     }
 
     /**
      * Counts a connection that was not served.
      *
      * @param told whether a rejection was written to it
+     * @param customer of its request, null if it is not known
      * @param waitMs time from its accept until it was rejected
      */
-    void add(boolean told, long waitMs) {
+    void add(boolean told, @Nullable CustomerId customer, long waitMs) {
         if (told) {
             rejected++;
             rejectedMeter.mark();
@@ -46,6 +55,9 @@
             gone++;
             goneMeter.mark();
         }
+        if (customer != null) {
+            byCustomer.merge(customer, 1, Integer::sum);
+        }
         maxWaitMs = Math.max(maxWaitMs, waitMs);
     }
 
@@ -66,7 +78,9 @@
             return;
         }
         LOG.info("connections_rejected", "count", rejected, "goneUnread", gone, "maxWaitMs", maxWaitMs);
-        unreadDemand.accept(rejected + gone);
+        long known = byCustomer.values().stream().mapToInt(Integer::intValue).sum();
+        demand.rejected(Map.copyOf(byCustomer), rejected + gone - known);
+        byCustomer.clear();
         rejected = 0;
         gone = 0;
         maxWaitMs = 0;
--- a/daemon/src/test/java/org/marjoramswitch/daemon/caller/CallerAcceptorTest.java
+++ b/daemon/src/test/java/org/marjoramswitch/daemon/caller/CallerAcceptorTest.java
@@ -134,11 +134,12 @@
                 new CallerAcceptor.Parts(
                         maxConnections,
                         MILLICORES,
+                        authorization -> null,
                         () -> acceptable,
                         () -> MAX_WAIT_MS,
                         this::serve,
                         PreparedRejections.create(new SecondsDecoder()),
-                        UnreadRejectionReport.create(metrics, requests -> {}),
+                        UnreadRejectionReport.create(metrics, (byCustomer, unknown) -> {}),
                         AcceptReport.create(metrics),
                         this::clockMs));
     }
--- /dev/null
+++ b/daemon/src/test/java/org/marjoramswitch/daemon/caller/UnreadHeadTest.java
@@ -0,0 +1,65 @@
+package org.marjoramswitch.daemon.caller;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertNotNull;
+import static org.junit.jupiter.api.Assertions.assertNull;
+
+import java.nio.ByteBuffer;
+import java.nio.charset.StandardCharsets;
+import org.jspecify.annotations.Nullable;
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.CsvSource;
+
+class UnreadHeadTest {
+    private static final String FIRST_LINE = "POST /a/ HTTP/1.1\r\n";
+
+    /** Guards against a demand that is counted for no customer although its key was received. */
+    @Test
+    void findsAuthorizationAndLengths() {
+        String text = FIRST_LINE + "Host: h\r\nAUTHORIZATION:  Bearer k \r\ncontent-length: 12\r\n\r\n";
+        UnreadHead head = parse(text + "body of 12 b");
+        assertNotNull(head);
+        assertEquals("Bearer k", head.authorization());
+        assertEquals(text.length(), head.headBytes());
+        assertEquals(12, head.bodyBytes());
+    }
+
+    @Test
+    void incompleteHeadIsNotParsed() {
+        assertNull(parse(FIRST_LINE + "Host: h\r\n"));
+        assertNull(parse(""));
+    }
+
+    /** Guards against a connection that is closed with a part of its request unread, since its length was misread. */
+    @ParameterizedTest
+    @CsvSource({
+        "Content-Length: 5, 5",
+        "X-Content-Length: 5, 0",
+        "Content-Lengths: 5, 0",
+        "Content-Length: +5, -1",
+        "Content-Length: 99999999999999999999, -1",
+        "Content-Length: , -1",
+        "Transfer-Encoding: chunked, -1"
+    })
+    void lengthIsKnownOnlyIfItIsStatedOnceAsANumber(String header, long bodyBytes) {
+        UnreadHead head = parse(FIRST_LINE + header + "\r\n\r\n");
+        assertNotNull(head);
+        assertEquals(bodyBytes, head.bodyBytes());
+        assertNull(head.authorization());
+    }
+
+    @Test
+    void lengthThatIsStatedTwiceIsUnknown() {
+        UnreadHead head = parse(FIRST_LINE + "Content-Length: 5\r\nContent-Length: 5\r\n\r\n");
+        assertNotNull(head);
+        assertEquals(UnreadHead.UNKNOWN, head.bodyBytes());
+        UnreadHead chunked = parse(FIRST_LINE + "Transfer-Encoding: chunked\r\nContent-Length: 5\r\n\r\n");
+        assertNotNull(chunked);
+        assertEquals(UnreadHead.UNKNOWN, chunked.bodyBytes());
+    }
+
+    private static @Nullable UnreadHead parse(String text) {
+        return UnreadHead.parse(ByteBuffer.wrap(text.getBytes(StandardCharsets.ISO_8859_1)));
+    }
+}
--- a/kernel/src/main/java/org/marjoramswitch/kernel/admission/InstanceAdmission.java
+++ b/kernel/src/main/java/org/marjoramswitch/kernel/admission/InstanceAdmission.java
@@ -59,6 +59,7 @@
     private final DecayingRate offered = new DecayingRate();
     private final DecayingRate rejectedUnread = new DecayingRate();
     private final RecentRequests recentRequests = new RecentRequests();
+    private final LoadReport loadReport = new LoadReport();
     private long sampleBeganAtMs;
     private long sampledLagMs;
     private long rejections;
@@ -86,8 +87,10 @@
         offered.add(workUs, nowMs);
         recentRequests.add(request.pool(), request.customer(), tokens, nowMs);
         if (!limits.isActive() || !customer.isAboveShare() || kind.take(workUs, nowMs)) {
+            loadReport.admitted(request.customer(), tokens);
             return ADMITTED;
         }
+        loadReport.rejected(request.customer(), tokens);
         rejections++;
         fillRejections(nowMs);
         rejectionBucket = Math.max(-rejectionBurst(), rejectionBucket - 1);
@@ -97,12 +100,24 @@
     }
 
     /**
-     * Counts requests that were rejected before they were read as rejected demand, by an estimate from those that were
+     * Counts requests that were rejected before they were read as rejected demand, with the mean tokens of those that were
      * read.
+     *
+     * @param unknown number of requests whose customer is not known; its distribution is estimated
      */
-    public void rejectedUnread(long requests, long nowMs) {
-        rejectedUnread.add(requests, nowMs);
-        recentRequests.distribute(requests, nowMs, rejectedTokens);
+    public void rejectedUnread(Map<CustomerId, Integer> byCustomer, long unknown, long nowMs) {
+        rejectedUnread.add(unknown, nowMs);
+        recentRequests.distribute(unknown, nowMs, rejectedTokens);
+        byCustomer.forEach((customer, requests) -> {
+            rejectedUnread.add(requests, nowMs);
+            recentRequests.distributeOf(customer, requests, nowMs, rejectedTokens);
+            loadReport.rejectedUnread(customer, requests);
+        });
+    }
+
+    /** Returns what became of the largest customers' requests, once a second while any are rejected. */
+    public List<CustomerLoad> takeLoads(long nowMs) {
+        return loadReport.takeDue(nowMs);
     }
 
     private CustomerDemand demandOf(CustomerId id) {
--- a/kernel/src/main/java/org/marjoramswitch/kernel/admission/RecentRequests.java
+++ b/kernel/src/main/java/org/marjoramswitch/kernel/admission/RecentRequests.java
@@ -64,6 +64,20 @@
         });
     }
 
+    /** Adds the estimated tokens of a customer's unread requests to the rejected ones; none while none of its own was read. */
+    void distributeOf(CustomerId customer, long requests, long nowMs, RejectedTokens rejected) {
+        decay(nowMs);
+        double total = amounts.entrySet().stream()
+                .filter(entry -> entry.getKey().customer().equals(customer))
+                .mapToDouble(entry -> entry.getValue().requests)
+                .sum();
+        amounts.forEach((key, amount) -> {
+            if (key.customer().equals(customer)) {
+                rejected.add(key.pool(), customer, requests * amount.tokens / total);
+            }
+        });
+    }
+
     int size() {
         return amounts.size();
     }
--- a/kernel/src/main/java/org/marjoramswitch/kernel/placement/FairShareEstimate.java
+++ b/kernel/src/main/java/org/marjoramswitch/kernel/placement/FairShareEstimate.java
@@ -1,7 +1,9 @@
 package org.marjoramswitch.kernel.placement;
 
+import java.util.ArrayList;
 import java.util.Iterator;
 import java.util.LinkedHashMap;
+import java.util.List;
 import java.util.Map;
 import org.marjoramswitch.kernel.model.CustomerId;
 
@@ -95,14 +97,34 @@
     boolean isUnderserved(CustomerId customer, long nowMs) {
         RecentService own = use(customer, nowMs);
         removeUnused(nowMs);
-        double bestByWeight = 0;
+        return own.isUnderserved(bestByWeight(nowMs), nowMs);
+    }
+
+    private double bestByWeight(long nowMs) {
+        double best = 0;
         for (RecentService service : byCustomer.values()) {
-            bestByWeight = Math.max(bestByWeight, service.chargedTokensAt(nowMs) / service.weight);
+            best = Math.max(best, service.chargedTokensAt(nowMs) / service.weight);
         }
-        double minTokens = MIN_RATIO * Math.min(own.askedTokens, bestByWeight * own.weight);
-        return own.chargedTokens + own.largestTokens < minTokens;
+        return best;
+    }
+
+    /** The customers that are underserved, see {@link #isUnderserved}. */
+    List<Underserved> underserved(long nowMs) {
+        removeUnused(nowMs);
+        double bestByWeight = bestByWeight(nowMs);
+        List<Underserved> found = new ArrayList<>();
+        byCustomer.forEach((customer, service) -> {
+            if (service.isUnderserved(bestByWeight, nowMs)) {
+                double factor = service.decayFactor(nowMs);
+                found.add(new Underserved(customer, factor * service.askedTokens, factor * service.chargedTokens));
+            }
+        });
+        return found;
     }
 
+    /** The tokens that a customer asked for and was charged, averaged over the window. */
+    record Underserved(CustomerId customer, double askedTokens, double chargedTokens) {}
+
     private RecentService use(CustomerId customer, long nowMs) {
         RecentService service = byCustomer.computeIfAbsent(customer, missing -> new RecentService(nowMs));
         service.decay(nowMs);
@@ -143,6 +165,12 @@
             return chargedTokens * decayFactor(nowMs);
         }
 
+        private boolean isUnderserved(double bestByWeight, long nowMs) {
+            double factor = decayFactor(nowMs);
+            double minTokens = MIN_RATIO * Math.min(factor * askedTokens, bestByWeight * weight);
+            return factor * (chargedTokens + largestTokens) < minTokens;
+        }
+
         private void decay(long nowMs) {
             double factor = decayFactor(nowMs);
             askedTokens *= factor;
--- a/kernel/src/main/java/org/marjoramswitch/kernel/placement/PlacementArbiter.java
+++ b/kernel/src/main/java/org/marjoramswitch/kernel/placement/PlacementArbiter.java
@@ -69,6 +69,8 @@
     private static final long LATE_PASS_MS = 20;
     /** A target has at most one log line of its speed in this time. */
     private static final long SPEED_LOG_MS = 1_000;
+    /** Interval between two log lines of a customer that is underserved. */
+    private static final long UNDERSERVED_LOG_MS = 1_000;
     /** Up to this many waiting requests, every event triggers a pass, so that a freed target is used immediately. */
     private static final int MAX_WAITING_FOR_FULL_PASS = 16;
 
@@ -113,6 +115,7 @@
     private long lastLatePassMs;
     private boolean memoryScarce;
     private long speedsLoggedMs;
+    private long underservedLoggedMs;
     private double meanServiceMs = INITIAL_SERVICE_MS;
     private long arrivals;
     private long choices;
@@ -352,6 +355,17 @@
         }
         refuseExpired(nowMs, sink);
         logSpeeds(nowMs, sink);
+        logUnderserved(nowMs, sink);
+    }
+
+    private void logUnderserved(long nowMs, ActionSink sink) {
+        if (nowMs - underservedLoggedMs < UNDERSERVED_LOG_MS) {
+            return;
+        }
+        underservedLoggedMs = nowMs;
+        fairShare
+                .underserved(nowMs)
+                .forEach(customer -> sink.accept(PlacementLog.underserved(cell, customer, fairShare.tokens(nowMs))));
     }
 
     private void logSpeeds(long nowMs, ActionSink sink) {
--- a/kernel/src/main/java/org/marjoramswitch/kernel/placement/PlacementLog.java
+++ b/kernel/src/main/java/org/marjoramswitch/kernel/placement/PlacementLog.java
@@ -98,6 +98,22 @@
                 Math.round(speed.observations(nowMs))));
     }
 
+    /** Logs that a customer is served much less than it asks for and than another one. */
+    static Action underserved(CellId cell, FairShareEstimate.Underserved customer, double evenShareTokens) {
+        return new Action.Decided(Decision.of(
+                "customer_underserved",
+                "cell",
+                cell,
+                "customer",
+                customer.customer(),
+                "askedTokens",
+                Math.round(customer.askedTokens()),
+                "chargedTokens",
+                Math.round(customer.chargedTokens()),
+                "evenShareTokens",
+                Math.round(evenShareTokens)));
+    }
+
     private static double rounded(double factor) {
         return Math.round(100 * factor) / 100.0;
     }
