--- a/daemon/src/main/java/org/marjoramswitch/daemon/caller/CallerAcceptor.java
+++ b/daemon/src/main/java/org/marjoramswitch/daemon/caller/CallerAcceptor.java
@@ -20,6 +20,7 @@
 import org.jspecify.annotations.Nullable;
 import org.marjoramswitch.daemon.log.KeyValueLog;
 import org.marjoramswitch.daemon.settings.HostPort;
+import org.marjoramswitch.kernel.admission.AcceptLine;
 import org.marjoramswitch.kernel.model.CustomerId;
 import org.xnio.IoUtils;
 
--- a/daemon/src/main/java/org/marjoramswitch/daemon/caller/AcceptLine.java
+++ b/kernel/src/main/java/org/marjoramswitch/kernel/admission/AcceptLine.java
@@ -1,4 +1,4 @@
-package org.marjoramswitch.daemon.caller;
+package org.marjoramswitch.kernel.admission;
 
 import java.util.ArrayDeque;
 import java.util.Deque;
@@ -13,7 +13,7 @@
  *
  * @param <C> type of a connection
  */
-final class AcceptLine<C> {
+public final class AcceptLine<C> {
     private final int capacity;
     private final Deque<Entry<C>> entries = new ArrayDeque<>();
 
@@ -23,56 +23,55 @@
         this.capacity = capacity;
     }
 
-    static <C> AcceptLine<C> withCapacity(int capacity) {
+    public static <C> AcceptLine<C> withCapacity(int capacity) {
         return new AcceptLine<>(capacity);
     }
 
-    boolean isFull() {
+    public boolean isFull() {
         return entries.size() >= capacity;
     }
 
-    boolean isEmpty() {
+    public boolean isEmpty() {
         return entries.isEmpty();
     }
 
-    int size() {
+    public int size() {
         return entries.size();
     }
 
-    void add(C connection, long nowMs) {
+    public void add(C connection, long nowMs) {
         entries.addLast(new Entry<>(connection, nowMs));
     }
 
     /** Whether a connection has not waited for this time yet, so that it may be served. */
-    boolean hasFresh(long maxWaitMs, long nowMs) {
+    public boolean hasFresh(long maxWaitMs, long nowMs) {
         return !entries.isEmpty() && nowMs - entries.getLast().acceptedMs() < maxWaitMs;
     }
 
     /** Removes the newest connection. */
-    C removeNewest() {
+    public C removeNewest() {
         return entries.removeLast().connection();
     }
 
     /** Returns the oldest connection if it has waited for this time, otherwise null. */
-    @Nullable
-    C expired(long maxWaitMs, long nowMs) {
+    public @Nullable C expired(long maxWaitMs, long nowMs) {
         return oldestWaitMs(nowMs) < maxWaitMs || entries.isEmpty()
                 ? null
                 : entries.getFirst().connection();
     }
 
     /** Removes the oldest connection. */
-    C removeOldest() {
+    public C removeOldest() {
         return entries.removeFirst().connection();
     }
 
     /** How long the oldest connection has waited; 0 if there is none. */
-    long oldestWaitMs(long nowMs) {
+    public long oldestWaitMs(long nowMs) {
         return entries.isEmpty() ? 0 : nowMs - entries.getFirst().acceptedMs();
     }
 
     /** Removes all connections and returns them. */
-    Iterable<C> removeAll() {
+    public Iterable<C> removeAll() {
         Iterable<C> removed = entries.stream().map(Entry::connection).toList();
         entries.clear();
         return removed;
--- a/daemon/src/test/java/org/marjoramswitch/daemon/caller/AcceptLineTest.java
+++ b/kernel/src/test/java/org/marjoramswitch/kernel/admission/AcceptLineTest.java
@@ -1,4 +1,4 @@
-package org.marjoramswitch.daemon.caller;
+package org.marjoramswitch.kernel.admission;
 
 import static org.junit.jupiter.api.Assertions.assertEquals;
 import static org.junit.jupiter.api.Assertions.assertFalse;
