--- a/kernel/src/test/java/org/marjoramswitch/kernel/admission/InstanceAdmissionTest.java
+++ b/kernel/src/test/java/org/marjoramswitch/kernel/admission/InstanceAdmissionTest.java
@@ -136,6 +136,32 @@
         }
     }
 
+    /**
+     * Guards against shares in proportion to the connections that customers open: one of two customers above their share
+     * then gets far less than the other one at an instance that reads only a part of its connections.
+     */
+    @ParameterizedTest
+    @CsvSource({"600, 200, 1", "900, 300, 2", "1200, 300, 3", "1500, 400, 4", "300, 900, 5"})
+    void customersThatOpenMoreConnectionsGetNoLargerShare(double manyPerS, double fewPerS, long seed) {
+        CustomerId few = CustomerId.of("few");
+        OverloadedInstance instance = instance(0.38, seed);
+        ORDINARY.forEach(customer -> instance.loadOnNewConnections(customer, ORDINARY_PER_S, 1_000, END_MS));
+        instance.loadOnNewConnections(FLOODING, manyPerS, 1_000, END_MS);
+        instance.loadOnNewConnections(few, fewPerS, 1_000, END_MS);
+        instance.runUntil(BEGIN_MS);
+        instance.resetCounts();
+        instance.runUntil(END_MS);
+        String summary = summary(instance) + " few sent=" + instance.counts(few).sent + " admitted="
+                + instance.counts(few).admitted + " unread=" + instance.counts(few).unread + " tokens="
+                + instance.counts(few).servedTokens + " of " + instance.counts(FLOODING).servedTokens;
+        double least = Math.min(instance.counts(few).servedTokens, instance.counts(FLOODING).servedTokens);
+        double most = Math.max(instance.counts(few).servedTokens, instance.counts(FLOODING).servedTokens);
+        assertTrue(least >= 0.5 * most, summary);
+        for (CustomerId customer : ORDINARY) {
+            assertTrue(instance.counts(customer).admitted >= 0.9 * instance.counts(customer).sent, summary);
+        }
+    }
+
     /** Guards against state that grows with the names that callers send. */
     @Test
     void stateIsBounded() {
--- a/kernel/src/test/java/org/marjoramswitch/kernel/admission/OverloadedInstance.java
+++ b/kernel/src/test/java/org/marjoramswitch/kernel/admission/OverloadedInstance.java
@@ -35,6 +35,18 @@
     private static final int CALLER_WAIT_DIVISOR = 3;
     private static final int BACKLOG = 64;
     private static final int CONNECTIONS = 64;
+    /** As the accepting thread of the daemon. */
+    private static final double REJECT_UNREAD_CORE_MS = 0.125;
+
+    private static final double HAND_OVERS_PER_MS = MILLICORES / 450.0;
+    private static final double UNREAD_REJECTIONS_PER_MS = 0.3 * MILLICORES / 125;
+    private static final double BURST_MS = 20;
+    private static final long MAX_WAIT_MS = 100;
+    private static final long MAX_UNREAD_WAIT_MS = 500;
+    private static final double ACCEPT_ROUND_MS = 5;
+    private static final int MAX_WAITING = 1_000;
+    private static final double UNREAD_RETRY_AFTER_MS = 250;
+    private static final double UNREAD_RETRY_SPREAD_MS = 250;
     private static final PoolId POOL = PoolId.of("pool");
 
     /** A kind of request; {@code tokens} is the mean. */
@@ -64,6 +76,8 @@
         void lagAtLeast(long lagMs, long nowMs);
 
         boolean mayAccept(long overdueMs, long nowMs);
+
+        void rejectedUnread(CustomerId customer, long nowMs);
     }
 
     /** What happened to the requests of one customer since the last reset. */
@@ -82,6 +96,11 @@
     private final PriorityQueue<Due> due = new PriorityQueue<>();
     private final Deque<Task> ready = new ArrayDeque<>();
     private final Deque<Call> backlog = new ArrayDeque<>();
+    private final AcceptLine<Call> line = AcceptLine.withCapacity(MAX_WAITING);
+    private boolean roundScheduled;
+    private double handOvers;
+    private double unreadRejections;
+    private double roundAtMs;
     private final Map<CustomerId, Counts> counts = new HashMap<>();
     private final Map<CustomerId, Integer> idleConnections = new HashMap<>();
     private final List<Double> admittedAtMs = new ArrayList<>();
@@ -148,6 +167,64 @@
         }
     }
 
+    /** As {@link #load}, with a connection for each request. */
+    void loadOnNewConnections(CustomerId customer, double perSecond, double fromMs, double untilMs) {
+        for (double at = fromMs; at < untilMs; at -= Math.log(1 - random.nextDouble()) * 1_000 / perSecond) {
+            double sentAtMs = at;
+            Kind kind = MIX.get(random.nextInt(MIX.size()));
+            long tokens = Math.max(1, Math.round(kind.tokens() * (0.5 + random.nextDouble())));
+            schedule(at, () -> {
+                counts(customer).sent++;
+                connect(new Call(customer, kind, tokens, sentAtMs, sentAtMs, false));
+            });
+        }
+    }
+
+    private void connect(Call call) {
+        line.add(call, Math.round(nowMs));
+        if (!roundScheduled) {
+            roundScheduled = true;
+            schedule(nowMs, this::acceptRound);
+        }
+    }
+
+    /** Serves the connections that wait, as long as the rule allows it, and rejects those that have waited too long. */
+    private void acceptRound() {
+        long now = Math.round(nowMs);
+        double elapsedMs = nowMs - roundAtMs;
+        roundAtMs = nowMs;
+        handOvers = Math.min(BURST_MS * HAND_OVERS_PER_MS, handOvers + elapsedMs * HAND_OVERS_PER_MS);
+        unreadRejections =
+                Math.min(BURST_MS * UNREAD_REJECTIONS_PER_MS, unreadRejections + elapsedMs * UNREAD_REJECTIONS_PER_MS);
+        while (handOvers >= 1 && line.hasFresh(MAX_WAIT_MS, now) && rule.mayAccept(overdueMs(), now)) {
+            handOvers--;
+            Call call = line.removeNewest();
+            ready.add(new Task(ACCEPT_CORE_MS, () -> read(call)));
+        }
+        while (line.expired(MAX_WAIT_MS, now) != null
+                && (unreadRejections >= 1 || line.oldestWaitMs(now) >= MAX_UNREAD_WAIT_MS)) {
+            unreadRejections--;
+            Call call = line.removeOldest();
+            ready.add(new Task(REJECT_UNREAD_CORE_MS, () -> rejectUnread(call)));
+        }
+        roundScheduled = !line.isEmpty();
+        if (roundScheduled) {
+            schedule(nowMs + ACCEPT_ROUND_MS, this::acceptRound);
+        }
+    }
+
+    private void rejectUnread(Call call) {
+        counts(call.customer()).unread++;
+        rule.rejectedUnread(call.customer(), Math.round(nowMs));
+        double atMs = nowMs + UNREAD_RETRY_AFTER_MS + UNREAD_RETRY_SPREAD_MS * random.nextDouble();
+        if (!call.isRetry() && atMs < call.timesOutAtMs()) {
+            schedule(
+                    atMs,
+                    () -> connect(
+                            new Call(call.customer(), call.kind(), call.tokens(), call.firstSentAtMs(), nowMs, true)));
+        }
+    }
+
     /** Stops the processor for a time. */
     void pause(double atMs, double lengthMs) {
         schedule(atMs, () -> freeAtMs = Math.max(freeAtMs, nowMs) + lengthMs);
@@ -326,6 +403,11 @@
             public boolean mayAccept(long overdueMs, long nowMs) {
                 return admission.mayAccept(overdueMs, nowMs);
             }
+
+            @Override
+            public void rejectedUnread(CustomerId customer, long nowMs) {
+                admission.rejectedUnread(Map.of(customer, 1), 0, nowMs);
+            }
         };
     }
 
@@ -355,6 +437,9 @@
             public boolean mayAccept(long overdueMs, long nowMs) {
                 return true;
             }
+
+            @Override
+            public void rejectedUnread(CustomerId customer, long nowMs) {}
         };
     }
 }
