Close the connection of a rejected request at once if it is complete

A connection that was rejected unread stayed open until its caller closed it, for up to a second, with a registration at the selector, a shutdown and two further reads. That is needed only while a part of the request is to come: a socket that is closed with unread input sends a reset, which may discard the response. The length of the request is known from its head, so what has arrived is read before the response, and a connection without a remainder is closed with it.

--- a/daemon/src/main/java/org/marjoramswitch/daemon/caller/RejectedConnection.java
+++ b/daemon/src/main/java/org/marjoramswitch/daemon/caller/RejectedConnection.java
@@ -44,6 +44,9 @@
     private int matchedMethod;
     private int matchedEnd;
     private @Nullable UnreadHead head;
+    /** Bytes of the request that have not been read; meaningful only if the length of its body is known. */
+    private long missingBytes;
+
     /** The progress of a rejection. */
     enum State {
         /** The head is read. */
@@ -112,6 +115,9 @@
             if (state == State.HEAD) {
                 readHead(nowMs);
             }
+            if (state == State.RESPONSE && head != null && missingBytes > 0) {
+                readBody();
+            }
             if (state == State.RESPONSE) {
                 write(nowMs);
             }
@@ -170,6 +176,7 @@
         UnreadHead parsed = isFirst ? UnreadHead.parse(input) : null;
         if (parsed != null) {
             head = parsed;
+            missingBytes = parsed.headBytes() + parsed.bodyBytes() - input.limit();
         }
         while (input.hasRemaining() && matchedEnd < HEAD_END.length) {
             match(input.get());
@@ -179,6 +186,16 @@
         }
     }
 
+    /** Reads what has arrived of the body, so that the connection need not stay open after the response. */
+    private void readBody() throws IOException {
+        input.clear();
+        int count = channel.read(input);
+        if (count > 0) {
+            receivedBytes += count;
+            missingBytes -= count;
+        }
+    }
+
     private void match(byte next) {
         if (receivedBytes < HEAD_METHOD.length && HEAD_METHOD[(int) receivedBytes] == next) {
             matchedMethod++;
@@ -206,11 +223,21 @@
         if (left.hasRemaining()) {
             return;
         }
+        if (isRequestComplete()) {
+            end(State.REJECTED);
+            return;
+        }
         channel.shutdownOutput();
         state = State.REMAINDER;
         stateSinceMs = nowMs;
     }
 
+    /** Whether nothing of the request is left to arrive, so that the connection can be closed without a reset. */
+    private boolean isRequestComplete() {
+        UnreadHead known = head;
+        return known != null && known.bodyBytes() != UnreadHead.UNKNOWN && missingBytes == 0;
+    }
+
     private void discard() throws IOException {
         int discarded = 0;
         while (discarded < MAX_READ_BYTES) {
@@ -225,6 +252,11 @@
             }
             discarded += count;
             receivedBytes += count;
+            missingBytes -= count;
+            if (isRequestComplete()) {
+                end(State.REJECTED);
+                return;
+            }
             if (receivedBytes > LingeringClose.MAX_DRAINED_BYTES) {
                 end(State.REJECTED);
                 return;
--- a/daemon/src/test/java/org/marjoramswitch/daemon/caller/CallerAcceptorTest.java
+++ b/daemon/src/test/java/org/marjoramswitch/daemon/caller/CallerAcceptorTest.java
@@ -2,6 +2,7 @@
 
 import static org.junit.jupiter.api.Assertions.assertEquals;
 import static org.junit.jupiter.api.Assertions.assertFalse;
+import static org.junit.jupiter.api.Assertions.assertTrue;
 
 import com.codahale.metrics.MetricRegistry;
 import java.io.IOException;
@@ -41,6 +42,7 @@
     private static final int MILLICORES = 40;
 
     private static final int CONNECT_TIMEOUT_MS = 1_000;
+    private static final int READ_TIMEOUT_MS = 20_000;
 
     private final MetricRegistry metrics = new MetricRegistry();
     private final AtomicLong nowMs = new AtomicLong();
@@ -156,6 +158,22 @@
         assertEquals(request("few"), prefetched);
     }
 
+    /** Guards against the processor time of connections that stay open after their request was rejected. */
+    @Test
+    void connectionIsClosedAfterItsCompleteRequestWasRejected() throws IOException, InterruptedException {
+        start(MAX_CONNECTIONS);
+        Socket complete = connect();
+        complete.getOutputStream().write((request("a") + "b").getBytes(StandardCharsets.ISO_8859_1));
+        Socket incomplete = send("a");
+        await(() -> waiting() == 2);
+        advanceTo(600);
+        String response = new String(complete.getInputStream().readAllBytes(), StandardCharsets.ISO_8859_1);
+        assertTrue(response.startsWith("HTTP/1.1 503 ") && response.endsWith("}"), response);
+        assertEquals(response.length(), incomplete.getInputStream().readNBytes(response.length()).length);
+        incomplete.getOutputStream().write('b');
+        assertEquals(-1, incomplete.getInputStream().read());
+    }
+
     private void start(int maxConnections) throws IOException {
         try (ServerSocket free = new ServerSocket(0, 1, InetAddress.getLoopbackAddress())) {
             port = free.getLocalPort();
@@ -228,6 +246,7 @@
     private Socket connect() throws IOException {
         Socket socket = new Socket();
         open.add(socket);
+        socket.setSoTimeout(READ_TIMEOUT_MS);
         socket.connect(new InetSocketAddress(InetAddress.getLoopbackAddress(), port), CONNECT_TIMEOUT_MS);
         return socket;
     }
