--- a/daemon/src/main/java/org/marjoramswitch/daemon/caller/AdmissionGate.java
+++ b/daemon/src/main/java/org/marjoramswitch/daemon/caller/AdmissionGate.java
@@ -3,14 +3,19 @@
 import com.codahale.metrics.Gauge;
 import com.codahale.metrics.Meter;
 import com.codahale.metrics.MetricRegistry;
+import java.util.Collection;
 import java.util.List;
+import java.util.Map;
 import java.util.function.Consumer;
 import java.util.function.LongSupplier;
+import org.jspecify.annotations.Nullable;
 import org.marjoramswitch.daemon.log.KeyValueLog;
 import org.marjoramswitch.kernel.admission.AdmissionRequest;
 import org.marjoramswitch.kernel.admission.AdmissionResult;
+import org.marjoramswitch.kernel.admission.CustomerLoad;
 import org.marjoramswitch.kernel.admission.InstanceAdmission;
 import org.marjoramswitch.kernel.message.PeerMessage.CustomerTokens;
+import org.marjoramswitch.kernel.model.CustomerId;
 
 /**
  * Calls {@link InstanceAdmission} from the I/O threads, under one lock, and publishes its state. A request holds the lock
@@ -54,10 +59,13 @@
         long nowMs = clockMs.getAsLong();
         AdmissionResult result;
         List<CustomerTokens> due;
+        List<CustomerLoad> loads;
         synchronized (this) {
             result = admission.admit(request, nowMs);
             due = admission.takeRejectedDemand(nowMs);
+            loads = admission.takeLoads(nowMs);
         }
+        loads.forEach(AdmissionGate::log);
         if (result instanceof AdmissionResult.Rejected) {
             rejected.mark();
         } else {
@@ -69,12 +77,16 @@
         return result;
     }
 
-    /** Reports requests that were rejected unread as demand. */
-    void rejectedUnread(long requests) {
+    /**
+     * Reports requests that were rejected unread as demand.
+     *
+     * @param unknown number of requests whose customer is not known
+     */
+    void rejectedUnread(Map<CustomerId, Integer> byCustomer, long unknown) {
         long nowMs = clockMs.getAsLong();
         List<CustomerTokens> due;
         synchronized (this) {
-            admission.rejectedUnread(requests, nowMs);
+            admission.rejectedUnread(byCustomer, unknown, nowMs);
             due = admission.takeRejectedDemand(nowMs);
         }
         if (!due.isEmpty()) {
@@ -96,6 +108,23 @@
         logChange(lagMs, nowMs);
     }
 
+    private static void log(CustomerLoad load) {
+        LOG.info(
+                "customer_load",
+                "customer",
+                load.customer(),
+                "admitted",
+                load.admitted(),
+                "admittedTokens",
+                load.admittedTokens(),
+                "rejected",
+                load.rejected(),
+                "rejectedTokens",
+                load.rejectedTokens(),
+                "unread",
+                load.unread());
+    }
+
     private void logChange(long lagMs, long nowMs) {
         if (wasShedding == admission.isShedding()) {
             return;
@@ -115,6 +144,15 @@
         }
     }
 
+    /**
+     * Selects the customer of which a waiting connection is served next, see {@link InstanceAdmission#chooseWaiting}.
+     *
+     * @param lagMs delay of the I/O threads
+     */
+    synchronized @Nullable CustomerId chooseWaiting(Collection<CustomerId> customers, long lagMs) {
+        return admission.chooseWaiting(customers, lagMs, clockMs.getAsLong());
+    }
+
     /** Whether a connection may be accepted while the I/O threads have this delay. */
     synchronized boolean mayAccept(long lagMs) {
         return admission.mayAccept(lagMs, clockMs.getAsLong());
--- a/daemon/src/main/java/org/marjoramswitch/daemon/caller/ForwardServer.java
+++ b/daemon/src/main/java/org/marjoramswitch/daemon/caller/ForwardServer.java
@@ -20,6 +20,7 @@
 import org.marjoramswitch.daemon.route.RoutedSettings;
 import org.marjoramswitch.daemon.settings.HostPort;
 import org.marjoramswitch.kernel.addresses.HeadroomRamp;
+import org.marjoramswitch.kernel.model.CustomerId;
 import org.xnio.IoUtils;
 import org.xnio.OptionMap;
 import org.xnio.XnioIoThread;
@@ -157,9 +158,12 @@
 
     private static CallerAcceptor.Parts acceptorParts(
             Parts parts, AdmissionGate gate, LagProbe lag, MetricRegistry metrics, CallerAcceptor.Server server) {
+        ApiKeys apiKeys = ApiKeys.create();
         return new CallerAcceptor.Parts(
                 parts.options().maxConnections(),
                 parts.admission().processorMillicores(),
+                head -> customerOf(apiKeys, parts.settings().get(), head),
+                customers -> gate.chooseWaiting(customers, lag.overdueMs()),
                 () -> gate.mayAccept(lag.overdueMs()),
                 gate::maxWaitMs,
                 server,
@@ -169,6 +173,12 @@
                 parts.clockMs());
     }
 
+    /** Requests without a known key count as those of one customer. */
+    private static CustomerId customerOf(ApiKeys apiKeys, RoutedSettings current, UnreadHead head) {
+        CustomerId customer = apiKeys.customer(current.version(), current.customers(), head.authorization());
+        return customer == null ? RoutedCall.NO_CUSTOMER : customer;
+    }
+
     private static List<XnioIoThread> ioThreads(XnioWorker worker) {
         return IntStream.range(0, worker.getIoThreadCount())
                 .mapToObj(worker::getIoThread)
--- a/daemon/src/main/java/org/marjoramswitch/daemon/caller/RejectedConnection.java
+++ b/daemon/src/main/java/org/marjoramswitch/daemon/caller/RejectedConnection.java
@@ -31,6 +31,9 @@
     private static final byte[] HEAD_END = {'\r', '\n', '\r', '\n'};
 
     private final SocketChannel channel;
+    /** Bytes of the request that were read before. */
+    private final byte[] prefetched;
+
     private final PreparedRejections responses;
     private final ByteBuffer input;
     private @Nullable SelectionKey key;
@@ -40,6 +43,9 @@
     private long receivedBytes;
     private int matchedMethod;
     private int matchedEnd;
+    private @Nullable UnreadHead head;
+    /** Bytes of the request that have not been read; meaningful only if the length of its body is known. */
+    private long missingBytes;
 
     /** The progress of a rejection. */
     enum State {
@@ -57,14 +63,20 @@
         GONE
     }
 
-    /** @param input a buffer of the thread, whose contents are not kept between two calls */
-    RejectedConnection(SocketChannel channel, PreparedRejections responses, ByteBuffer input, long nowMs) {
-        this.channel = channel;
+    private RejectedConnection(WaitingConnection waiting, PreparedRejections responses, ByteBuffer input, long nowMs) {
+        this.channel = waiting.channel();
+        this.prefetched = waiting.prefetched();
         this.responses = responses;
         this.input = input;
         this.stateSinceMs = nowMs;
     }
 
+    /** @param input a buffer of the thread, whose contents are not kept between two calls */
+    static RejectedConnection of(
+            WaitingConnection waiting, PreparedRejections responses, ByteBuffer input, long nowMs) {
+        return new RejectedConnection(waiting, responses, input, nowMs);
+    }
+
     State state() {
         return state;
     }
@@ -73,6 +85,12 @@
         return channel;
     }
 
+    /** The request's head; null if it was not received at once. */
+    @Nullable
+    UnreadHead head() {
+        return head;
+    }
+
     /** Whether nothing more is to be done on this connection by this class. */
     boolean hasEnded() {
         return state == State.SILENT || state == State.REJECTED || state == State.GONE;
@@ -97,6 +115,9 @@
             if (state == State.HEAD) {
                 readHead(nowMs);
             }
+            if (state == State.RESPONSE && head != null && missingBytes > 0) {
+                readBody();
+            }
             if (state == State.RESPONSE) {
                 write(nowMs);
             }
@@ -142,13 +163,21 @@
     }
 
     private void readHead(long nowMs) throws IOException {
+        boolean isFirst = receivedBytes == 0;
         input.clear();
-        int count = channel.read(input);
-        if (count < 0) {
+        if (isFirst) {
+            input.put(prefetched);
+        }
+        if (channel.read(input) < 0 && input.position() == 0) {
             end(State.GONE);
             return;
         }
         input.flip();
+        UnreadHead parsed = isFirst ? UnreadHead.parse(input) : null;
+        if (parsed != null) {
+            head = parsed;
+            missingBytes = parsed.headBytes() + parsed.bodyBytes() - input.limit();
+        }
         while (input.hasRemaining() && matchedEnd < HEAD_END.length) {
             match(input.get());
         }
@@ -157,6 +186,16 @@
         }
     }
 
+    /** Reads what has arrived of the body, so that the connection need not stay open after the response. */
+    private void readBody() throws IOException {
+        input.clear();
+        int count = channel.read(input);
+        if (count > 0) {
+            receivedBytes += count;
+            missingBytes -= count;
+        }
+    }
+
     private void match(byte next) {
         if (receivedBytes < HEAD_METHOD.length && HEAD_METHOD[(int) receivedBytes] == next) {
             matchedMethod++;
@@ -181,11 +220,22 @@
             return;
         }
         channel.write(left);
-        if (!left.hasRemaining()) {
-            channel.shutdownOutput();
-            state = State.REMAINDER;
-            stateSinceMs = nowMs;
+        if (left.hasRemaining()) {
+            return;
+        }
+        if (isRequestComplete()) {
+            end(State.REJECTED);
+            return;
         }
+        channel.shutdownOutput();
+        state = State.REMAINDER;
+        stateSinceMs = nowMs;
+    }
+
+    /** Whether nothing of the request is left to arrive, so that the connection can be closed without a reset. */
+    private boolean isRequestComplete() {
+        UnreadHead known = head;
+        return known != null && known.bodyBytes() != UnreadHead.UNKNOWN && missingBytes == 0;
     }
 
     private void discard() throws IOException {
@@ -202,6 +252,11 @@
             }
             discarded += count;
             receivedBytes += count;
+            missingBytes -= count;
+            if (isRequestComplete()) {
+                end(State.REJECTED);
+                return;
+            }
             if (receivedBytes > LingeringClose.MAX_DRAINED_BYTES) {
                 end(State.REJECTED);
                 return;
--- a/daemon/src/test/java/org/marjoramswitch/daemon/caller/CallerAcceptorTest.java
+++ b/daemon/src/test/java/org/marjoramswitch/daemon/caller/CallerAcceptorTest.java
@@ -2,6 +2,7 @@
 
 import static org.junit.jupiter.api.Assertions.assertEquals;
 import static org.junit.jupiter.api.Assertions.assertFalse;
+import static org.junit.jupiter.api.Assertions.assertTrue;
 
 import com.codahale.metrics.MetricRegistry;
 import java.io.IOException;
@@ -9,13 +10,17 @@
 import java.net.InetSocketAddress;
 import java.net.ServerSocket;
 import java.net.Socket;
-import java.nio.channels.SocketChannel;
 import java.nio.charset.StandardCharsets;
 import java.util.ArrayList;
+import java.util.Collection;
+import java.util.Collections;
+import java.util.Comparator;
 import java.util.List;
 import java.util.Map;
+import java.util.Objects;
 import java.util.Queue;
 import java.util.concurrent.ConcurrentLinkedQueue;
+import java.util.concurrent.CopyOnWriteArrayList;
 import java.util.concurrent.atomic.AtomicInteger;
 import java.util.concurrent.atomic.AtomicLong;
 import java.util.function.BooleanSupplier;
@@ -37,7 +42,7 @@
     private static final int MILLICORES = 40;
 
     private static final int CONNECT_TIMEOUT_MS = 1_000;
-    private static final String REQUEST = "GET /any/ HTTP/1.1\r\nHost: h.example\r\n\r\n";
+    private static final int READ_TIMEOUT_MS = 20_000;
 
     private final MetricRegistry metrics = new MetricRegistry();
     private final AtomicLong nowMs = new AtomicLong();
@@ -47,6 +52,8 @@
     private final Queue<BooleanSupplier> handedOver = new ConcurrentLinkedQueue<>();
 
     private final List<Socket> open = new ArrayList<>();
+    private final List<String> servedCustomers = new CopyOnWriteArrayList<>();
+    private volatile String prefetched = "";
     private volatile boolean acceptable;
     private CallerAcceptor acceptor;
     private int port;
@@ -125,6 +132,48 @@
         }
     }
 
+    /** Guards against shares of an overloaded instance in proportion to the connections that customers open. */
+    @Test
+    void customersWithFewConnectionsAreServedAsOftenAsThoseWithMany() throws IOException, InterruptedException {
+        start(MAX_CONNECTIONS);
+        for (int i = 0; i < 80; i++) {
+            send(i % 10 == 0 ? "few" : "many");
+        }
+        await(() -> waiting() == 80);
+        acceptable = true;
+        advanceTo(MAX_WAIT_MS - ROUND_MS);
+        assertEquals(List.of("few", "many", "few", "many"), servedCustomers.subList(0, 4));
+        assertEquals(servedCustomers.size() / 2.0, Collections.frequency(servedCustomers, "few"), 1);
+    }
+
+    /** Guards against a request that loses the bytes by which its customer was recognized. */
+    @Test
+    void bytesThatWereReadAheadAreHandedOver() throws IOException, InterruptedException {
+        start(MAX_CONNECTIONS);
+        send("few");
+        await(() -> waiting() == 1);
+        acceptable = true;
+        advanceTo(MAX_WAIT_MS - ROUND_MS);
+        await(() -> !handedOver.isEmpty());
+        assertEquals(request("few"), prefetched);
+    }
+
+    /** Guards against the processor time of connections that stay open after their request was rejected. */
+    @Test
+    void connectionIsClosedAfterItsCompleteRequestWasRejected() throws IOException, InterruptedException {
+        start(MAX_CONNECTIONS);
+        Socket complete = connect();
+        complete.getOutputStream().write((request("a") + "b").getBytes(StandardCharsets.ISO_8859_1));
+        Socket incomplete = send("a");
+        await(() -> waiting() == 2);
+        advanceTo(600);
+        String response = new String(complete.getInputStream().readAllBytes(), StandardCharsets.ISO_8859_1);
+        assertTrue(response.startsWith("HTTP/1.1 503 ") && response.endsWith("}"), response);
+        assertEquals(response.length(), incomplete.getInputStream().readNBytes(response.length()).length);
+        incomplete.getOutputStream().write('b');
+        assertEquals(-1, incomplete.getInputStream().read());
+    }
+
     private void start(int maxConnections) throws IOException {
         try (ServerSocket free = new ServerSocket(0, 1, InetAddress.getLoopbackAddress())) {
             port = free.getLocalPort();
@@ -134,17 +183,31 @@
                 new CallerAcceptor.Parts(
                         maxConnections,
                         MILLICORES,
+                        head -> CustomerId.of(Objects.requireNonNullElse(head.authorization(), "-")),
+                        customers -> acceptable ? next(customers) : null,
                         () -> acceptable,
                         () -> MAX_WAIT_MS,
                         this::serve,
                         PreparedRejections.create(new SecondsDecoder()),
-                        UnreadRejectionReport.create(metrics, requests -> {}),
+                        UnreadRejectionReport.create(metrics, (byCustomer, unknown) -> {}),
                         AcceptReport.create(metrics),
                         this::clockMs));
     }
 
-    private void serve(SocketChannel channel, BooleanSupplier take, Runnable onClosed) {
-        handedOver.add(take);
+    private void serve(WaitingConnection connection, Runnable onClosed) {
+        prefetched = new String(connection.prefetched(), StandardCharsets.ISO_8859_1);
+        handedOver.add(connection::take);
+    }
+
+    /** Selects the customer that was selected least often. */
+    private CustomerId next(Collection<CustomerId> customers) {
+        CustomerId least = customers.stream()
+                .min(Comparator.comparingInt(
+                                (CustomerId customer) -> Collections.frequency(servedCustomers, customer.name()))
+                        .thenComparing(CustomerId::name))
+                .orElseThrow();
+        servedCustomers.add(least.name());
+        return least;
     }
 
     private long clockMs() {
@@ -171,10 +234,26 @@
     }
 
     private void send() throws IOException {
+        send("any");
+    }
+
+    private Socket send(String customer) throws IOException {
+        Socket socket = connect();
+        socket.getOutputStream().write(request(customer).getBytes(StandardCharsets.ISO_8859_1));
+        return socket;
+    }
+
+    private Socket connect() throws IOException {
         Socket socket = new Socket();
         open.add(socket);
+        socket.setSoTimeout(READ_TIMEOUT_MS);
         socket.connect(new InetSocketAddress(InetAddress.getLoopbackAddress(), port), CONNECT_TIMEOUT_MS);
-        socket.getOutputStream().write(REQUEST.getBytes(StandardCharsets.ISO_8859_1));
+        return socket;
+    }
+
+    /** Without its body, so that the connection stays open after a rejection and there are rounds. */
+    private static String request(String customer) {
+        return "POST /any/ HTTP/1.1\r\nHost: h.example\r\nAuthorization: " + customer + "\r\nContent-Length: 1\r\n\r\n";
     }
 
     private static final class SecondsDecoder implements CallDecoder {
--- a/kernel/src/test/java/org/marjoramswitch/kernel/admission/OverloadedInstance.java
+++ b/kernel/src/test/java/org/marjoramswitch/kernel/admission/OverloadedInstance.java
@@ -2,18 +2,21 @@
 
 import java.util.ArrayDeque;
 import java.util.ArrayList;
+import java.util.Collection;
 import java.util.Deque;
 import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
 import java.util.PriorityQueue;
 import java.util.Random;
+import org.jspecify.annotations.Nullable;
 import org.marjoramswitch.kernel.model.CustomerId;
 import org.marjoramswitch.kernel.model.PoolId;
 
 /**
  * Simulates one instance with a small processor in virtual time. The processor executes accepts, reads of requests,
- * events of responses and the timer that samples the lag in order of arrival. A served request costs 0.5 to 1.4 ms of a
+ * events of responses and the timer that samples the lag in order of arrival, and divides its time evenly between these and the
+ * accepting thread. A served request costs 0.5 to 1.4 ms of a
  * core by the number of its events, a rejection 0.38 ms and an accept 0.09 ms, within the ranges that were measured. Callers retry a rejected
  * request once after its retry delay, on a new connection, and abandon a request that has not been read in time.
  */
@@ -35,6 +38,19 @@
     private static final int CALLER_WAIT_DIVISOR = 3;
     private static final int BACKLOG = 64;
     private static final int CONNECTIONS = 64;
+    /** As the accepting thread of the daemon. */
+    private static final double REJECT_UNREAD_CORE_MS = 0.125;
+
+    private static final double HAND_OVERS_PER_MS = MILLICORES / 450.0;
+    private static final double UNREAD_REJECTIONS_PER_MS = 0.3 * MILLICORES / 125;
+    private static final double BURST_MS = 20;
+    private static final long MAX_WAIT_MS = 100;
+    private static final long MAX_UNREAD_WAIT_MS = 500;
+    private static final double ACCEPT_ROUND_MS = 5;
+    private static final int MAX_REJECTIONS_IN_A_ROUND = 16;
+    private static final int MAX_WAITING = 1_000;
+    private static final double UNREAD_RETRY_AFTER_MS = 250;
+    private static final double UNREAD_RETRY_SPREAD_MS = 250;
     private static final PoolId POOL = PoolId.of("pool");
 
     /** A kind of request; {@code tokens} is the mean. */
@@ -64,6 +80,11 @@
         void lagAtLeast(long lagMs, long nowMs);
 
         boolean mayAccept(long overdueMs, long nowMs);
+
+        @Nullable
+        CustomerId chooseWaiting(Collection<CustomerId> customers, long overdueMs, long nowMs);
+
+        void rejectedUnread(CustomerId customer, long nowMs);
     }
 
     /** What happened to the requests of one customer since the last reset. */
@@ -81,7 +102,16 @@
     private final double rejectCoreMs;
     private final PriorityQueue<Due> due = new PriorityQueue<>();
     private final Deque<Task> ready = new ArrayDeque<>();
+    private final Deque<Task> readyToReject = new ArrayDeque<>();
+    /** Core time that the accepting thread has used more than the I/O thread since one of them was idle. */
+    private double rejectionLeadMs;
+
     private final Deque<Call> backlog = new ArrayDeque<>();
+    private final AcceptLine<Call> line = AcceptLine.create(MAX_WAITING, Call::customer);
+    private boolean roundScheduled;
+    private double handOvers;
+    private double unreadRejections;
+    private double roundAtMs;
     private final Map<CustomerId, Counts> counts = new HashMap<>();
     private final Map<CustomerId, Integer> idleConnections = new HashMap<>();
     private final List<Double> admittedAtMs = new ArrayList<>();
@@ -148,6 +178,75 @@
         }
     }
 
+    /** As {@link #load}, with a connection for each request. */
+    void loadOnNewConnections(CustomerId customer, double perSecond, double fromMs, double untilMs) {
+        for (double at = fromMs; at < untilMs; at -= Math.log(1 - random.nextDouble()) * 1_000 / perSecond) {
+            double sentAtMs = at;
+            Kind kind = MIX.get(random.nextInt(MIX.size()));
+            long tokens = Math.max(1, Math.round(kind.tokens() * (0.5 + random.nextDouble())));
+            schedule(at, () -> {
+                counts(customer).sent++;
+                connect(new Call(customer, kind, tokens, sentAtMs, sentAtMs, false));
+            });
+        }
+    }
+
+    private void connect(Call call) {
+        line.add(call, Math.round(nowMs));
+        if (!roundScheduled) {
+            roundScheduled = true;
+            schedule(nowMs, this::acceptRound);
+        }
+    }
+
+    /** Serves the connections that wait, as long as the rule allows it, and rejects those that have waited too long. */
+    private void acceptRound() {
+        if (!readyToReject.isEmpty()) {
+            schedule(nowMs + ACCEPT_ROUND_MS, this::acceptRound); // the thread is in its round before
+            return;
+        }
+        long now = Math.round(nowMs);
+        double elapsedMs = nowMs - roundAtMs;
+        roundAtMs = nowMs;
+        handOvers = Math.min(BURST_MS * HAND_OVERS_PER_MS, handOvers + elapsedMs * HAND_OVERS_PER_MS);
+        unreadRejections =
+                Math.min(BURST_MS * UNREAD_REJECTIONS_PER_MS, unreadRejections + elapsedMs * UNREAD_REJECTIONS_PER_MS);
+        line.identify();
+        while (handOvers >= 1) {
+            Call call = line.removeNext(customers -> rule.chooseWaiting(customers, overdueMs(), now), MAX_WAIT_MS, now);
+            if (call == null) {
+                break;
+            }
+            handOvers--;
+            ready.add(new Task(ACCEPT_CORE_MS, () -> read(call)));
+        }
+        for (int i = 0;
+                i < MAX_REJECTIONS_IN_A_ROUND
+                        && line.expired(MAX_WAIT_MS, now) != null
+                        && (unreadRejections >= 1 || line.oldestWaitMs(now) >= MAX_UNREAD_WAIT_MS);
+                i++) {
+            unreadRejections--;
+            Call call = line.removeOldest();
+            readyToReject.add(new Task(REJECT_UNREAD_CORE_MS, () -> rejectUnread(call)));
+        }
+        roundScheduled = !line.isEmpty();
+        if (roundScheduled) {
+            schedule(nowMs + ACCEPT_ROUND_MS, this::acceptRound);
+        }
+    }
+
+    private void rejectUnread(Call call) {
+        counts(call.customer()).unread++;
+        rule.rejectedUnread(call.customer(), Math.round(nowMs));
+        double atMs = nowMs + UNREAD_RETRY_AFTER_MS + UNREAD_RETRY_SPREAD_MS * random.nextDouble();
+        if (!call.isRetry() && atMs < call.timesOutAtMs()) {
+            schedule(
+                    atMs,
+                    () -> connect(
+                            new Call(call.customer(), call.kind(), call.tokens(), call.firstSentAtMs(), nowMs, true)));
+        }
+    }
+
     /** Stops the processor for a time. */
     void pause(double atMs, double lengthMs) {
         schedule(atMs, () -> freeAtMs = Math.max(freeAtMs, nowMs) + lengthMs);
@@ -157,7 +256,8 @@
         while (true) {
             double nextDueMs =
                     due.isEmpty() ? Double.POSITIVE_INFINITY : due.peek().atMs();
-            double nextTaskMs = ready.isEmpty() ? Double.POSITIVE_INFINITY : Math.max(nowMs, freeAtMs);
+            boolean idle = ready.isEmpty() && readyToReject.isEmpty();
+            double nextTaskMs = idle ? Double.POSITIVE_INFINITY : Math.max(nowMs, freeAtMs);
             if (Math.min(nextDueMs, nextTaskMs) > untilMs) {
                 nowMs = untilMs;
                 return;
@@ -168,13 +268,23 @@
                 next.action().run();
             } else {
                 nowMs = nextTaskMs;
-                Task task = ready.remove();
+                Task task = nextTask();
                 freeAtMs = nowMs + task.coreMs() * MILLICORES_PER_CORE / MILLICORES;
                 task.action().run();
             }
         }
     }
 
+    private Task nextTask() {
+        if (ready.isEmpty() || readyToReject.isEmpty()) {
+            rejectionLeadMs = 0;
+            return ready.isEmpty() ? readyToReject.remove() : ready.remove();
+        }
+        Task next = rejectionLeadMs > 0 ? ready.remove() : readyToReject.remove();
+        rejectionLeadMs += rejectionLeadMs > 0 ? -next.coreMs() : next.coreMs();
+        return next;
+    }
+
     private void schedule(double atMs, Runnable action) {
         due.add(new Due(atMs, order++, action));
     }
@@ -326,6 +436,16 @@
             public boolean mayAccept(long overdueMs, long nowMs) {
                 return admission.mayAccept(overdueMs, nowMs);
             }
+
+            @Override
+            public @Nullable CustomerId chooseWaiting(Collection<CustomerId> customers, long overdueMs, long nowMs) {
+                return admission.chooseWaiting(customers, overdueMs, nowMs);
+            }
+
+            @Override
+            public void rejectedUnread(CustomerId customer, long nowMs) {
+                admission.rejectedUnread(Map.of(customer, 1), 0, nowMs);
+            }
         };
     }
 
@@ -355,6 +475,14 @@
             public boolean mayAccept(long overdueMs, long nowMs) {
                 return true;
             }
+
+            @Override
+            public @Nullable CustomerId chooseWaiting(Collection<CustomerId> customers, long overdueMs, long nowMs) {
+                return customers.iterator().next();
+            }
+
+            @Override
+            public void rejectedUnread(CustomerId customer, long nowMs) {}
         };
     }
 }
