Count a response without framing as complete only if its request was received

What callers saw (MIXED): a target answers a long upload with a 200 without a length, sends a part and closes its connection while the upload lies unread. The part arrived as a complete response.

Cause: the end of the input was the end of the body, whatever became of the request. A connection that is closed with unread input ends with a FIN first where a part of the request is still on its way, and is reset when it arrives. Class: one direction of a connection is taken for both.

Change: the response is broken if the request was not written in full when the input ends. Otherwise the end is held back for 100 ms, and counts unless the connection has been reset by then, which shows to a write of an empty line. Only responses that end with their connection, to requests with a body, wait; their events and bytes are passed on as they arrive. Transfer-Encoding other than chunked does not frame a response (RFC 9112, section 6.3).

Same cause elsewhere: the default protocol counts responses without framing as broken, so neither the standalone targets nor their queries are concerned. Repeated and resumed attempts use the same reader: an upload is sent again with each.

--- a/daemon/src/main/java/org/marjoramswitch/daemon/target/HttpAttempt.java
+++ b/daemon/src/main/java/org/marjoramswitch/daemon/target/HttpAttempt.java
@@ -32,7 +32,8 @@
  * exchange, or a crossed one whose response carried another request's id, the connection is closed, so that the
  * remainder of one response is never read as part of the next. A pooled connection with unread input is not used, since
  * that input belongs to no request. A response without framing (neither length nor chunks)
- * cannot be distinguished from a truncated one and counts as broken. A model engine's stream must also end with its end
+ * cannot be distinguished from a truncated one and counts as broken, unless the protocol allows it; then its connection must have
+ * ended after the request was sent, and without a reset ({@link EndOfInput}). A model engine's stream must also end with its end
  * mark, since a crashing engine may still terminate its chunked encoding properly. Once the end mark was delivered, it is
  * complete however its connection ends.
  *
@@ -284,7 +285,7 @@
     private void responseOpened(ClientConnection carrier, ClientExchange exchange) {
         deadline.progress();
         FramingLimit.progressed(carrier);
-        ResponseReader opened = ResponseReader.of(exchange, spec, connector, delivery, held);
+        ResponseReader opened = ResponseReader.of(exchange, spec, connector, delivery, held, () -> requestSent);
         reader = opened;
         if (opened.isCrossed()) {
             connector.metrics().responsesCrossed.inc();
@@ -317,6 +318,9 @@
             end(brokenOutcome());
             return;
         }
+        if (opened.endsWithConnection() && sending.body().length > 0) {
+            EndOfInput.confirm(carrier, () -> requestSent);
+        }
         exchange.getResponseChannel().getReadSetter().set(readable -> read(opened));
         read(opened);
     }
--- a/daemon/src/main/java/org/marjoramswitch/daemon/target/ResponseReader.java
+++ b/daemon/src/main/java/org/marjoramswitch/daemon/target/ResponseReader.java
@@ -8,7 +8,9 @@
 import io.undertow.util.Headers;
 import java.io.IOException;
 import java.nio.ByteBuffer;
+import java.util.Locale;
 import java.util.Map;
+import java.util.function.BooleanSupplier;
 import org.jspecify.annotations.Nullable;
 import org.marjoramswitch.daemon.exchange.TargetCall;
 import org.marjoramswitch.daemon.exchange.TargetStatusNotice;
@@ -38,6 +40,7 @@
     private final boolean fromEngine;
     private final DeliveryMode deliveryMode;
     private final HeldResponses.Holder held;
+    private final BooleanSupplier requestSent;
     /** The memory of the head, which the HTTP client keeps until the exchange ends. */
     private final long headBytes;
 
@@ -49,12 +52,14 @@
             AttemptSpec spec,
             TargetConnector connector,
             ResponseDelivery delivery,
-            HeldResponses.Holder held) {
+            HeldResponses.Holder held,
+            BooleanSupplier requestSent) {
         ClientResponse response = exchange.getResponse();
         HeaderMap received = response.getResponseHeaders();
         this.connector = connector;
         this.delivery = delivery;
         this.held = held;
+        this.requestSent = requestSent;
         this.connection = exchange.getConnection();
         this.headBytes = HeadConverter.heldBytes(received);
         this.channel = exchange.getResponseChannel();
@@ -69,14 +74,18 @@
         this.fromEngine = spec.isEngineCall();
     }
 
-    /** @param held counts the memory of the response until the attempt ends */
+    /**
+     * @param held counts the memory of the response until the attempt ends
+     * @param requestSent whether the request has been written completely
+     */
     static ResponseReader of(
             ClientExchange exchange,
             AttemptSpec spec,
             TargetConnector connector,
             ResponseDelivery delivery,
-            HeldResponses.Holder held) {
-        return new ResponseReader(exchange, spec, connector, delivery, held);
+            HeldResponses.Holder held,
+            BooleanSupplier requestSent) {
+        return new ResponseReader(exchange, spec, connector, delivery, held, requestSent);
     }
 
     int status() {
@@ -117,6 +126,11 @@
         return status < OK;
     }
 
+    /** Whether the response ends with its connection. */
+    boolean endsWithConnection() {
+        return !framed && protocol.endsWithConnection();
+    }
+
     /** Whether this can be the remainder of a response that began on another connection; a stream continues with a stream. */
     boolean isContinuation() {
         return status == OK && (!delivery.hasDelivered() || deliveryMode == DeliveryMode.STREAMED);
@@ -186,7 +200,9 @@
     }
 
     private Progress ended() {
-        complete = (framed || protocol.endsWithConnection()) && isStreamComplete();
+        // A connection that ends while the request is being sent was not ended by a complete response.
+        boolean ended = framed || (protocol.endsWithConnection() && requestSent.getAsBoolean());
+        complete = ended && isStreamComplete();
         if (!complete) {
             return Progress.BROKEN;
         }
@@ -256,12 +272,18 @@
 
     private static boolean isFramed(TargetCall call, int status, HeaderMap received) {
         return received.contains(Headers.CONTENT_LENGTH)
-                || received.contains(Headers.TRANSFER_ENCODING)
+                || isChunked(received)
                 || call.method().equals("HEAD")
                 || status == 204
                 || status == 304;
     }
 
+    /** With another last encoding, a response ends with its connection (RFC 9112, section 6.3). */
+    private static boolean isChunked(HeaderMap received) {
+        String encodings = received.getLast(Headers.TRANSFER_ENCODING);
+        return encodings != null && encodings.toLowerCase(Locale.ROOT).trim().endsWith("chunked");
+    }
+
     /** How a response is delivered. */
     private enum DeliveryMode {
         /** In complete events. */
--- a/daemon/src/main/java/org/marjoramswitch/daemon/target/TargetConnector.java
+++ b/daemon/src/main/java/org/marjoramswitch/daemon/target/TargetConnector.java
@@ -175,10 +175,12 @@
         }
         try {
             StreamConnection connected = future.get();
+            EndOfInput end = EndOfInput.install(connected);
             FramingLimit limit = FramingLimit.install(
                     connected, heldResponses, () -> framingExceeded(address), () -> headEvicted(address));
             ClientConnection connection = ClientConnections.over(connected, CONNECT_OPTIONS, bufferPool);
             limit.attachTo(connection);
+            end.attachTo(connection);
             UnreadInput.attachTo(connection, connected);
             metrics.connectionsOpened.inc();
             if (!connection.isOpen()) {
