Treat responses whose status is outside 100 to 599 as broken

Cause: a status below 200 was the only one that is checked. Class: a range with one bound.

ConformanceTargetsTest holds that 299 and 599 are passed on.

--- a/daemon/src/main/java/org/marjoramswitch/daemon/target/AttemptLog.java
+++ b/daemon/src/main/java/org/marjoramswitch/daemon/target/AttemptLog.java
@@ -77,15 +77,9 @@
                 spec.protocol().successHeader());
     }
 
-    void interim(int status) {
-        LOG.warn(
-                "interim_response_unsupported",
-                TARGET,
-                spec.target().id(),
-                REQUEST,
-                spec.requestId(),
-                "status",
-                status);
+    /** An interim response, which is not supported, or a status that is none. */
+    void noFinalStatus(int status) {
+        LOG.warn("response_status_invalid", TARGET, spec.target().id(), REQUEST, spec.requestId(), "status", status);
     }
 
     void notice(TargetStatusNotice notice) {
--- a/daemon/src/main/java/org/marjoramswitch/daemon/target/HttpAttempt.java
+++ b/daemon/src/main/java/org/marjoramswitch/daemon/target/HttpAttempt.java
@@ -298,8 +298,8 @@
             connectionFailed();
             return;
         }
-        if (opened.isInterim()) {
-            log.interim(opened.status());
+        if (!opened.isFinal()) {
+            log.noFinalStatus(opened.status());
             connectionFailed();
             return;
         }
--- a/daemon/src/main/java/org/marjoramswitch/daemon/target/ResponseReader.java
+++ b/daemon/src/main/java/org/marjoramswitch/daemon/target/ResponseReader.java
@@ -23,6 +23,7 @@
 final class ResponseReader {
     private static final String EVENT_STREAM = "text/event-stream";
     private static final int OK = 200;
+    private static final int MAX_STATUS = 599;
     /** Bounds consecutive reads, so that other connections of the I/O thread get their share. */
     private static final int MAX_CONSECUTIVE_READS = 16;
 
@@ -121,9 +122,9 @@
         return status / 100 == 2 && !marker.isEmpty() && !headers.containsKey(marker);
     }
 
-    /** Whether the final response is still to come; the client reads on by itself only after a 100. */
-    boolean isInterim() {
-        return status < OK;
+    /** Whether the status is one of a final response; the client reads on by itself only after a 100. */
+    boolean isFinal() {
+        return status >= OK && status <= MAX_STATUS;
     }
 
     /** Whether the response ends with its connection. */
