--- a/daemon/src/main/java/org/marjoramswitch/daemon/target/ResponseReader.java
+++ b/daemon/src/main/java/org/marjoramswitch/daemon/target/ResponseReader.java
@@ -8,7 +8,9 @@
 import io.undertow.util.Headers;
 import java.io.IOException;
 import java.nio.ByteBuffer;
+import java.util.Locale;
 import java.util.Map;
+import java.util.function.BooleanSupplier;
 import org.jspecify.annotations.Nullable;
 import org.marjoramswitch.daemon.exchange.TargetCall;
 import org.marjoramswitch.daemon.exchange.TargetStatusNotice;
@@ -21,6 +23,7 @@
 final class ResponseReader {
     private static final String EVENT_STREAM = "text/event-stream";
     private static final int OK = 200;
+    private static final int MAX_STATUS = 599;
     /** Bounds consecutive reads, so that other connections of the I/O thread get their share. */
     private static final int MAX_CONSECUTIVE_READS = 16;
 
@@ -38,6 +41,7 @@
     private final boolean fromEngine;
     private final DeliveryMode deliveryMode;
     private final HeldResponses.Holder held;
+    private final BooleanSupplier requestSent;
     /** The memory of the head, which the HTTP client keeps until the exchange ends. */
     private final long headBytes;
 
@@ -49,12 +53,14 @@
             AttemptSpec spec,
             TargetConnector connector,
             ResponseDelivery delivery,
-            HeldResponses.Holder held) {
+            HeldResponses.Holder held,
+            BooleanSupplier requestSent) {
         ClientResponse response = exchange.getResponse();
         HeaderMap received = response.getResponseHeaders();
         this.connector = connector;
         this.delivery = delivery;
         this.held = held;
+        this.requestSent = requestSent;
         this.connection = exchange.getConnection();
         this.headBytes = HeadConverter.heldBytes(received);
         this.channel = exchange.getResponseChannel();
@@ -69,14 +75,18 @@
         this.fromEngine = spec.isEngineCall();
     }
 
-    /** @param held counts the memory of the response until the attempt ends */
+    /**
+     * @param held counts the memory of the response until the attempt ends
+     * @param requestSent whether the request has been written completely
+     */
     static ResponseReader of(
             ClientExchange exchange,
             AttemptSpec spec,
             TargetConnector connector,
             ResponseDelivery delivery,
-            HeldResponses.Holder held) {
-        return new ResponseReader(exchange, spec, connector, delivery, held);
+            HeldResponses.Holder held,
+            BooleanSupplier requestSent) {
+        return new ResponseReader(exchange, spec, connector, delivery, held, requestSent);
     }
 
     int status() {
@@ -112,9 +122,14 @@
         return status / 100 == 2 && !marker.isEmpty() && !headers.containsKey(marker);
     }
 
-    /** Whether the final response is still to come; the client reads on by itself only after a 100. */
-    boolean isInterim() {
-        return status < OK;
+    /** Whether the status is one of a final response; the client reads on by itself only after a 100. */
+    boolean isFinal() {
+        return status >= OK && status <= MAX_STATUS;
+    }
+
+    /** Whether the response ends with its connection. */
+    boolean endsWithConnection() {
+        return !framed && protocol.endsWithConnection();
     }
 
     /** Whether this can be the remainder of a response that began on another connection; a stream continues with a stream. */
@@ -186,7 +201,9 @@
     }
 
     private Progress ended() {
-        complete = (framed || protocol.endsWithConnection()) && isStreamComplete();
+        // A connection that ends while the request is being sent was not ended by a complete response.
+        boolean ended = framed || (protocol.endsWithConnection() && requestSent.getAsBoolean());
+        complete = ended && isStreamComplete();
         if (!complete) {
             return Progress.BROKEN;
         }
@@ -256,12 +273,18 @@
 
     private static boolean isFramed(TargetCall call, int status, HeaderMap received) {
         return received.contains(Headers.CONTENT_LENGTH)
-                || received.contains(Headers.TRANSFER_ENCODING)
+                || isChunked(received)
                 || call.method().equals("HEAD")
                 || status == 204
                 || status == 304;
     }
 
+    /** With another last encoding, a response ends with its connection (RFC 9112, section 6.3). */
+    private static boolean isChunked(HeaderMap received) {
+        String encodings = received.getLast(Headers.TRANSFER_ENCODING);
+        return encodings != null && encodings.toLowerCase(Locale.ROOT).trim().endsWith("chunked");
+    }
+
     /** How a response is delivered. */
     private enum DeliveryMode {
         /** In complete events. */
