--- a/daemon/src/main/java/org/marjoramswitch/daemon/caller/CallerAcceptor.java
+++ b/daemon/src/main/java/org/marjoramswitch/daemon/caller/CallerAcceptor.java
@@ -27,18 +27,18 @@
  * Accepts connections on a thread of its own, and either hands them over to be served or rejects them, so that callers
  * of an instance whose I/O threads are behind receive a rejection with a retry delay.
  *
- * <p>While the instance may accept, a connection is handed over at once. Otherwise it waits, unread, in {@link AcceptLine}:
- * as soon as the instance may accept again, the newest of the customer that was served least is handed over, and the oldest is
- * rejected with a prepared response by {@link RejectedConnection} once it has waited for {@link AdmissionGate#maxWaitMs}. The wait keeps a short pause, such as a
- * garbage collection, from rejecting anyone. A connection that was handed over, but that its I/O thread has not taken
- * within the same time, is taken back and rejected as well.
+ * <p>While the instance may accept, a connection is handed over at once. Otherwise it waits in {@link AcceptLine}:
+ * as soon as the instance may accept again, the newest of the customer that was served least is handed over, and the
+ * oldest is rejected with a prepared response by {@link RejectedConnection} once it has waited for {@link
+ * AdmissionGate#maxWaitMs}. The wait keeps a short pause, such as a garbage collection, from rejecting anyone. A connection
+ * that was handed over, but that its I/O thread has not taken within the same time, is taken back and rejected as well.
  *
  * <p>Connections are accepted however many wait, because the listen queue of the operating system is served in its order
  * and the age of what is in it is unknown: a connection that waits there for longer than its caller does is served in vain.
  *
  * <p>Both hand-overs of connections that waited and rejections are limited by parts of the processor. Rejections get a
  * larger part once the oldest connection has waited for twice the time after which it should have been rejected. What has
- * waited for {@link #MAX_UNREAD_MS}, or has no place left, is rejected whatever the limits are.
+ * waited for {@link RejectionPace#MAX_UNREAD_MS}, or has no place left, is rejected whatever the limits are.
  */
 final class CallerAcceptor implements AutoCloseable {
     private static final KeyValueLog LOG = KeyValueLog.of(CallerAcceptor.class);
@@ -54,21 +54,12 @@
     /** As many as the listen queue holds; each may hold some kilobytes of its request in the operating system. */
     private static final int MAX_WAITING = BACKLOG;
 
-    /** Callers abandon a request that was not read after a second or a third of their time, so they are told before. */
-    private static final long MAX_UNREAD_MS = 500;
-
     private static final int MAX_REJECTING = 256;
     /** Rejections take a part of each round only, so that connections are handed over as well while many are overdue. */
     private static final int MAX_REJECTIONS_IN_A_ROUND = 16;
 
     /** Estimated processor time of a rejection by an I/O thread, the least that a hand-over leads to. */
     private static final double HAND_OVER_US = 450;
-    /** Estimated processor time of a rejection by the accepting thread. */
-    private static final double REJECTION_US = 125;
-    /** The part of the processor for rejections; the rest is for requests that are served. */
-    private static final double REJECTION_SHARE = 0.3;
-    /** As {@link #REJECTION_SHARE}, while rejections are late. */
-    private static final double LATE_REJECTION_SHARE = 0.6;
 
     private static final double BURST_MS = 20;
     private static final int INPUT_BYTES = 16 << 10;
@@ -87,8 +78,7 @@
 
     private final List<Rejection> rejecting = new ArrayList<>();
     private final RateLimit handOvers;
-    private final RateLimit rejections;
-    private final RateLimit lateRejections;
+    private final RejectionPace pace;
     /** Connections that were handed over and are open. */
     private final AtomicInteger served = new AtomicInteger();
 
@@ -140,8 +130,7 @@
     private CallerAcceptor(HostPort address, Parts parts) throws IOException {
         this.parts = parts;
         this.handOvers = new RateLimit(parts.processorMillicores() / HAND_OVER_US, BURST_MS);
-        this.rejections = rejectionLimit(REJECTION_SHARE, parts);
-        this.lateRejections = rejectionLimit(LATE_REJECTION_SHARE - REJECTION_SHARE, parts);
+        this.pace = RejectionPace.of(parts.processorMillicores());
         this.selector = Selector.open();
         this.server = ServerSocketChannel.open();
         server.setOption(StandardSocketOptions.SO_REUSEADDR, true);
@@ -152,10 +141,6 @@
         thread.setDaemon(true);
     }
 
-    private static RateLimit rejectionLimit(double processorShare, Parts parts) {
-        return new RateLimit(processorShare * parts.processorMillicores() / REJECTION_US, BURST_MS);
-    }
-
     /** Binds the address and starts accepting. */
     static CallerAcceptor open(HostPort address, Parts parts) throws IOException {
         CallerAcceptor acceptor = new CallerAcceptor(address, parts);
@@ -354,10 +339,8 @@
         if (rejecting.size() >= MAX_REJECTING) {
             return false;
         }
-        long longestMs = Math.max(waiting.oldestWaitMs(runningMs), untakenMs());
-        return rejections.take(nowMs)
-                || (longestMs >= 2 * maxWaitMs && lateRejections.take(nowMs))
-                || longestMs >= MAX_UNREAD_MS;
+        long longestWaitMs = Math.max(waiting.oldestWaitMs(runningMs), untakenMs());
+        return pace.mayReject(longestWaitMs, maxWaitMs, nowMs);
     }
 
     private void reject(WaitingConnection oldest, long nowMs) {
