--- a/daemon/src/main/java/org/marjoramswitch/daemon/target/EndOfInput.java
+++ b/daemon/src/main/java/org/marjoramswitch/daemon/target/EndOfInput.java
@@ -104,6 +104,9 @@
     }
 
     private void confirmed() {
+        if (!connected.isOpen()) {
+            return; // the attempt has ended meanwhile
+        }
         state = isReset() ? State.RESET : State.ENDED;
         if (resumed) {
             super.wakeupReads();
--- a/kernel/src/test/java/org/marjoramswitch/kernel/admission/OverloadedInstance.java
+++ b/kernel/src/test/java/org/marjoramswitch/kernel/admission/OverloadedInstance.java
@@ -9,6 +9,7 @@
 import java.util.Map;
 import java.util.PriorityQueue;
 import java.util.Random;
+import java.util.function.Consumer;
 import org.jspecify.annotations.Nullable;
 import org.marjoramswitch.kernel.model.CustomerId;
 import org.marjoramswitch.kernel.model.PoolId;
@@ -168,26 +169,25 @@
         return Math.max(longest, nowMs - lastMs);
     }
 
-    /** Schedules requests of a customer with exponential interarrival times. */
+    /** Schedules requests of a customer with exponential interarrival times, on kept connections as far as they suffice. */
     void load(CustomerId customer, double perSecond, double fromMs, double untilMs) {
-        for (double at = fromMs; at < untilMs; at -= Math.log(1 - random.nextDouble()) * 1_000 / perSecond) {
-            double sentAtMs = at;
-            Kind kind = MIX.get(random.nextInt(MIX.size()));
-            long tokens = Math.max(1, Math.round(kind.tokens() * (0.5 + random.nextDouble())));
-            schedule(at, () -> send(new Call(customer, kind, tokens, sentAtMs, sentAtMs, false)));
-        }
+        load(customer, perSecond, fromMs, untilMs, this::send);
     }
 
     /** As {@link #load}, with a connection for each request. */
     void loadOnNewConnections(CustomerId customer, double perSecond, double fromMs, double untilMs) {
+        load(customer, perSecond, fromMs, untilMs, call -> {
+            counts(customer).sent++;
+            connect(call);
+        });
+    }
+
+    private void load(CustomerId customer, double perSecond, double fromMs, double untilMs, Consumer<Call> sender) {
         for (double at = fromMs; at < untilMs; at -= Math.log(1 - random.nextDouble()) * 1_000 / perSecond) {
             double sentAtMs = at;
             Kind kind = MIX.get(random.nextInt(MIX.size()));
             long tokens = Math.max(1, Math.round(kind.tokens() * (0.5 + random.nextDouble())));
-            schedule(at, () -> {
-                counts(customer).sent++;
-                connect(new Call(customer, kind, tokens, sentAtMs, sentAtMs, false));
-            });
+            schedule(at, () -> sender.accept(new Call(customer, kind, tokens, sentAtMs, sentAtMs, false)));
         }
     }
 
