Hand no connection of a small customer over to threads that would not take it

The minimum share of a customer held however late the threads are, also while one is stuck: its connections were handed over, not taken and rejected later. Above 100 ms of lag nobody is served, as before. Without any minimum share 2 of 5 cases of customersThatOpenMoreConnectionsGetNoLargerShare fail: a small customer has less than 0.9 of its requests admitted.

--- a/kernel/src/main/java/org/marjoramswitch/kernel/admission/InstanceAdmission.java
+++ b/kernel/src/main/java/org/marjoramswitch/kernel/admission/InstanceAdmission.java
@@ -52,6 +52,8 @@
     private static final double REJECTION_BURST_MS = 20;
     /** Part of the processor from which each customer is served a share although the instance is late. */
     private static final double MIN_SHARE = 0.25;
+    /** Threads that are later than this would not take the connection before it is rejected. */
+    private static final long MAX_MIN_SHARE_LAG_MS = 100;
 
     private static final CustomerId UNKNOWN_CUSTOMER = CustomerId.of("-");
     private static final int FULL_PERCENT = 100;
@@ -126,7 +128,8 @@
     /**
      * Selects the customer of which a waiting connection is served next: the one that was admitted the least work. Customers
      * whose callers open a connection for each request thus have the same shares as those that keep theirs. While the
-     * instance may not accept connections, as after a flood of them, only a customer below a minimum share is selected.
+     * instance may not accept connections, as after a flood of them, only a customer below a minimum share is selected, and
+     * none while the threads are too late to take the connection in time.
      *
      * @param customers those with waiting connections; if empty, their customers are not known
      * @param lagMs the present delay of the threads that serve connections
@@ -146,14 +149,14 @@
                 leastMillicores = millicores;
             }
         }
-        if (!accepts && leastMillicores >= minShareMillicores()) {
+        if (!accepts && (lagMs >= MAX_MIN_SHARE_LAG_MS || leastMillicores >= minShareMillicores())) {
             return null;
         }
         demandOf(least).expect(nowMs);
         return least;
     }
 
-    /** The work that each customer may have admitted however late the instance is. */
+    /** The work that each customer may have admitted while the instance is late. */
     private double minShareMillicores() {
         return MIN_SHARE * processorMillicores / Math.max(1, customers.size());
     }
