--- a/daemon/src/main/java/org/marjoramswitch/daemon/caller/WaitingConnection.java
+++ b/daemon/src/main/java/org/marjoramswitch/daemon/caller/WaitingConnection.java
@@ -7,7 +7,7 @@
 import org.jspecify.annotations.Nullable;
 
 /**
- * An accepted connection that is neither served nor rejected yet. Its first bytes may be read ahead, to know who sends.
+ * An accepted connection that is neither served nor rejected yet. Its first bytes may be read ahead to identify the customer.
  *
  * <p>Used by the thread of {@link CallerAcceptor}, but for {@link #take}.
  */
@@ -23,7 +23,7 @@
 
     private byte[] prefetched = NONE;
     private @Nullable UnreadHead head;
-    /** How often the head was asked for before it was known; negative once the connection is known to be broken. */
+    /** Number of queries of the head before it was complete; negative once the connection is broken. */
     private int queries;
 
     private WaitingConnection(SocketChannel channel, long acceptedMs) {
--- a/daemon/src/main/java/org/marjoramswitch/daemon/target/AttemptLog.java
+++ b/daemon/src/main/java/org/marjoramswitch/daemon/target/AttemptLog.java
@@ -77,7 +77,7 @@
                 spec.protocol().successHeader());
     }
 
-    /** An interim response, which is not supported, or a status that is none. */
+    /** Logs the status of an interim response, which is not supported, or one outside the valid range. */
     void noFinalStatus(int status) {
         LOG.warn("response_status_invalid", TARGET, spec.target().id(), REQUEST, spec.requestId(), "status", status);
     }
