Continue streams of which callers have a part at a stopping instance

Callers saw a resumable stream end broken off (status 200, cut) at an instance that had received SIGTERM up to 1.4 s before, with a grace of 3 s: after an invalid event at one target, another target could have continued it and was not asked.

Cause: StopPolicy asks before each send whether the longest recent run of the route fits into what is left of the drain, so that the caller of a request that does not can go to another instance. A continuation was treated like a new request. Its caller has a part of the response, so the request cannot be rejected any more; the rule could only break the stream off, at once in place of at the end of the drain at worst. Besides, the whole run's time was compared, of which a part had passed, ten times that time after a single complete run.

Change: a request that waits to continue what its caller has a part of is sent as long as anything can still reach the caller (150 ms before the end of the drain). A silent attempt that still runs is replaced by the former rule.

Spent: a stream that cannot end in time is prefilled at one more target, and its caller learns of the cut at the end of the drain.

--- a/kernel/src/main/java/org/marjoramswitch/kernel/entry/EntryRequest.java
+++ b/kernel/src/main/java/org/marjoramswitch/kernel/entry/EntryRequest.java
@@ -56,6 +56,8 @@
     private @Nullable String streamVersion;
     /** The number of the attempt that set {@link #streamVersion}; 0 if the stream began in an earlier request. */
     private int streamAttempt;
+    /** The number of the attempt whose response first reached the caller; 0 if none has. */
+    private int deliveredAttempt;
 
     /** @param isTrial whether the request is a trial of a poison request or prompt part whose block has ended */
     EntryRequest(RequestSpec spec, CrashSuspects suspects, boolean isTrial, long arrivedAtMs) {
@@ -251,8 +253,16 @@
         }
     }
 
+    /** Whether a part of the response has reached the caller, so that the request can no longer be rejected, only broken off. */
+    boolean isPartDelivered() {
+        return deliveredAttempt > 0;
+    }
+
     /** The response has begun; from now on only targets of the same version can continue it. */
     void streamStarted() {
+        if (deliveredAttempt == 0) {
+            deliveredAttempt = attempts;
+        }
         if (streamVersion == null && !targetVersion.isEmpty()) {
             streamVersion = targetVersion;
             streamAttempt = attempts;
@@ -261,6 +271,9 @@
 
     /** The running attempt has ended without a part of its response reaching the caller. */
     void nothingDelivered() {
+        if (deliveredAttempt == attempts) {
+            deliveredAttempt = 0;
+        }
         if (streamAttempt == attempts) {
             streamVersion = null;
             streamAttempt = 0;
--- a/kernel/src/main/java/org/marjoramswitch/kernel/entry/SendAdmission.java
+++ b/kernel/src/main/java/org/marjoramswitch/kernel/entry/SendAdmission.java
@@ -88,7 +88,7 @@
         if (crashReports.blockedForMs(request, nowMs) > 0) {
             return Verdict.REQUEST_BLOCKED;
         }
-        if (!stopPolicy.maySend(request.spec(), nowMs)) {
+        if (!stopPolicy.maySend(request, nowMs)) {
             return Verdict.INSTANCE_LEAVING;
         }
         if (startWithinMs <= 0) {
--- a/kernel/src/main/java/org/marjoramswitch/kernel/entry/StopPolicy.java
+++ b/kernel/src/main/java/org/marjoramswitch/kernel/entry/StopPolicy.java
@@ -21,6 +21,9 @@
  * <p>For example, with 4 s left and a deadline in 7 s, a request is accepted if the longest recent one of its kind took
  * 2.5 s, and rejected if it took 3.5 s.
  *
+ * <p>A response of which the caller has received a part is continued in any case: rejecting its request is no longer possible,
+ * and if the drain ends first, the caller has received more of it.
+ *
  * <p>Applies to placed requests only: the deadline of others does not bound their run.
  */
 final class StopPolicy {
@@ -91,6 +94,19 @@
         return fits(longestMs, nowMs);
     }
 
+    /** Whether a request may be sent to a target now. */
+    boolean maySend(EntryRequest request, long nowMs) {
+        return mayContinue(request, nowMs) || maySend(request.spec(), nowMs);
+    }
+
+    /**
+     * Whether a request waits to continue a response of which its caller has received a part. Its caller gains nothing if that is
+     * broken off before the end of the drain, so it may be sent unless nothing would reach the caller any more.
+     */
+    private boolean mayContinue(EntryRequest request, long nowMs) {
+        return request.target() == null && request.isPartDelivered() && fits(0, nowMs);
+    }
+
     /** Whether a request that is sent to a target now can end in time. */
     boolean maySend(RequestSpec spec, long nowMs) {
         if (endsInTime(spec, nowMs)) {
@@ -128,6 +144,7 @@
         }
         return open.stream()
                 .filter(request -> request.target() == null)
+                .filter(request -> !mayContinue(request, nowMs))
                 .filter(request ->
                         !maySend(request.spec(), longestRunMs.getOrDefault(Kind.of(request.spec()), 0L), nowMs))
                 .toList();
