Forget removed connections once none waits

After a flood AcceptLine kept the connections that had been removed, with up to 4 KiB that was read ahead of each, until the next connection waited: its indexes by customer and of unidentified connections are trimmed only when connections are served. At most 1,000 connections, some 4 MB of a heap of 100 MB.

The line clears its indexes when its last connection is removed.

AcceptLineTest#emptyLineRefersToNoConnection fails without the change.

--- a/kernel/src/main/java/org/marjoramswitch/kernel/admission/AcceptLine.java
+++ b/kernel/src/main/java/org/marjoramswitch/kernel/admission/AcceptLine.java
@@ -160,10 +160,27 @@
     private C remove(Entry<C> entry) {
         entry.removed = true;
         size--;
-        trim(entries);
+        if (size == 0) {
+            clear();
+        } else {
+            trim(entries);
+        }
         return entry.connection;
     }
 
+    private void clear() {
+        entries.clear();
+        unidentified.clear();
+        byCustomer.clear();
+    }
+
+    /** The number of references to connections, including those to removed ones. */
+    int referenceCount() {
+        return entries.size()
+                + unidentified.size()
+                + byCustomer.values().stream().mapToInt(Deque::size).sum();
+    }
+
     /** How long the oldest connection has waited; 0 if there is none. */
     public long oldestWaitMs(long nowMs) {
         return size == 0 ? 0 : nowMs - entries.getFirst().acceptedMs;
@@ -178,9 +195,7 @@
                 removed.add(entry.connection);
             }
         }
-        entries.clear();
-        unidentified.clear();
-        byCustomer.clear();
+        clear();
         size = 0;
         return removed;
     }
--- a/kernel/src/test/java/org/marjoramswitch/kernel/admission/AcceptLineTest.java
+++ b/kernel/src/test/java/org/marjoramswitch/kernel/admission/AcceptLineTest.java
@@ -119,6 +119,24 @@
         assertTrue(line.isEmpty());
     }
 
+    /** Guards against keeping the removed connections of a flood, with what was read of them, until the next connection waits. */
+    @Test
+    void emptyLineRefersToNoConnection() {
+        CustomerId known = CustomerId.of("known");
+        for (int i = 0; i < 100; i++) {
+            customers.put(i, i % 2 == 0 ? known : null);
+            line.add(i, i);
+        }
+        line.identify();
+        while (!line.isEmpty()) {
+            line.removeOldest();
+        }
+        assertEquals(0, line.referenceCount());
+        line.add(100, 100);
+        assertEquals(100, next(100));
+        assertEquals(0, line.referenceCount());
+    }
+
     private Integer next(long nowMs) {
         return Objects.requireNonNull(line.removeNext(
                 waiting -> waiting.isEmpty()
