Add failing test: a late request is rejected beside idle targets

PlacementArbiterTest#aLateRequestIsServedWhileAnotherOneWaitsForItsSession: four targets, one of which prefills a session; a second request of the session waits for it, as it should. A late request, which any of the other three could serve, is rejected at once.

--- a/kernel/src/test/java/org/marjoramswitch/kernel/placement/PlacementArbiterTest.java
+++ b/kernel/src/test/java/org/marjoramswitch/kernel/placement/PlacementArbiterTest.java
@@ -207,6 +207,36 @@
         assertEquals(TargetId.of("t1"), placed.get(lastId));
     }
 
+    /** Guards against rejecting late requests at once while most targets are idle, because another one waits for its session's target. */
+    @Test
+    void aLateRequestIsServedWhileAnotherOneWaitsForItsSession() {
+        targets("t1", "t2", "t3", "t4");
+        waitForSession();
+        send(ENTRY, CUSTOMER, List.of(), -100, List.of());
+        assertNull(rejected.get(lastId));
+        assertTrue(placed.get(lastId) != null);
+    }
+
+    /** Guards against late requests that take the last free targets from those in time. */
+    @Test
+    void aLateRequestIsRejectedWhileOthersWaitAndFewTargetsAreFree() {
+        targets("t1", "t2", "t3", "t4", "t5");
+        waitForSession();
+        for (int i = 0; i < 4 * SLOTS - 1; i++) {
+            assertTrue(place() != null);
+        }
+        send(ENTRY, CUSTOMER, List.of(), -100, List.of());
+        assertTrue(rejected.get(lastId) > 0);
+    }
+
+    /** Lets a request of a session wait for the target that prefills the session. */
+    private void waitForSession() {
+        List<PromptPart> session = List.of(PromptPart.of(1, 500), PromptPart.of(2, 5_000));
+        assertTrue(placePrompt(session, 90) != null);
+        assertNull(placePrompt(session, 91));
+        assertNull(rejected.get(lastId));
+    }
+
     /** Requests rejected together get different retry delays, so that they do not return together. */
     @Test
     void rejectedRequestsGetDifferentRetryDelays() {
