Serve late requests beside requests that wait for their sessions' targets

Cause: PlacementArbiter held late requests only if no request waited in time, and some always do, by choice, for the engine that has their prompts cached. Class: a count above zero is taken for an overload.

Change: they are also held, and served after the requests in time had their turn, while a quarter of the targets is free and spare, at most a quarter as many requests as targets wait, and 98% of the newest hundred requests of usual size were served.

--- a/kernel/src/main/java/org/marjoramswitch/kernel/placement/PlacementArbiter.java
+++ b/kernel/src/main/java/org/marjoramswitch/kernel/placement/PlacementArbiter.java
@@ -37,8 +37,8 @@
  * examined, for targets that the last pass left free. The queue is thus scanned a bounded number of times per second,
  * whatever the number of requests and events.
  *
- * <p>A request is late once its first byte can no longer meet its objective. Late requests use only capacity that the
- * others leave, are held for a bounded time ({@link LateRequestHold}), and are then rejected with a retry delay. Those of
+ * <p>A request is late once its first byte can no longer meet its objective, which a large one is on arrival. Late requests
+ * use only capacity that the others leave, are held for a bounded time ({@link LateRequestHold}), and are then rejected with a retry delay. Those of
  * a customer that is served much less than another one take their turn among the requests in time.
  *
  * <p>All state is soft. Requests carry an id chosen by the entry instance, which re-registers its running requests
@@ -53,6 +53,13 @@
     private static final int LOOKAHEAD = 8;
     /** Late requests held per slot: at most about one second of the cell's throughput. */
     private static final double MAX_LATE_PER_SLOT = 0.25;
+    /**
+     * Share of the targets that must be able to take a request and have spare capacity for late requests to be served while
+     * others wait in time. Those wait for a target that has their prompt cached, and the next ones need free targets.
+     */
+    private static final double MIN_SPARE_SHARE = 0.25;
+    /** Requests waiting in time, relative to the targets, above which the pool may be overloaded. */
+    private static final double MAX_WAITING_SHARE = 0.25;
     /** 75th percentile of the time to first byte, relative to its prediction. */
     private static final double FIRST_BYTE_P75_FACTOR = 1.3;
     /**
@@ -396,7 +403,8 @@
     private void place(long nowMs, ActionSink sink) {
         TargetChoice choice = lastPass;
         boolean isQueueShort = waiting.inTimeCount() + waiting.lateCount() <= MAX_WAITING_FOR_FULL_PASS;
-        if (choice == null || isQueueShort || nowMs - choice.atMs() >= PASS_MS) {
+        boolean isPassDue = choice == null || isQueueShort || nowMs - choice.atMs() >= PASS_MS;
+        if (choice == null || isPassDue) {
             choice = TargetChoice.at(policy, model, meanServiceMs, targets, nowMs);
             lastPass = choice;
             logMemory(sink);
@@ -405,7 +413,10 @@
             placeArrived(choice, nowMs, sink);
         }
         arrived.clear();
-        placeLate(choice, nowMs, sink);
+        if (waiting.inTimeCount() == 0 || (isPassDue && hasSpareShare(choice))) {
+            placeLate(choice, nowMs, sink);
+        }
+        newlyLate.clear();
     }
 
     private void add(WaitingRequest newRequest, long nowMs) {
@@ -476,14 +487,24 @@
         // A stream has waited for the time of a hold already.
         boolean mayHold = policy.has(Mechanism.LATE_HOLDING)
                 && !request.continuesStream()
-                && waiting.inTimeCount() == 0
                 && waiting.lateCount() < maxLate()
-                && hasSpareCapacity();
+                && mayServeLate();
         waiting.addLate(request, mayHold ? nowMs + holdMs : nowMs);
         newlyLate.add(request);
     }
 
-    /** Whether any target has capacity for late requests; otherwise holding one only delays its rejection. */
+    /** Whether a late request may soon be served; otherwise holding it only delays its rejection. */
+    private boolean mayServeLate() {
+        return waiting.inTimeCount() == 0 ? hasSpareCapacity() : lastPass != null && hasSpareShare(lastPass);
+    }
+
+    /** Whether only a few requests wait for certain targets, and many others are free after they had their turn. */
+    private boolean hasSpareShare(TargetChoice choice) {
+        return sizes.areOthersServed()
+                && waiting.inTimeCount() <= MAX_WAITING_SHARE * choice.healthyTargets()
+                && choice.spareTargets() >= MIN_SPARE_SHARE * choice.healthyTargets();
+    }
+
     private boolean hasSpareCapacity() {
         return targets.usable().stream().anyMatch(target -> target.load() <= TargetChoice.SPARE_LOAD);
     }
@@ -587,7 +608,7 @@
     }
 
     /**
-     * Starts late requests at targets with spare capacity. Between two passes only those are examined that have become
+     * Starts late requests at targets with spare capacity, which the requests in time have left. Between two passes only those are examined that have become
      * late since: their choice examines all targets, so that an arbiter whose requests are all late, as after a lag, would
      * fall behind at a load that it can bear otherwise.
      */
@@ -597,9 +618,8 @@
         List<WaitingRequest> examined = isPassDue
                 ? waiting.firstLate(LOOKAHEAD)
                 : newlyLate.stream().limit(LOOKAHEAD).toList();
-        newlyLate.clear();
         for (WaitingRequest request : examined) {
-            if (waiting.inTimeCount() > 0 || !choice.hasSpare()) {
+            if (!choice.hasSpare()) {
                 return;
             }
             if (!waiting.isLate(request)) {
--- a/kernel/src/main/java/org/marjoramswitch/kernel/placement/SizeBalance.java
+++ b/kernel/src/main/java/org/marjoramswitch/kernel/placement/SizeBalance.java
@@ -22,6 +22,8 @@
      * Minimum served share of large requests relative to that of the others; 0.5 would be too low for their callers.
      */
     private static final double MIN_RATIO = 0.7;
+    /** Below this share of the others, rejections are not single cases. */
+    private static final double MIN_SERVED = 0.98;
     /** About the newest hundred requests of each group count; a busy pool receives as many large ones in seconds. */
     private static final double DECAY = 1 - 1.0 / 100;
 
@@ -33,6 +35,11 @@
         return large.value() < MIN_RATIO * others.value();
     }
 
+    /** Whether nearly all requests that are not large are served, so that the pool is not overloaded. */
+    boolean areOthersServed() {
+        return others.value() >= MIN_SERVED;
+    }
+
     /** Records that a request was placed or rejected. */
     void recordOutcome(SizeClass size, boolean served) {
         switch (size) {
--- a/kernel/src/main/java/org/marjoramswitch/kernel/placement/TargetChoice.java
+++ b/kernel/src/main/java/org/marjoramswitch/kernel/placement/TargetChoice.java
@@ -135,7 +135,18 @@
 
     /** Whether any target that can take a request now has spare capacity for late ones. */
     boolean hasSpare() {
-        return pool.order().ranking().stream().anyMatch(ranked -> ranked.isFree() && isSpare(ranked.target()));
+        return pool.order().ranking().stream().anyMatch(TargetChoice::isFreeAndSpare);
+    }
+
+    /** The number of targets that can take a request now and have spare capacity for late ones. */
+    long spareTargets() {
+        return pool.order().ranking().stream()
+                .filter(TargetChoice::isFreeAndSpare)
+                .count();
+    }
+
+    private static boolean isFreeAndSpare(TargetOrder.RankedTarget ranked) {
+        return ranked.isFree() && isSpare(ranked.target());
     }
 
     private static boolean isSpare(TargetLoad target) {
