--- a/kernel/src/main/java/org/marjoramswitch/kernel/placement/PlacementArbiter.java
+++ b/kernel/src/main/java/org/marjoramswitch/kernel/placement/PlacementArbiter.java
@@ -483,19 +483,21 @@
     }
 
     private void addLate(WaitingRequest request, long nowMs) {
-        long holdMs = LateRequestHold.holdMs(request.deadlineMs(), request.waitsUntilMs(), nowMs);
         // A stream has waited for the time of a hold already.
-        boolean mayHold = policy.has(Mechanism.LATE_HOLDING)
-                && !request.continuesStream()
-                && waiting.lateCount() < maxLate()
-                && mayServeLate();
-        waiting.addLate(request, mayHold ? nowMs + holdMs : nowMs);
+        boolean mayHold =
+                policy.has(Mechanism.LATE_HOLDING) && !request.continuesStream() && waiting.lateCount() < maxLate();
+        waiting.addLate(request, nowMs + (mayHold ? holdMs(request, nowMs) : 0));
         newlyLate.add(request);
     }
 
-    /** Whether a late request may soon be served; otherwise holding it only delays its rejection. */
-    private boolean mayServeLate() {
-        return waiting.inTimeCount() == 0 ? hasSpareCapacity() : lastPass != null && hasSpareShare(lastPass);
+    /** How long a late request is held; 0 if that would only delay its rejection. */
+    private long holdMs(WaitingRequest request, long nowMs) {
+        long maxMs = LateRequestHold.holdMs(request.deadlineMs(), request.waitsUntilMs(), nowMs);
+        if (waiting.inTimeCount() == 0) {
+            return hasSpareCapacity() ? maxMs : 0;
+        }
+        boolean hasSpareShare = lastPass != null && hasSpareShare(lastPass);
+        return hasSpareShare ? Math.min(maxMs, LATE_PASS_MS + PASS_MS) : 0;
     }
 
     /** Whether only a few requests wait for certain targets, and many others are free after they had their turn. */
@@ -505,6 +507,7 @@
                 && choice.spareTargets() >= MIN_SPARE_SHARE * choice.healthyTargets();
     }
 
+    /** Whether any target has capacity for late requests. */
     private boolean hasSpareCapacity() {
         return targets.usable().stream().anyMatch(target -> target.load() <= TargetChoice.SPARE_LOAD);
     }
