--- a/kernel/src/main/java/org/marjoramswitch/kernel/placement/PlacementArbiter.java
+++ b/kernel/src/main/java/org/marjoramswitch/kernel/placement/PlacementArbiter.java
@@ -38,7 +38,8 @@
  * whatever the number of requests and events.
  *
  * <p>A request is late once its first byte can no longer meet its objective, which a large one is on arrival. Late requests
- * use only capacity that the others leave, are held for a bounded time ({@link LateRequestHold}), and are then rejected with a retry delay. Those of
+ * use only capacity that the others leave, are held for a bounded time ({@link LateRequestHold}), or for one pass while others
+ * wait, and are then rejected with a retry delay. Those of
  * a customer that is served much less than another one take their turn among the requests in time.
  *
  * <p>All state is soft. Requests carry an id chosen by the entry instance, which re-registers its running requests
@@ -413,7 +414,7 @@
             placeArrived(choice, nowMs, sink);
         }
         arrived.clear();
-        if (waiting.inTimeCount() == 0 || (isPassDue && hasSpareShare(choice))) {
+        if (waiting.inTimeCount() == 0 || (isPassDue && leavesRoomForLate(choice))) {
             placeLate(choice, nowMs, sink);
         }
         newlyLate.clear();
@@ -496,12 +497,15 @@
         if (waiting.inTimeCount() == 0) {
             return hasSpareCapacity() ? maxMs : 0;
         }
-        boolean hasSpareShare = lastPass != null && hasSpareShare(lastPass);
-        return hasSpareShare ? Math.min(maxMs, LATE_PASS_MS + PASS_MS) : 0;
+        boolean leavesRoom = lastPass != null && leavesRoomForLate(lastPass);
+        return leavesRoom ? Math.min(maxMs, LATE_PASS_MS + PASS_MS) : 0;
     }
 
-    /** Whether only a few requests wait for certain targets, and many others are free after they had their turn. */
-    private boolean hasSpareShare(TargetChoice choice) {
+    /**
+     * Whether the requests in time leave room for late ones after their turn: nearly all of usual size are served, only a few
+     * wait, for certain targets, and many other targets are free.
+     */
+    private boolean leavesRoomForLate(TargetChoice choice) {
         return sizes.areOthersServed()
                 && waiting.inTimeCount() <= MAX_WAITING_SHARE * choice.healthyTargets()
                 && choice.spareTargets() >= MIN_SPARE_SHARE * choice.healthyTargets();
--- a/kernel/src/test/java/org/marjoramswitch/kernel/placement/PlacementArbiterTest.java
+++ b/kernel/src/test/java/org/marjoramswitch/kernel/placement/PlacementArbiterTest.java
@@ -35,6 +35,7 @@
     private static final CustomerId CUSTOMER = CustomerId.of("a");
     private static final long OBJECTIVE_MS = 400;
     private static final int SLOTS = 2;
+    private static final List<PromptPart> SESSION = List.of(PromptPart.of(1, 500), PromptPart.of(2, 5_000));
 
     private final PlacementArbiter arbiter =
             PlacementArbiter.create(CELL, PoolSettings.plainServices(POOL), customer -> 1);
@@ -229,11 +230,25 @@
         assertTrue(rejected.get(lastId) > 0);
     }
 
+    /** Guards against holding a late request in vain that no free target should serve, so that its caller is told late. */
+    @Test
+    void aLateRequestThatFindsNoTargetBesideOthersIsRejectedAfterOnePass() {
+        targets("t1", "t2", "t3", "t4");
+        waitForSession();
+        List<PromptPart> prompt = new ArrayList<>(SESSION);
+        prompt.add(PromptPart.of(92, 100));
+        send(ENTRY, CUSTOMER, prompt, -100, List.of());
+        long late = lastId;
+        nowMs += 30;
+        decide();
+        assertNull(placed.get(late));
+        assertTrue(rejected.containsKey(late));
+    }
+
     /** Lets a request of a session wait for the target that prefills the session. */
     private void waitForSession() {
-        List<PromptPart> session = List.of(PromptPart.of(1, 500), PromptPart.of(2, 5_000));
-        assertTrue(placePrompt(session, 90) != null);
-        assertNull(placePrompt(session, 91));
+        assertTrue(placePrompt(SESSION, 90) != null);
+        assertNull(placePrompt(SESSION, 91));
         assertNull(rejected.get(lastId));
     }
 
