Log each customer's demand at an arbiter and what became of it

Logs could not tell whether demand that an entry instance rejects is unknown to the arbiter, arrives there and is not counted, or is outweighed by other terms of the estimate: customer_underserved names a customer only while it is taken for short. customer_demand reports, once a second while any demand is rejected, the tokens asked for, rejected at entries, started, rejected by reason and withdrawn, with the averages that decide. customer_load gains the tokens that an instance reports for requests it rejected unread, so that both ends of a report can be compared.

No decision changes.

--- a/daemon/src/main/java/org/marjoramswitch/daemon/caller/AdmissionGate.java
+++ b/daemon/src/main/java/org/marjoramswitch/daemon/caller/AdmissionGate.java
@@ -122,7 +122,9 @@
                 "rejectedTokens",
                 load.rejectedTokens(),
                 "unread",
-                load.unread());
+                load.unread(),
+                "unreadTokens",
+                load.unreadTokens());
     }
 
     private void logChange(long lagMs, long nowMs) {
--- a/kernel/src/main/java/org/marjoramswitch/kernel/admission/CustomerLoad.java
+++ b/kernel/src/main/java/org/marjoramswitch/kernel/admission/CustomerLoad.java
@@ -8,6 +8,13 @@
  * @param admittedTokens tokens of the admitted requests
  * @param rejected requests that were read and rejected
  * @param unread requests that were rejected before they were read
+ * @param unreadTokens estimated tokens of these, which are reported as demand
  */
 public record CustomerLoad(
-        CustomerId customer, long admitted, long admittedTokens, long rejected, long rejectedTokens, long unread) {}
+        CustomerId customer,
+        long admitted,
+        long admittedTokens,
+        long rejected,
+        long rejectedTokens,
+        long unread,
+        long unreadTokens) {}
--- a/kernel/src/main/java/org/marjoramswitch/kernel/admission/InstanceAdmission.java
+++ b/kernel/src/main/java/org/marjoramswitch/kernel/admission/InstanceAdmission.java
@@ -120,8 +120,8 @@
         recentRequests.distribute(unknown, nowMs, rejectedTokens);
         byCustomer.forEach((customer, requests) -> {
             rejectedUnread.add(requests, nowMs);
-            recentRequests.distributeOf(customer, requests, nowMs, rejectedTokens);
-            loadReport.rejectedUnread(customer, requests);
+            double tokens = recentRequests.distributeOf(customer, requests, nowMs, rejectedTokens);
+            loadReport.rejectedUnread(customer, requests, tokens);
         });
     }
 
--- a/kernel/src/main/java/org/marjoramswitch/kernel/admission/LoadReport.java
+++ b/kernel/src/main/java/org/marjoramswitch/kernel/admission/LoadReport.java
@@ -23,10 +23,17 @@
         private long unread;
         private double admittedTokens;
         private double rejectedTokens;
+        private double unreadTokens;
 
         private CustomerLoad load(CustomerId customer) {
             return new CustomerLoad(
-                    customer, admitted, Math.round(admittedTokens), rejected, Math.round(rejectedTokens), unread);
+                    customer,
+                    admitted,
+                    Math.round(admittedTokens),
+                    rejected,
+                    Math.round(rejectedTokens),
+                    unread,
+                    Math.round(unreadTokens));
         }
     }
 
@@ -43,8 +50,11 @@
         anyRejected = true;
     }
 
-    void rejectedUnread(CustomerId customer, long requests) {
-        of(customer).unread += requests;
+    /** @param tokens of these requests, estimated */
+    void rejectedUnread(CustomerId customer, long requests, double tokens) {
+        Counts own = of(customer);
+        own.unread += requests;
+        own.unreadTokens += tokens;
         anyRejected = true;
     }
 
--- a/kernel/src/main/java/org/marjoramswitch/kernel/placement/FairShareEstimate.java
+++ b/kernel/src/main/java/org/marjoramswitch/kernel/placement/FairShareEstimate.java
@@ -122,6 +122,23 @@
         return found;
     }
 
+    /** The values on which {@link #isUnderserved} is based. */
+    Standing standing(CustomerId customer, long nowMs) {
+        RecentService own = use(customer, nowMs);
+        removeUnused(nowMs);
+        double bestTokens = bestByWeight(nowMs) * own.weight;
+        boolean underserved = own.isUnderserved(bestByWeight(nowMs), nowMs);
+        return new Standing(own.askedTokens, own.chargedTokens, own.largestTokens, bestTokens, underserved);
+    }
+
+    /**
+     * Recent averages of a customer.
+     *
+     * @param bestTokens the charge of the customer served best, by weight
+     */
+    record Standing(
+            double askedTokens, double chargedTokens, double largestTokens, double bestTokens, boolean underserved) {}
+
     /** The tokens that a customer asked for and was charged, averaged over the window. */
     record Underserved(CustomerId customer, double askedTokens, double chargedTokens) {}
 
--- a/kernel/src/main/java/org/marjoramswitch/kernel/placement/PlacementArbiter.java
+++ b/kernel/src/main/java/org/marjoramswitch/kernel/placement/PlacementArbiter.java
@@ -108,6 +108,7 @@
     private final WaitingQueues waiting = new WaitingQueues();
     private final SizeBalance sizes = new SizeBalance();
     private final FairShareEstimate fairShare = new FairShareEstimate();
+    private final DemandReport demandReport = new DemandReport();
     private final EngineMemoryModel memoryModel;
     private final TargetPool targets;
     private final Map<InstanceId, Map<Long, RunningRequest>> running = new HashMap<>();
@@ -206,6 +207,7 @@
         WaitingRequest request = WaitingRequest.of(entry, message, arrivals++, arrivedAtMs);
         memoryModel.requested(request.memoryTokens());
         fairShare.recordDemand(request.customer(), request.costTokens(), nowMs);
+        demandReport.asked(request);
         if (!hasTargetOfVersion(request)) {
             rejected.add(new Rejection(request, VERSION_GONE));
             return;
@@ -215,7 +217,7 @@
             return;
         }
         if (policy.has(Mechanism.LAG_REJECTION) && LagRejection.rejects(request, delayMs, fairShare, nowMs)) {
-            rejected.add(new Rejection(request, "arbiter_lag"));
+            rejected.add(new Rejection(request, PlacementLog.ARBITER_LAG));
             return;
         }
         add(request, nowMs);
@@ -232,6 +234,7 @@
     /** Counts demand that an entry instance rejected before it reached this arbiter. */
     public void demandRejected(CustomerId customer, double tokens, long nowMs) {
         fairShare.recordRejectedDemand(customer, tokens, nowMs);
+        demandReport.rejectedAtEntry(customer, tokens);
     }
 
     /**
@@ -248,7 +251,9 @@
             return;
         }
         removeWaiting(entry, message.placementId());
-        rejected.add(new Rejection(WaitingRequest.of(entry, message, arrivals++, arrivedAtMs), reason));
+        WaitingRequest request = WaitingRequest.of(entry, message, arrivals++, arrivedAtMs);
+        demandReport.asked(request);
+        rejected.add(new Rejection(request, reason));
     }
 
     /** Whether any request waits for a target. */
@@ -263,7 +268,10 @@
 
     /** Removes a waiting request. Has no effect on a running one. */
     public void withdraw(InstanceId entry, long placementId) {
-        removeWaiting(entry, placementId);
+        WaitingRequest withdrawn = removeWaiting(entry, placementId);
+        if (withdrawn != null) {
+            demandReport.withdrawn(withdrawn);
+        }
     }
 
     /**
@@ -341,7 +349,10 @@
      */
     public void removeEntry(InstanceId entry, long nowMs) {
         entryDelays.remove(entry);
-        waiting.removeAll(entry).forEach(request -> updateWaitingCount(request.customer()));
+        waiting.removeAll(entry).forEach(request -> {
+            updateWaitingCount(request.customer());
+            demandReport.withdrawn(request);
+        });
         Map<Long, RunningRequest> held = running.remove(entry);
         if (held != null) {
             held.values().forEach(request -> release(request, nowMs));
@@ -364,6 +375,14 @@
         refuseExpired(nowMs, sink);
         logSpeeds(nowMs, sink);
         logUnderserved(nowMs, sink);
+        logDemand(nowMs, sink);
+    }
+
+    private void logDemand(long nowMs, ActionSink sink) {
+        demandReport
+                .takeDue(nowMs)
+                .forEach(demand ->
+                        sink.accept(PlacementLog.demand(cell, demand, fairShare.standing(demand.customer(), nowMs))));
     }
 
     private void logUnderserved(long nowMs, ActionSink sink) {
@@ -533,12 +552,13 @@
                 expired != null;
                 expired = waiting.nextHoldExpired(nowMs)) {
             waiting.remove(expired.entry(), expired.placementId());
-            refuse(expired, "late", nowMs, sink);
+            refuse(expired, PlacementLog.LATE, nowMs, sink);
         }
     }
 
     private void refuse(WaitingRequest request, String reason, long nowMs, ActionSink sink) {
         sizes.recordOutcome(request.size(), false);
+        demandReport.rejected(request, reason);
         sink.accept(new Action.SendPeer(
                 request.entry(),
                 new PeerMessage.NotPlaced(
@@ -651,6 +671,7 @@
         double pendingTokens = target.pendingPrefillTokens(nowMs, slowness(target, nowMs) * model.msPerToken());
         removeWaiting(request.entry(), request.placementId());
         sizes.recordOutcome(request.size(), true);
+        demandReport.started(request);
         // An entry that lags sends the request at an unknown later time; until then the target has nothing to prefill.
         boolean late = policy.has(Mechanism.ENTRY_DELAYS) && entryDelays.isLate(request.entry());
         long prefillTokens = late ? 0 : chosen.prefillTokens();
@@ -728,11 +749,12 @@
         }
     }
 
-    private void removeWaiting(InstanceId entry, long placementId) {
+    private @Nullable WaitingRequest removeWaiting(InstanceId entry, long placementId) {
         WaitingRequest request = waiting.remove(entry, placementId);
         if (request != null) {
             updateWaitingCount(request.customer());
         }
+        return request;
     }
 
     private void updateWaitingCount(CustomerId customer) {
--- a/kernel/src/main/java/org/marjoramswitch/kernel/placement/PlacementLog.java
+++ b/kernel/src/main/java/org/marjoramswitch/kernel/placement/PlacementLog.java
@@ -7,6 +7,11 @@
 
 /** Builds the log records of an arbiter's decisions, each with the values it is based on. */
 final class PlacementLog {
+    /** Reason for rejecting a request whose objective cannot be met. */
+    static final String LATE = "late";
+    /** Reason for rejecting a request because the arbiter lags. */
+    static final String ARBITER_LAG = "arbiter_lag";
+
     private PlacementLog() {}
 
     /**
@@ -98,6 +103,44 @@
                 Math.round(speed.observations(nowMs))));
     }
 
+    /** Logs what became of a customer's requests, and what the arbiter takes its recent service to be. */
+    static Action demand(CellId cell, DemandReport.CustomerDemand demand, FairShareEstimate.Standing standing) {
+        return new Action.Decided(Decision.of(
+                "customer_demand",
+                "cell",
+                cell,
+                "customer",
+                demand.customer(),
+                "asked",
+                demand.asked(),
+                "askedTokens",
+                demand.askedTokens(),
+                "rejectedAtEntriesTokens",
+                demand.rejectedAtEntriesTokens(),
+                "started",
+                demand.started(),
+                "startedTokens",
+                demand.startedTokens(),
+                "lateTokens",
+                demand.lateTokens(),
+                "lagTokens",
+                demand.lagTokens(),
+                "otherRejectedTokens",
+                demand.otherRejectedTokens(),
+                "withdrawnTokens",
+                demand.withdrawnTokens(),
+                "recentAskedTokens",
+                Math.round(standing.askedTokens()),
+                "recentChargedTokens",
+                Math.round(standing.chargedTokens()),
+                "recentLargestTokens",
+                Math.round(standing.largestTokens()),
+                "recentBestTokens",
+                Math.round(standing.bestTokens()),
+                "underserved",
+                standing.underserved()));
+    }
+
     /** Logs that a customer is served much less than it asks for and than another one. */
     static Action underserved(CellId cell, FairShareEstimate.Underserved customer, double evenShareTokens) {
         return new Action.Decided(Decision.of(
--- a/kernel/src/test/java/org/marjoramswitch/kernel/admission/LoadReportTest.java
+++ b/kernel/src/test/java/org/marjoramswitch/kernel/admission/LoadReportTest.java
@@ -19,10 +19,10 @@
         assertEquals(List.of(), report.takeDue(1_000));
         report.admitted(SMALL, 10.4);
         report.rejected(SMALL, 5);
-        report.rejectedUnread(LARGE, 70);
+        report.rejectedUnread(LARGE, 70, 699.6);
         assertEquals(List.of(), report.takeDue(1_999));
         assertEquals(
-                List.of(new CustomerLoad(LARGE, 0, 0, 0, 0, 70), new CustomerLoad(SMALL, 1, 10, 1, 5, 0)),
+                List.of(new CustomerLoad(LARGE, 0, 0, 0, 0, 70, 700), new CustomerLoad(SMALL, 1, 10, 1, 5, 0, 0)),
                 report.takeDue(2_000));
         assertEquals(List.of(), report.takeDue(3_000));
     }
