Add failing tests: demand of a flooding customer is not reported, and few of its tokens are served

An instance's clock is the wall clock's time, while the simulations of admission control began at zero.

--- a/kernel/src/test/java/org/marjoramswitch/kernel/admission/InstanceAdmissionTest.java
+++ b/kernel/src/test/java/org/marjoramswitch/kernel/admission/InstanceAdmissionTest.java
@@ -162,6 +162,47 @@
         }
     }
 
+    /**
+     * Guards against arbiters that know little of a flooding customer's demand, and so take it for served while its requests
+     * are rejected unread.
+     */
+    @ParameterizedTest
+    @CsvSource({"2, 1", "4, 2", "12, 3"})
+    void demandOfAFloodingCustomerIsReportedInFull(double factor, long seed) {
+        OverloadedInstance instance = instance(0.38, seed);
+        instance.loadOnNewConnections(FLOODING, factor * sustainablePerS(), 1_000, END_MS);
+        instance.runUntil(BEGIN_MS);
+        instance.report();
+        instance.resetCounts();
+        instance.runUntil(END_MS);
+        instance.report();
+        OverloadedInstance.Counts counts = instance.counts(FLOODING);
+        double ratio = counts.reportedTokens / counts.rejectedTokens;
+        assertTrue(ratio >= 0.95 && ratio <= 1.05, "reported " + ratio + ", " + summary(instance));
+    }
+
+    /**
+     * Guards against a flood of connections of which few tokens are served, since those that are served next are selected
+     * without regard to what they are worth for their processor time.
+     */
+    @ParameterizedTest
+    @CsvSource({"2, 0.8, 1", "4, 0.8, 2", "4, 0.8, 3", "12, 0.6, 4"})
+    void floodOfConnectionsIsServedNearlyTheTokensOfTheCapacity(double factor, double minShare, long seed) {
+        OverloadedInstance instance = instance(0.38, seed);
+        ORDINARY.forEach(customer -> instance.loadOnNewConnections(customer, ORDINARY_PER_S, 1_000, END_MS));
+        instance.loadOnNewConnections(FLOODING, factor * sustainablePerS(), 1_000, END_MS);
+        instance.runUntil(BEGIN_MS);
+        instance.resetCounts();
+        instance.runUntil(END_MS);
+        double capacityTokens = idealTokens((END_MS - BEGIN_MS) / 1_000);
+        assertTrue(instance.counts(FLOODING).servedTokens >= minShare * capacityTokens, summary(instance));
+        for (OverloadedInstance.Kind kind : OverloadedInstance.MIX) {
+            assertTrue(
+                    instance.counts(FLOODING).servedByKind.getOrDefault(kind.name(), 0) > 0,
+                    kind.name() + " is starved, " + summary(instance));
+        }
+    }
+
     /** Guards against state that grows with the names that callers send. */
     @Test
     void stateIsBounded() {
--- a/kernel/src/test/java/org/marjoramswitch/kernel/admission/OverloadedInstance.java
+++ b/kernel/src/test/java/org/marjoramswitch/kernel/admission/OverloadedInstance.java
@@ -11,6 +11,7 @@
 import java.util.Random;
 import java.util.function.Consumer;
 import org.jspecify.annotations.Nullable;
+import org.marjoramswitch.kernel.message.PeerMessage.CustomerTokens;
 import org.marjoramswitch.kernel.model.CustomerId;
 import org.marjoramswitch.kernel.model.PoolId;
 
@@ -23,6 +24,9 @@
  */
 final class OverloadedInstance {
     static final int MILLICORES = 360;
+    /** The clock of an instance is the wall clock's time at its start plus what has elapsed since. */
+    private static final long CLOCK_START_MS = 1_790_000_000_000L;
+
     private static final double MILLICORES_PER_CORE = 1_000;
     private static final double ACCEPT_CORE_MS = 0.09;
     private static final double READ_CORE_MS = 0.25;
@@ -86,6 +90,11 @@
         CustomerId chooseWaiting(Collection<CustomerId> customers, long overdueMs, long nowMs);
 
         void rejectedUnread(CustomerId customer, long nowMs);
+
+        /** Returns the tokens of rejected requests that are reported to the arbiters now. */
+        default List<CustomerTokens> takeRejectedDemand(long nowMs) {
+            return List.of();
+        }
     }
 
     /** What happened to the requests of one customer since the last reset. */
@@ -95,6 +104,11 @@
         int rejected;
         int unread;
         double servedTokens;
+        /** Tokens of rejected requests, read or not. */
+        double rejectedTokens;
+        /** Tokens of rejected requests according to the reports to the arbiters. */
+        double reportedTokens;
+
         final Map<String, Integer> servedByKind = new HashMap<>();
     }
 
@@ -235,8 +249,15 @@
         }
     }
 
+    /** Takes the report that is due, if any. */
+    void report() {
+        rule.takeRejectedDemand(Math.round(nowMs))
+                .forEach(demand -> counts(demand.customer()).reportedTokens += demand.tokens());
+    }
+
     private void rejectUnread(Call call) {
         counts(call.customer()).unread++;
+        counts(call.customer()).rejectedTokens += call.tokens();
         rule.rejectedUnread(call.customer(), Math.round(nowMs));
         double atMs = nowMs + UNREAD_RETRY_AFTER_MS + UNREAD_RETRY_SPREAD_MS * random.nextDouble();
         if (!call.isRetry() && atMs < call.timesOutAtMs()) {
@@ -358,6 +379,7 @@
 
     private void rejected(Call call, long retryAfterMs) {
         counts(call.customer()).rejected++;
+        counts(call.customer()).rejectedTokens += call.tokens();
         if (!call.isRetry()) {
             double leftMs = call.timesOutAtMs() - nowMs;
             double atMs = nowMs + Math.min((double) retryAfterMs, leftMs / CALLER_WAIT_DIVISOR);
@@ -414,37 +436,42 @@
         }
     }
 
-    /** The rule of {@link InstanceAdmission}. */
+    /** The rule of {@link InstanceAdmission}, whose times are those of an instance's clock. */
     static Rule ruleOf(InstanceAdmission admission) {
         return new Rule() {
             @Override
             public AdmissionResult admit(AdmissionRequest request, long nowMs) {
-                return admission.admit(request, nowMs);
+                return admission.admit(request, CLOCK_START_MS + nowMs);
             }
 
             @Override
             public void lagSampled(long lagMs, long nowMs) {
-                admission.lagSampled(lagMs, nowMs);
+                admission.lagSampled(lagMs, CLOCK_START_MS + nowMs);
             }
 
             @Override
             public void lagAtLeast(long lagMs, long nowMs) {
-                admission.lagAtLeast(lagMs, nowMs);
+                admission.lagAtLeast(lagMs, CLOCK_START_MS + nowMs);
             }
 
             @Override
             public boolean mayAccept(long overdueMs, long nowMs) {
-                return admission.mayAccept(overdueMs, nowMs);
+                return admission.mayAccept(overdueMs, CLOCK_START_MS + nowMs);
             }
 
             @Override
             public @Nullable CustomerId chooseWaiting(Collection<CustomerId> customers, long overdueMs, long nowMs) {
-                return admission.chooseWaiting(customers, overdueMs, nowMs);
+                return admission.chooseWaiting(customers, overdueMs, CLOCK_START_MS + nowMs);
             }
 
             @Override
             public void rejectedUnread(CustomerId customer, long nowMs) {
-                admission.rejectedUnread(Map.of(customer, 1), 0, nowMs);
+                admission.rejectedUnread(Map.of(customer, 1), 0, CLOCK_START_MS + nowMs);
+            }
+
+            @Override
+            public List<CustomerTokens> takeRejectedDemand(long nowMs) {
+                return admission.takeRejectedDemand(CLOCK_START_MS + nowMs);
             }
         };
     }
--- a/kernel/src/test/java/org/marjoramswitch/kernel/admission/RecentRequestsTest.java
+++ b/kernel/src/test/java/org/marjoramswitch/kernel/admission/RecentRequestsTest.java
@@ -41,6 +41,18 @@
         assertEquals(List.of(new CustomerTokens(POOL, SMALL, 70)), rejected.takeDue(61_000));
     }
 
+    /** Guards against demand that is never known of customers whose requests an instance reads first, or after a long pause. */
+    @Test
+    void requestsAreCountedAtTheTimesOfAnInstancesClock() {
+        for (long startMs : List.of(1_790_000_000_000L, 1_790_000_000_000L + 86_400_000)) {
+            for (int i = 0; i < 10; i++) {
+                recent.add(POOL, LARGE, 10, startMs + i);
+            }
+            recent.distribute(7, startMs + 10, rejected);
+            assertEquals(List.of(new CustomerTokens(POOL, LARGE, 70)), rejected.takeDue(startMs + 1_000));
+        }
+    }
+
     /** Guards against a report that names anyone while nothing is known of who calls. */
     @Test
     void nothingIsReportedBeforeAnyRequestWasRead() {
