Count rejected demand of the requests that an instance reads first

Callers of a flooded instance saw their customer get less than half of what the best served customer got, while the arbiter rejected a quarter of what their instance had forwarded: it took the customer for served.

RecentRequests lets amounts grow in place of the others' decay. The growth since time 0 on an instance's clock, which is the wall clock's, is infinite, and the decay that follows makes it not a number. It stays so for as long as the process lives, for the customer and pool whose request an instance reads first, which mostly is the customer whose callers use it most. Its unread requests are then reported as one token for each report, and those whose customer is not known not at all. The same happens after 24 minutes without a request.

Amounts are now decayed before they are added to if the last time is further back than the window. RecentRequestsTest#requestsAreCountedAtTheTimesOfAnInstancesClock failed before (nothing reported in place of 70 tokens).

--- a/kernel/src/main/java/org/marjoramswitch/kernel/admission/RecentRequests.java
+++ b/kernel/src/main/java/org/marjoramswitch/kernel/admission/RecentRequests.java
@@ -31,6 +31,10 @@
     }
 
     void add(PoolId pool, CustomerId customer, double tokens, long nowMs) {
+        if (nowMs - decayedAtMs > WINDOW_MS) {
+            // The growth below is infinite after some minutes.
+            decay(nowMs);
+        }
         Key key = new Key(pool, customer);
         if (amounts.size() >= MAX_KEYS && !amounts.containsKey(key)) {
             decay(nowMs);
@@ -43,9 +47,6 @@
         Amount amount = amounts.computeIfAbsent(key, missing -> new Amount());
         amount.requests += growth;
         amount.tokens += growth * tokens;
-        if (nowMs - decayedAtMs > WINDOW_MS) {
-            decay(nowMs);
-        }
     }
 
     /** Adds the estimated tokens of unread requests to the rejected ones; none while nothing was read. */
