Count unread requests with the customer, pool and tokens that their heads state

The demand that an instance rejects unread was estimated from the requests that it read in the last two seconds. Of a customer whose requests it does not read nothing is known, and after a second in which it reads a few the mean is that of these few: the arbiter then takes a customer for served that is rejected thousands of times a second.

The acceptor has read the heads ahead already, to identify their customers. Only requests whose head is not known are still distributed by the estimate.

--- a/daemon/src/main/java/org/marjoramswitch/daemon/caller/AdmissionGate.java
+++ b/daemon/src/main/java/org/marjoramswitch/daemon/caller/AdmissionGate.java
@@ -5,7 +5,6 @@
 import com.codahale.metrics.MetricRegistry;
 import java.util.Collection;
 import java.util.List;
-import java.util.Map;
 import java.util.function.Consumer;
 import java.util.function.LongSupplier;
 import org.jspecify.annotations.Nullable;
@@ -14,6 +13,7 @@
 import org.marjoramswitch.kernel.admission.AdmissionResult;
 import org.marjoramswitch.kernel.admission.CustomerLoad;
 import org.marjoramswitch.kernel.admission.InstanceAdmission;
+import org.marjoramswitch.kernel.admission.UnreadDemand;
 import org.marjoramswitch.kernel.message.PeerMessage.CustomerTokens;
 import org.marjoramswitch.kernel.model.CustomerId;
 
@@ -80,13 +80,13 @@
     /**
      * Reports requests that were rejected unread as demand.
      *
-     * @param unknown number of requests whose customer is not known
+     * @param unknown number of requests whose head is not known
      */
-    void rejectedUnread(Map<CustomerId, Integer> byCustomer, long unknown) {
+    void rejectedUnread(Collection<UnreadDemand> known, long unknown) {
         long nowMs = clockMs.getAsLong();
         List<CustomerTokens> due;
         synchronized (this) {
-            admission.rejectedUnread(byCustomer, unknown, nowMs);
+            admission.rejectedUnread(known, unknown, nowMs);
             due = admission.takeRejectedDemand(nowMs);
         }
         if (!due.isEmpty()) {
--- a/daemon/src/main/java/org/marjoramswitch/daemon/caller/CallerAcceptor.java
+++ b/daemon/src/main/java/org/marjoramswitch/daemon/caller/CallerAcceptor.java
@@ -20,7 +20,7 @@
 import org.marjoramswitch.daemon.log.KeyValueLog;
 import org.marjoramswitch.daemon.settings.HostPort;
 import org.marjoramswitch.kernel.admission.AcceptLine;
-import org.marjoramswitch.kernel.model.CustomerId;
+import org.marjoramswitch.kernel.admission.AdmissionRequest;
 import org.xnio.IoUtils;
 
 /**
@@ -28,7 +28,7 @@
  * of an instance whose I/O threads are behind receive a rejection with a retry delay.
  *
  * <p>While the instance may accept, a connection is handed over at once. Otherwise it waits in {@link AcceptLine}:
- * as soon as the instance may accept again, the newest of the customer that was served least is handed over, and the
+ * as soon as the instance may accept again, a new one of the customer that was served least is handed over, and the
  * oldest is rejected with a prepared response by {@link RejectedConnection} once it has waited for {@link
  * AdmissionGate#maxWaitMs}. The wait keeps a short pause, such as a garbage collection, from rejecting anyone. A connection
  * that was handed over, but that its I/O thread has not taken within the same time, is taken back and rejected as well.
@@ -72,7 +72,7 @@
     private final SelectionKey acceptKey;
     private final Thread thread;
     private final ByteBuffer input = ByteBuffer.allocateDirect(INPUT_BYTES);
-    private final AcceptLine<WaitingConnection> waiting = AcceptLine.create(MAX_WAITING, this::customerOf);
+    private final AcceptLine<WaitingConnection> waiting = AcceptLine.create(MAX_WAITING, this::requestOf);
     /** Connections that were handed over and may not have been taken yet, in the order of the hand-overs. */
     private final Deque<HandedOver> handedOver = new ArrayDeque<>();
 
@@ -104,7 +104,8 @@
      *
      * @param maxConnections maximum number of open connections
      * @param processorMillicores the instance's processor limit
-     * @param customers returns the customer of a request
+     * @param heads parses the heads of requests
+     * @param requests estimates a request from its head
      * @param choice selects the customer of which a waiting connection is served next
      * @param mayAccept whether a connection may be served now
      * @param maxWaitMs how long a connection may wait to be served before it is rejected
@@ -112,7 +113,8 @@
     record Parts(
             int maxConnections,
             int processorMillicores,
-            Function<UnreadHead, CustomerId> customers,
+            UnreadHeadParser heads,
+            Function<UnreadHead, AdmissionRequest> requests,
             AcceptLine.Choice choice,
             BooleanSupplier mayAccept,
             LongSupplier maxWaitMs,
@@ -125,7 +127,9 @@
     /** @param sinceRunningMs when it was handed over, in the running time of this thread */
     private record HandedOver(WaitingConnection connection, long sinceRunningMs) {}
 
-    private record Rejection(RejectedConnection connection, long waitMs) {}
+    /** @param request null if its head was not known when the rejection began */
+    private record Rejection(
+            RejectedConnection connection, @Nullable AdmissionRequest request, long waitMs) {}
 
     private CallerAcceptor(HostPort address, Parts parts) throws IOException {
         this.parts = parts;
@@ -344,9 +348,9 @@
     }
 
     private void reject(WaitingConnection oldest, long nowMs) {
-        RejectedConnection connection = RejectedConnection.of(oldest, parts.responses(), input, nowMs);
+        RejectedConnection connection = RejectedConnection.of(oldest, parts.heads(), parts.responses(), input, nowMs);
         connection.begin(selector, nowMs);
-        rejecting.add(new Rejection(connection, nowMs - oldest.acceptedMs()));
+        rejecting.add(new Rejection(connection, oldest.request(), nowMs - oldest.acceptedMs()));
     }
 
     private void removeEnded(long nowMs) {
@@ -360,16 +364,25 @@
                 serve(WaitingConnection.of(connection.channel(), nowMs));
             } else {
                 boolean told = connection.state() == RejectedConnection.State.REJECTED;
-                UnreadHead head = connection.head();
-                parts.report().add(told, head == null ? null : parts.customers().apply(head), entry.waitMs());
+                parts.report().add(told, requestOf(entry), entry.waitMs());
             }
             return true;
         });
     }
 
-    private @Nullable CustomerId customerOf(WaitingConnection connection) {
-        UnreadHead head = connection.readHead(input);
-        return head == null ? null : parts.customers().apply(head);
+    private @Nullable AdmissionRequest requestOf(Rejection rejection) {
+        UnreadHead head = rejection.connection().head();
+        return rejection.request() != null || head == null
+                ? rejection.request()
+                : parts.requests().apply(head);
+    }
+
+    private @Nullable AdmissionRequest requestOf(WaitingConnection connection) {
+        UnreadHead head = connection.readHead(parts.heads(), input);
+        if (head != null && connection.request() == null) {
+            connection.setRequest(parts.requests().apply(head));
+        }
+        return connection.request();
     }
 
     /** Stops looking for connections that could not be accepted, which would make each selection return at once. */
--- a/daemon/src/main/java/org/marjoramswitch/daemon/caller/ForwardServer.java
+++ b/daemon/src/main/java/org/marjoramswitch/daemon/caller/ForwardServer.java
@@ -20,7 +20,6 @@
 import org.marjoramswitch.daemon.route.RoutedSettings;
 import org.marjoramswitch.daemon.settings.HostPort;
 import org.marjoramswitch.kernel.addresses.HeadroomRamp;
-import org.marjoramswitch.kernel.model.CustomerId;
 import org.xnio.IoUtils;
 import org.xnio.OptionMap;
 import org.xnio.XnioIoThread;
@@ -158,11 +157,11 @@
 
     private static CallerAcceptor.Parts acceptorParts(
             Parts parts, AdmissionGate gate, LagProbe lag, MetricRegistry metrics, CallerAcceptor.Server server) {
-        ApiKeys apiKeys = ApiKeys.create();
         return new CallerAcceptor.Parts(
                 parts.options().maxConnections(),
                 parts.admission().processorMillicores(),
-                head -> customerOf(apiKeys, parts.settings().get(), head),
+                UnreadHeadParser.of(parts.decoder().sizeHeaders()),
+                UnreadRequests.of(parts.decoder(), parts.settings())::of,
                 customers -> gate.chooseWaiting(customers, lag.overdueMs()),
                 () -> gate.mayAccept(lag.overdueMs()),
                 gate::maxWaitMs,
@@ -173,12 +172,6 @@
                 parts.clockMs());
     }
 
-    /** Requests without a known key count as those of one customer. */
-    private static CustomerId customerOf(ApiKeys apiKeys, RoutedSettings current, UnreadHead head) {
-        CustomerId customer = apiKeys.customer(current.version(), current.customers(), head.authorization());
-        return customer == null ? RoutedCall.NO_CUSTOMER : customer;
-    }
-
     private static List<XnioIoThread> ioThreads(XnioWorker worker) {
         return IntStream.range(0, worker.getIoThreadCount())
                 .mapToObj(worker::getIoThread)
--- a/daemon/src/main/java/org/marjoramswitch/daemon/caller/RejectedConnection.java
+++ b/daemon/src/main/java/org/marjoramswitch/daemon/caller/RejectedConnection.java
@@ -34,6 +34,9 @@
     /** Bytes of the request that were read before. */
     private final byte[] prefetched;
 
+    private final @Nullable UnreadHead prefetchedHead;
+
+    private final UnreadHeadParser parser;
     private final PreparedRejections responses;
     private final ByteBuffer input;
     private @Nullable SelectionKey key;
@@ -63,9 +66,16 @@
         GONE
     }
 
-    private RejectedConnection(WaitingConnection waiting, PreparedRejections responses, ByteBuffer input, long nowMs) {
+    private RejectedConnection(
+            WaitingConnection waiting,
+            UnreadHeadParser parser,
+            PreparedRejections responses,
+            ByteBuffer input,
+            long nowMs) {
+        this.parser = parser;
         this.channel = waiting.channel();
         this.prefetched = waiting.prefetched();
+        this.prefetchedHead = waiting.head();
         this.responses = responses;
         this.input = input;
         this.stateSinceMs = nowMs;
@@ -73,8 +83,12 @@
 
     /** @param input a buffer of the thread, whose contents are not kept between two calls */
     static RejectedConnection of(
-            WaitingConnection waiting, PreparedRejections responses, ByteBuffer input, long nowMs) {
-        return new RejectedConnection(waiting, responses, input, nowMs);
+            WaitingConnection waiting,
+            UnreadHeadParser parser,
+            PreparedRejections responses,
+            ByteBuffer input,
+            long nowMs) {
+        return new RejectedConnection(waiting, parser, responses, input, nowMs);
     }
 
     State state() {
@@ -173,7 +187,7 @@
             return;
         }
         input.flip();
-        UnreadHead parsed = isFirst ? UnreadHead.parse(input) : null;
+        UnreadHead parsed = isFirst && prefetchedHead == null ? parser.parse(input) : prefetchedHead;
         if (parsed != null) {
             head = parsed;
             missingBytes = parsed.headBytes() + parsed.bodyBytes() - input.limit();
--- a/daemon/src/main/java/org/marjoramswitch/daemon/caller/WaitingConnection.java
+++ b/daemon/src/main/java/org/marjoramswitch/daemon/caller/WaitingConnection.java
@@ -5,6 +5,7 @@
 import java.nio.channels.SocketChannel;
 import java.util.concurrent.atomic.AtomicBoolean;
 import org.jspecify.annotations.Nullable;
+import org.marjoramswitch.kernel.admission.AdmissionRequest;
 
 /**
  * An accepted connection that is neither served nor rejected yet. Its first bytes may be read ahead to identify the customer.
@@ -23,6 +24,7 @@
 
     private byte[] prefetched = NONE;
     private @Nullable UnreadHead head;
+    private @Nullable AdmissionRequest request;
     /** Number of queries of the head before it was complete; negative once the connection is broken. */
     private int queries;
 
@@ -52,6 +54,22 @@
         return taken.get();
     }
 
+    /** The head, if it was complete when it was read ahead. */
+    @Nullable
+    UnreadHead head() {
+        return head;
+    }
+
+    /** The request as estimated from its head; null if the head is not known. */
+    @Nullable
+    AdmissionRequest request() {
+        return request;
+    }
+
+    void setRequest(AdmissionRequest estimated) {
+        request = estimated;
+    }
+
     /** The bytes that were read ahead. */
     byte[] prefetched() {
         return prefetched;
@@ -64,7 +82,7 @@
      * @param buffer a buffer of the thread, whose contents are not kept between two calls
      */
     @Nullable
-    UnreadHead readHead(ByteBuffer buffer) {
+    UnreadHead readHead(UnreadHeadParser parser, ByteBuffer buffer) {
         if (head != null || queries < 0 || Integer.bitCount(++queries) != 1) {
             return head;
         }
@@ -81,7 +99,7 @@
         buffer.flip();
         prefetched = new byte[buffer.remaining()];
         buffer.get(0, prefetched);
-        head = UnreadHead.parse(buffer);
+        head = parser.parse(buffer);
         return head;
     }
 }
--- a/daemon/src/main/java/org/marjoramswitch/daemon/exchange/CallDecoder.java
+++ b/daemon/src/main/java/org/marjoramswitch/daemon/exchange/CallDecoder.java
@@ -2,6 +2,7 @@
 
 import java.util.List;
 import java.util.Map;
+import java.util.Set;
 import org.jspecify.annotations.Nullable;
 import org.marjoramswitch.kernel.model.CustomerId;
 import org.marjoramswitch.kernel.model.PromptPart;
@@ -11,6 +12,11 @@
     /** @param headers keyed by lower-case name */
     CallMetadata read(Map<String, String> headers);
 
+    /** The lower-case names of the headers that {@link #read} needs to tell a request's tokens, timeout and routing id. */
+    default Set<String> sizeHeaders() {
+        return Set.of();
+    }
+
     /**
      * Returns the headers to forward to the target.
      *
--- a/daemon/src/test/java/org/marjoramswitch/daemon/caller/AdmissionGateTest.java
+++ b/daemon/src/test/java/org/marjoramswitch/daemon/caller/AdmissionGateTest.java
@@ -7,7 +7,6 @@
 import com.codahale.metrics.MetricRegistry;
 import java.util.ArrayList;
 import java.util.List;
-import java.util.Map;
 import org.junit.jupiter.api.Test;
 import org.marjoramswitch.kernel.admission.AdmissionRequest;
 import org.marjoramswitch.kernel.message.PeerMessage.CustomerTokens;
@@ -40,7 +39,7 @@
     @Test
     void requestsThatWereRejectedUnreadAreReported() {
         gate.admit(new AdmissionRequest(CustomerId.of("a"), PoolId.of("p"), "r", 100, 600, 800, 6_000));
-        gate.rejectedUnread(Map.of(), 50);
+        gate.rejectedUnread(List.of(), 50);
         assertEquals(List.of(new CustomerTokens(PoolId.of("p"), CustomerId.of("a"), 5_000)), reported);
     }
 
--- a/daemon/src/test/java/org/marjoramswitch/daemon/caller/CallerAcceptorTest.java
+++ b/daemon/src/test/java/org/marjoramswitch/daemon/caller/CallerAcceptorTest.java
@@ -19,6 +19,7 @@
 import java.util.Map;
 import java.util.Objects;
 import java.util.Queue;
+import java.util.Set;
 import java.util.concurrent.ConcurrentLinkedQueue;
 import java.util.concurrent.CopyOnWriteArrayList;
 import java.util.concurrent.atomic.AtomicInteger;
@@ -30,7 +31,9 @@
 import org.junit.jupiter.api.Timeout;
 import org.marjoramswitch.daemon.exchange.CallDecoder;
 import org.marjoramswitch.daemon.settings.HostPort;
+import org.marjoramswitch.kernel.admission.AdmissionRequest;
 import org.marjoramswitch.kernel.model.CustomerId;
+import org.marjoramswitch.kernel.model.PoolId;
 
 /** The accepting thread on real sockets, in virtual time that each of its rounds advances by {@link #ROUND_MS}. */
 @Timeout(60)
@@ -183,17 +186,23 @@
                 new CallerAcceptor.Parts(
                         maxConnections,
                         MILLICORES,
-                        head -> CustomerId.of(Objects.requireNonNullElse(head.authorization(), "-")),
+                        UnreadHeadParser.of(Set.of()),
+                        CallerAcceptorTest::requestOf,
                         customers -> acceptable ? next(customers) : null,
                         () -> acceptable,
                         () -> MAX_WAIT_MS,
                         this::serve,
                         PreparedRejections.create(new SecondsDecoder()),
-                        UnreadRejectionReport.create(metrics, (byCustomer, unknown) -> {}),
+                        UnreadRejectionReport.create(metrics, (known, unknown) -> {}),
                         AcceptReport.create(metrics),
                         this::clockMs));
     }
 
+    private static AdmissionRequest requestOf(UnreadHead head) {
+        CustomerId customer = CustomerId.of(Objects.requireNonNullElse(head.authorization(), "-"));
+        return new AdmissionRequest(customer, PoolId.of("pool"), "kind", 1, 500, 800, 6_000);
+    }
+
     private void serve(WaitingConnection connection, Runnable onClosed) {
         prefetched = new String(connection.prefetched(), StandardCharsets.ISO_8859_1);
         handedOver.add(connection::take);
--- a/daemon/src/test/java/org/marjoramswitch/daemon/caller/UnreadHeadTest.java
+++ b/daemon/src/test/java/org/marjoramswitch/daemon/caller/UnreadHeadParserTest.java
@@ -6,12 +6,15 @@
 
 import java.nio.ByteBuffer;
 import java.nio.charset.StandardCharsets;
+import java.util.List;
+import java.util.Map;
+import java.util.Set;
 import org.jspecify.annotations.Nullable;
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.params.ParameterizedTest;
 import org.junit.jupiter.params.provider.CsvSource;
 
-class UnreadHeadTest {
+class UnreadHeadParserTest {
     private static final String FIRST_LINE = "POST /a/ HTTP/1.1\r\n";
 
     /** Guards against a demand that is counted for no customer although its key was received. */
@@ -25,6 +28,21 @@
         assertEquals(12, head.bodyBytes());
     }
 
+    /** Guards against an estimate from another request's values, and against the memory of headers that nobody uses. */
+    @Test
+    void keepsTheFirstValuesOfTheNamedHeaders() {
+        String rest = "TOKEN-Count: 5,6\r\nToken-Count: 7\r\nToken-Counts: 8\r\nX-Other: 1\r\n\r\n";
+        UnreadHead head = parse("POST /a/b?c HTTP/1.1\r\nHost: h:80\r\n" + rest);
+        assertNotNull(head);
+        assertEquals("/a/b?c", head.requestUri());
+        assertEquals(Map.of("host", "h:80", "token-count", "5,6"), head.headers());
+        for (String line : List.of("", "GET", "GET ", " ", "GET /a")) {
+            UnreadHead odd = parse(line + "x\r\n\r\n");
+            assertNotNull(odd);
+            assertEquals(Map.of(), odd.headers());
+        }
+    }
+
     @Test
     void incompleteHeadIsNotParsed() {
         assertNull(parse(FIRST_LINE + "Host: h\r\n"));
@@ -60,6 +78,7 @@
     }
 
     private static @Nullable UnreadHead parse(String text) {
-        return UnreadHead.parse(ByteBuffer.wrap(text.getBytes(StandardCharsets.ISO_8859_1)));
+        return UnreadHeadParser.of(Set.of("token-count"))
+                .parse(ByteBuffer.wrap(text.getBytes(StandardCharsets.ISO_8859_1)));
     }
 }
--- a/kernel/src/main/java/org/marjoramswitch/kernel/admission/AcceptLine.java
+++ b/kernel/src/main/java/org/marjoramswitch/kernel/admission/AcceptLine.java
@@ -19,7 +19,7 @@
  * of accepts every connection would be served when its caller is about to give up, and in an order that ignores customers
  * each would be served in proportion to the connections that it opens.
  *
- * <p>Connections whose customer is not known yet are served only if no other one waits.
+ * <p>Connections whose request is not known yet are served only if no other one waits.
  *
  * <p>Times are those for which the accepting thread ran, so that a pause of the process expires nothing.
  *
@@ -30,7 +30,7 @@
  */
 public final class AcceptLine<C> {
     private final int capacity;
-    private final Function<C, @Nullable CustomerId> customers;
+    private final Function<C, @Nullable AdmissionRequest> requests;
     private final Deque<Entry<C>> entries = new ArrayDeque<>();
     private final List<Entry<C>> unidentified = new ArrayList<>();
     /** The identified connections of each customer, in the order of accepts. */
@@ -64,14 +64,14 @@
         CustomerId choose(Collection<CustomerId> customers);
     }
 
-    private AcceptLine(int capacity, Function<C, @Nullable CustomerId> customers) {
+    private AcceptLine(int capacity, Function<C, @Nullable AdmissionRequest> requests) {
         this.capacity = capacity;
-        this.customers = customers;
+        this.requests = requests;
     }
 
-    /** @param customers returns a connection's customer, null while it is not known */
-    public static <C> AcceptLine<C> create(int capacity, Function<C, @Nullable CustomerId> customers) {
-        return new AcceptLine<>(capacity, customers);
+    /** @param requests returns a connection's request, null while it is not known */
+    public static <C> AcceptLine<C> create(int capacity, Function<C, @Nullable AdmissionRequest> requests) {
+        return new AcceptLine<>(capacity, requests);
     }
 
     public boolean isFull() {
@@ -98,19 +98,19 @@
         return size > 0 && entries.getLast().isFresh(maxWaitMs, nowMs);
     }
 
-    /** Queries the customers that are not known yet. Must be called before connections are served or rejected. */
+    /** Queries the requests that are not known yet. Must be called before connections are served or rejected. */
     public void identify() {
         byCustomer.values().removeIf(AcceptLine::trim);
         Iterator<Entry<C>> each = unidentified.iterator();
         while (each.hasNext()) {
             Entry<C> entry = each.next();
-            CustomerId customer = entry.removed ? null : customers.apply(entry.connection);
-            if (customer != null) {
+            AdmissionRequest request = entry.removed ? null : requests.apply(entry.connection);
+            if (request != null) {
                 byCustomer
-                        .computeIfAbsent(customer, missing -> new ArrayDeque<>())
+                        .computeIfAbsent(request.customer(), missing -> new ArrayDeque<>())
                         .addLast(entry);
             }
-            if (customer != null || entry.removed) {
+            if (request != null || entry.removed) {
                 each.remove();
             }
         }
--- a/kernel/src/main/java/org/marjoramswitch/kernel/admission/CustomerDemand.java
+++ b/kernel/src/main/java/org/marjoramswitch/kernel/admission/CustomerDemand.java
@@ -50,6 +50,11 @@
         return request.tokens() < 0 ? meanTokens : request.tokens();
     }
 
+    /** The mean of the requests that were read. */
+    double meanTokens() {
+        return meanTokens;
+    }
+
     double workUsOf(AdmissionRequest request) {
         return request.workUs() < 0 ? meanWorkUs : request.workUs();
     }
--- a/kernel/src/main/java/org/marjoramswitch/kernel/admission/InstanceAdmission.java
+++ b/kernel/src/main/java/org/marjoramswitch/kernel/admission/InstanceAdmission.java
@@ -110,19 +110,22 @@
     }
 
     /**
-     * Counts requests that were rejected before they were read as rejected demand, with the mean tokens of those that were
-     * read.
+     * Counts requests that were rejected before they were read as rejected demand.
      *
-     * @param unknown number of requests whose customer is not known; its distribution is estimated
+     * @param unknown number of requests whose head is not known; their customers and tokens are estimated
      */
-    public void rejectedUnread(Map<CustomerId, Integer> byCustomer, long unknown, long nowMs) {
+    public void rejectedUnread(Collection<UnreadDemand> known, long unknown, long nowMs) {
         rejectedUnread.add(unknown, nowMs);
         recentRequests.distribute(unknown, nowMs, rejectedTokens);
-        byCustomer.forEach((customer, requests) -> {
-            rejectedUnread.add(requests, nowMs);
-            double tokens = recentRequests.distributeOf(customer, requests, nowMs, rejectedTokens);
-            loadReport.rejectedUnread(customer, requests, tokens);
-        });
+        for (UnreadDemand demand : known) {
+            double tokens = demand.tokens();
+            if (demand.unsized() > 0) {
+                tokens += demand.unsized() * demandOf(demand.customer()).meanTokens();
+            }
+            rejectedUnread.add(demand.requests(), nowMs);
+            rejectedTokens.add(demand.pool(), demand.customer(), tokens);
+            loadReport.rejectedUnread(demand.customer(), demand.requests(), tokens);
+        }
     }
 
     /**
--- a/kernel/src/main/java/org/marjoramswitch/kernel/admission/RecentRequests.java
+++ b/kernel/src/main/java/org/marjoramswitch/kernel/admission/RecentRequests.java
@@ -65,33 +65,6 @@
         });
     }
 
-    /**
-     * Adds the estimated tokens of a customer's unread requests to the rejected ones; none while none of its own was read.
-     *
-     * @return the tokens that were added
-     */
-    double distributeOf(CustomerId customer, long requests, long nowMs, RejectedTokens rejected) {
-        decay(nowMs);
-        double readRequests = 0;
-        double readTokens = 0;
-        for (Map.Entry<Key, Amount> entry : amounts.entrySet()) {
-            if (entry.getKey().customer().equals(customer)) {
-                readRequests += entry.getValue().requests;
-                readTokens += entry.getValue().tokens;
-            }
-        }
-        if (readRequests == 0) {
-            return 0;
-        }
-        double unreadPerRead = requests / readRequests;
-        amounts.forEach((key, amount) -> {
-            if (key.customer().equals(customer)) {
-                rejected.add(key.pool(), customer, unreadPerRead * amount.tokens);
-            }
-        });
-        return unreadPerRead * readTokens;
-    }
-
     int size() {
         return amounts.size();
     }
--- a/kernel/src/test/java/org/marjoramswitch/kernel/admission/AcceptLineTest.java
+++ b/kernel/src/test/java/org/marjoramswitch/kernel/admission/AcceptLineTest.java
@@ -7,18 +7,25 @@
 
 import java.util.ArrayList;
 import java.util.HashMap;
+import java.util.HashSet;
 import java.util.List;
 import java.util.Map;
 import java.util.Objects;
+import java.util.Set;
+import org.jspecify.annotations.Nullable;
 import org.junit.jupiter.api.Test;
 import org.marjoramswitch.kernel.model.CustomerId;
+import org.marjoramswitch.kernel.model.PoolId;
 
 class AcceptLineTest {
     private static final long MAX_WAIT_MS = 100;
     private static final long PATIENCE_MS = 1_000;
 
     private final Map<Integer, CustomerId> customers = new HashMap<>();
-    private final AcceptLine<Integer> line = AcceptLine.create(1_000, customers::get);
+    /** Connections whose request has many tokens for its work. */
+    private final Set<Integer> denseConnections = new HashSet<>();
+
+    private final AcceptLine<Integer> line = AcceptLine.create(1_000, this::request);
 
     /** Guards against serving connections when their callers are about to give up, while newer ones wait. */
     @Test
@@ -137,6 +144,15 @@
         assertEquals(0, line.referenceCount());
     }
 
+    private @Nullable AdmissionRequest request(int connection) {
+        CustomerId customer = customers.get(connection);
+        boolean dense = denseConnections.contains(connection);
+        return customer == null
+                ? null
+                : new AdmissionRequest(
+                        customer, PoolId.of("pool"), dense ? "report" : "plain", dense ? 5_000 : 1, 500, 800, 6_000);
+    }
+
     private Integer next(long nowMs) {
         return Objects.requireNonNull(line.removeNext(
                 waiting -> waiting.isEmpty()
--- a/kernel/src/test/java/org/marjoramswitch/kernel/admission/InstanceAdmissionTest.java
+++ b/kernel/src/test/java/org/marjoramswitch/kernel/admission/InstanceAdmissionTest.java
@@ -226,9 +226,9 @@
     void instanceThatRejectsUnreadHasNoHeadroom() {
         InstanceAdmission admission = InstanceAdmission.create(OverloadedInstance.MILLICORES);
         assertEquals(100, admission.headroomPercent(2_000));
-        admission.rejectedUnread(Map.of(), 1, 2_000);
+        admission.rejectedUnread(List.of(), 1, 2_000);
         assertEquals(100, admission.headroomPercent(2_000));
-        admission.rejectedUnread(Map.of(), 60, 2_100);
+        admission.rejectedUnread(List.of(), 60, 2_100);
         assertTrue(admission.isRejecting(2_200));
         assertEquals(0, admission.headroomPercent(2_200));
         assertEquals(100, admission.headroomPercent(3_000));
--- a/kernel/src/test/java/org/marjoramswitch/kernel/admission/OverloadedInstance.java
+++ b/kernel/src/test/java/org/marjoramswitch/kernel/admission/OverloadedInstance.java
@@ -89,7 +89,7 @@
         @Nullable
         CustomerId chooseWaiting(Collection<CustomerId> customers, long overdueMs, long nowMs);
 
-        void rejectedUnread(CustomerId customer, long nowMs);
+        void rejectedUnread(AdmissionRequest request, long nowMs);
 
         /** Returns the tokens of rejected requests that are reported to the arbiters now. */
         default List<CustomerTokens> takeRejectedDemand(long nowMs) {
@@ -122,7 +122,7 @@
     private double rejectionLeadMs;
 
     private final Deque<Call> backlog = new ArrayDeque<>();
-    private final AcceptLine<Call> line = AcceptLine.create(MAX_WAITING, Call::customer);
+    private final AcceptLine<Call> line = AcceptLine.create(MAX_WAITING, this::request);
     private boolean roundScheduled;
     private double handOvers;
     private double unreadRejections;
@@ -258,7 +258,7 @@
     private void rejectUnread(Call call) {
         counts(call.customer()).unread++;
         counts(call.customer()).rejectedTokens += call.tokens();
-        rule.rejectedUnread(call.customer(), Math.round(nowMs));
+        rule.rejectedUnread(request(call), Math.round(nowMs));
         double atMs = nowMs + UNREAD_RETRY_AFTER_MS + UNREAD_RETRY_SPREAD_MS * random.nextDouble();
         if (!call.isRetry() && atMs < call.timesOutAtMs()) {
             schedule(
@@ -352,16 +352,8 @@
             use(ABANDONED_CORE_MS);
             return;
         }
-        AdmissionRequest request = new AdmissionRequest(
-                call.customer(),
-                POOL,
-                call.kind().name(),
-                call.tokens(),
-                call.kind().workUs(),
-                Math.round(call.firstSentAtMs() + call.kind().objectiveMs() - nowMs),
-                Math.round(call.timesOutAtMs() - nowMs));
         sampleOverdueTimer();
-        AdmissionResult result = rule.admit(request, Math.round(nowMs));
+        AdmissionResult result = rule.admit(request(call), Math.round(nowMs));
         if (result instanceof AdmissionResult.Rejected rejected) {
             use(rejectCoreMs);
             rejected(call, rejected.retryAfterMs());
@@ -373,6 +365,17 @@
         serve(call);
     }
 
+    private AdmissionRequest request(Call call) {
+        return new AdmissionRequest(
+                call.customer(),
+                POOL,
+                call.kind().name(),
+                call.tokens(),
+                call.kind().workUs(),
+                Math.round(call.firstSentAtMs() + call.kind().objectiveMs() - nowMs),
+                Math.round(call.timesOutAtMs() - nowMs));
+    }
+
     private void use(double coreMs) {
         freeAtMs += coreMs * MILLICORES_PER_CORE / MILLICORES;
     }
@@ -465,8 +468,9 @@
             }
 
             @Override
-            public void rejectedUnread(CustomerId customer, long nowMs) {
-                admission.rejectedUnread(Map.of(customer, 1), 0, CLOCK_START_MS + nowMs);
+            public void rejectedUnread(AdmissionRequest request, long nowMs) {
+                UnreadDemand demand = new UnreadDemand(request.customer(), request.pool(), 1, request.tokens(), 0);
+                admission.rejectedUnread(List.of(demand), 0, CLOCK_START_MS + nowMs);
             }
 
             @Override
@@ -509,7 +513,7 @@
             }
 
             @Override
-            public void rejectedUnread(CustomerId customer, long nowMs) {}
+            public void rejectedUnread(AdmissionRequest request, long nowMs) {}
         };
     }
 }
--- a/kernel/src/test/java/org/marjoramswitch/kernel/placement/PlacementSimulation.java
+++ b/kernel/src/test/java/org/marjoramswitch/kernel/placement/PlacementSimulation.java
@@ -14,6 +14,9 @@
 import java.util.TreeMap;
 import java.util.function.Consumer;
 import org.marjoramswitch.kernel.action.Action;
+import org.marjoramswitch.kernel.admission.AdmissionRequest;
+import org.marjoramswitch.kernel.admission.InstanceAdmission;
+import org.marjoramswitch.kernel.admission.UnreadDemand;
 import org.marjoramswitch.kernel.message.PeerMessage;
 import org.marjoramswitch.kernel.message.PeerMessage.PlacementEnd;
 import org.marjoramswitch.kernel.model.CellId;
@@ -52,6 +55,12 @@
     private static final double LATE_VALUE = 0.3;
     /** A generated token counts as ten prompt tokens in a request's size. */
     private static final double OUTPUT_TOKEN_SIZE = 10;
+    /** An instance's clock is the wall clock's time at its start plus what has elapsed since. */
+    private static final long ENTRY_START_MS = 1_790_000_000_000L;
+
+    private static final int ENTRY_MILLICORES = 360;
+    private static final long ADMITTED_WORK_US = 650;
+    private static final long OUTPUT_TOKEN_COST = 2;
 
     private PlacementArbiter arbiter;
     private final List<TargetSettings> targets = new ArrayList<>();
@@ -71,6 +80,9 @@
     private final Map<CustomerId, Tally> byCustomer = new TreeMap<>();
     private final Map<CustomerId, Double> entryDelayMs = new HashMap<>();
     private final Map<CustomerId, Double> rejectedShare = new HashMap<>();
+    /** Admission control of the entry that rejects requests, which reports them as demand. */
+    private final InstanceAdmission entryAdmission = InstanceAdmission.create(ENTRY_MILLICORES);
+
     private final Map<CustomerId, InstanceId> entries = new HashMap<>();
     private final Map<CustomerId, Long> begunTokens = new HashMap<>();
     private final Map<TargetId, NavigableMap<Double, Double>> loggedSlowness = new HashMap<>();
@@ -427,7 +439,10 @@
         return prompt.stream().mapToLong(PromptPart::tokens).sum();
     }
 
-    /** Rejects this share of the customer's requests at their entry, which reports them to the arbiter. */
+    /**
+     * Rejects this share of the customer's requests at their entry before they are read. The entry reports them to the
+     * arbiter.
+     */
     void rejectAtEntry(CustomerId customer, double share) {
         rejectedShare.put(customer, share);
     }
@@ -505,16 +520,44 @@
         Request request = new Request(kind, customer, prompt, large, outputTokens, nowMs, false);
         count(request, tally -> tally.requests++);
         offeredValue += valueBySize(request);
-        double rejectedPart = rejectedShare.getOrDefault(customer, 0.0);
-        if (rejectedPart > 0 && random.nextDouble() < rejectedPart) {
-            long tokens = prompt.stream().mapToLong(PromptPart::tokens).sum() + 2L * outputTokens;
-            arbiter.demandRejected(customer, (double) tokens, Math.round(nowMs));
+        if (rejectedShare.containsKey(customer) && !admitAtEntry(request)) {
             count(request, tally -> tally.rejected++);
             return;
         }
         send(request);
     }
 
+    private boolean admitAtEntry(Request request) {
+        long entryMs = ENTRY_START_MS + Math.round(nowMs);
+        boolean rejected = random.nextDouble() < rejectedShare.get(request.customer());
+        if (rejected) {
+            entryAdmission.rejectedUnread(List.of(unreadDemand(request)), 0, entryMs);
+        } else {
+            entryAdmission.admit(admissionRequest(request), entryMs);
+        }
+        entryAdmission
+                .takeRejectedDemand(entryMs)
+                .forEach(demand ->
+                        arbiter.demandRejected(demand.customer(), (double) demand.tokens(), Math.round(nowMs)));
+        return !rejected;
+    }
+
+    private static UnreadDemand unreadDemand(Request request) {
+        long tokens = tokens(request.prompt()) + OUTPUT_TOKEN_COST * request.outputTokens();
+        return new UnreadDemand(request.customer(), POOL, 1, tokens, 0);
+    }
+
+    private static AdmissionRequest admissionRequest(Request request) {
+        return new AdmissionRequest(
+                request.customer(),
+                POOL,
+                request.kind().name(),
+                tokens(request.prompt()) + OUTPUT_TOKEN_COST * request.outputTokens(),
+                ADMITTED_WORK_US,
+                Math.round(request.kind().objectiveMs),
+                request.kind().timeoutMs);
+    }
+
     private List<PromptPart> prompt(Kind kind) {
         int session = random.nextInt(Math.max(1, (int) Math.round(kind.sessions * sessionShare)));
         return List.of(
