Serve connections of an overloaded instance by tokens per processor time

Of the customer that is served next, an overloaded instance served the newest connection whatever it was worth. With 0.27 of a core it reads 30 to 340 of several thousand requests a second, as many chat requests of 1,275 tokens and 1.3 ms as reports of 9,290 tokens and 0.7 ms, so that its flooding customer gets few tokens for the processor time that it gets.

It now serves the newest connection of the route with most tokens per estimated processor time, and every fourth time the newest of all, so that each route keeps a quarter of its proportional part.

--- a/kernel/src/main/java/org/marjoramswitch/kernel/admission/AcceptLine.java
+++ b/kernel/src/main/java/org/marjoramswitch/kernel/admission/AcceptLine.java
@@ -15,9 +15,9 @@
 
 /**
  * Accepted connections that wait to be served, in the order of accepts. The oldest is rejected first. Of the customers
- * with waiting connections the caller of {@link #removeNext} selects one, whose newest connection is served: in the order
- * of accepts every connection would be served when its caller is about to give up, and in an order that ignores customers
- * each would be served in proportion to the connections that it opens.
+ * with waiting connections the caller of {@link #removeNext} selects one, of which {@link CustomerLine} selects a new
+ * connection: in the order of accepts every connection would be served when its caller is about to give up, and in an order
+ * that ignores customers each would be served in proportion to the connections that it opens.
  *
  * <p>Connections whose request is not known yet are served only if no other one waits.
  *
@@ -31,28 +31,13 @@
 public final class AcceptLine<C> {
     private final int capacity;
     private final Function<C, @Nullable AdmissionRequest> requests;
-    private final Deque<Entry<C>> entries = new ArrayDeque<>();
-    private final List<Entry<C>> unidentified = new ArrayList<>();
-    /** The identified connections of each customer, in the order of accepts. */
-    private final Map<CustomerId, Deque<Entry<C>>> byCustomer = new HashMap<>();
+    private final Deque<WaitingEntry<C>> entries = new ArrayDeque<>();
+    private final List<WaitingEntry<C>> unidentified = new ArrayList<>();
+    /** The identified connections. */
+    private final Map<CustomerId, CustomerLine<C>> byCustomer = new HashMap<>();
 
     private int size;
 
-    private static final class Entry<C> {
-        private final C connection;
-        private final long acceptedMs;
-        private boolean removed;
-
-        private Entry(C connection, long acceptedMs) {
-            this.connection = connection;
-            this.acceptedMs = acceptedMs;
-        }
-
-        private boolean isFresh(long maxWaitMs, long nowMs) {
-            return !removed && nowMs - acceptedMs < maxWaitMs;
-        }
-    }
-
     /** Selects the customer to serve next. */
     @FunctionalInterface
     public interface Choice {
@@ -87,7 +72,7 @@
     }
 
     public void add(C connection, long nowMs) {
-        Entry<C> entry = new Entry<>(connection, nowMs);
+        WaitingEntry<C> entry = new WaitingEntry<>(connection, nowMs);
         entries.addLast(entry);
         size++;
         unidentified.add(entry);
@@ -100,28 +85,29 @@
 
     /** Queries the requests that are not known yet. Must be called before connections are served or rejected. */
     public void identify() {
-        byCustomer.values().removeIf(AcceptLine::trim);
-        Iterator<Entry<C>> each = unidentified.iterator();
+        byCustomer.values().removeIf(CustomerLine::trim);
+        Iterator<WaitingEntry<C>> each = unidentified.iterator();
         while (each.hasNext()) {
-            Entry<C> entry = each.next();
-            AdmissionRequest request = entry.removed ? null : requests.apply(entry.connection);
+            WaitingEntry<C> entry = each.next();
+            AdmissionRequest request = entry.isRemoved() ? null : requests.apply(entry.connection());
             if (request != null) {
+                entry.identified(request);
                 byCustomer
-                        .computeIfAbsent(request.customer(), missing -> new ArrayDeque<>())
-                        .addLast(entry);
+                        .computeIfAbsent(request.customer(), missing -> new CustomerLine<>())
+                        .add(entry, request);
             }
-            if (request != null || entry.removed) {
+            if (request != null || entry.isRemoved()) {
                 each.remove();
             }
         }
     }
 
-    /** Removes the newest connection of the customer that is chosen; null if none may be served. */
+    /** Removes the connection to serve next, of the customer that is chosen; null if none may be served. */
     public @Nullable C removeNext(Choice choice, long maxWaitMs, long nowMs) {
-        byCustomer.values().removeIf(AcceptLine::trim);
+        byCustomer.values().removeIf(CustomerLine::trim);
         List<CustomerId> candidates = new ArrayList<>();
         byCustomer.forEach((customer, own) -> {
-            if (own.getLast().isFresh(maxWaitMs, nowMs)) {
+            if (own.newest().isFresh(maxWaitMs, nowMs)) {
                 candidates.add(customer);
             }
         });
@@ -132,24 +118,17 @@
         if (chosen == null) {
             return null;
         }
-        Deque<Entry<C>> own = candidates.isEmpty() ? entries : Objects.requireNonNull(byCustomer.get(chosen));
-        return remove(own.getLast());
-    }
-
-    /** Drops removed connections at both ends; returns whether none is left. */
-    private static <C> boolean trim(Deque<Entry<C>> connections) {
-        while (!connections.isEmpty() && connections.getFirst().removed) {
-            connections.removeFirst();
-        }
-        while (!connections.isEmpty() && connections.getLast().removed) {
-            connections.removeLast();
-        }
-        return connections.isEmpty();
+        return remove(
+                candidates.isEmpty()
+                        ? entries.getLast()
+                        : Objects.requireNonNull(byCustomer.get(chosen)).select(maxWaitMs, nowMs));
     }
 
     /** Returns the oldest connection if it has waited for this time, otherwise null. */
     public @Nullable C expired(long maxWaitMs, long nowMs) {
-        return size == 0 || oldestWaitMs(nowMs) < maxWaitMs ? null : entries.getFirst().connection;
+        return size == 0 || oldestWaitMs(nowMs) < maxWaitMs
+                ? null
+                : entries.getFirst().connection();
     }
 
     /** Removes the oldest connection. */
@@ -157,15 +136,15 @@
         return remove(entries.getFirst());
     }
 
-    private C remove(Entry<C> entry) {
-        entry.removed = true;
+    private C remove(WaitingEntry<C> entry) {
+        entry.remove();
         size--;
         if (size == 0) {
             clear();
         } else {
-            trim(entries);
+            WaitingEntry.trim(entries);
         }
-        return entry.connection;
+        return entry.connection();
     }
 
     private void clear() {
@@ -178,21 +157,23 @@
     int referenceCount() {
         return entries.size()
                 + unidentified.size()
-                + byCustomer.values().stream().mapToInt(Deque::size).sum();
+                + byCustomer.values().stream()
+                        .mapToInt(CustomerLine::referenceCount)
+                        .sum();
     }
 
     /** How long the oldest connection has waited; 0 if there is none. */
     public long oldestWaitMs(long nowMs) {
-        return size == 0 ? 0 : nowMs - entries.getFirst().acceptedMs;
+        return size == 0 ? 0 : nowMs - entries.getFirst().acceptedMs();
     }
 
     /** Removes all connections and returns them. */
     public Iterable<C> removeAll() {
         List<C> removed = new ArrayList<>();
-        for (Entry<C> entry : entries) {
-            if (!entry.removed) {
-                entry.removed = true;
-                removed.add(entry.connection);
+        for (WaitingEntry<C> entry : entries) {
+            if (!entry.isRemoved()) {
+                entry.remove();
+                removed.add(entry.connection());
             }
         }
         clear();
--- a/kernel/src/test/java/org/marjoramswitch/kernel/admission/AcceptLineTest.java
+++ b/kernel/src/test/java/org/marjoramswitch/kernel/admission/AcceptLineTest.java
@@ -91,6 +91,41 @@
         assertEquals(0, line.expired(10, 20));
     }
 
+    /** Guards against a customer that gets few tokens for the processor time that it gets, or of some kinds none at all. */
+    @Test
+    void kindWithMostTokensPerWorkIsPreferredAndNoneIsStarved() {
+        CustomerId flooding = CustomerId.of("flooding");
+        for (int i = 0; i < 80; i++) {
+            customers.put(i, flooding);
+            if (i % 2 == 0) {
+                denseConnections.add(i);
+            }
+            line.add(i, i);
+        }
+        line.identify();
+        List<Integer> served = new ArrayList<>();
+        for (int i = 0; i < 16; i++) {
+            served.add(line.removeNext(waiting -> flooding, MAX_WAIT_MS, 80));
+        }
+        assertTrue(served.stream().filter(denseConnections::contains).count() >= 12, served::toString);
+        assertTrue(served.stream().anyMatch(connection -> !denseConnections.contains(connection)), served::toString);
+    }
+
+    /** Guards against serving a request with many tokens that should have been rejected already. */
+    @Test
+    void expiredConnectionIsNotPreferred() {
+        CustomerId flooding = CustomerId.of("flooding");
+        for (int i = 0; i < 8; i++) {
+            customers.put(i, flooding);
+            line.add(i, i < 4 ? 0 : 90);
+        }
+        denseConnections.addAll(List.of(0, 1, 2, 3));
+        line.identify();
+        for (int i = 0; i < 4; i++) {
+            assertTrue(next(MAX_WAIT_MS) >= 4);
+        }
+    }
+
     /** Guards against a customer that is chosen for connections that should have been rejected already. */
     @Test
     void customersWithExpiredConnectionsAreNotChosen() {
