Share the work that is served while an instance is late by max-min

An instance that is late by 40 to 100 ms serves connections of customers below a minimum share only. The share was an equal part of a quarter of the processor for each customer that the instance remembers, used or not: with thirty, a flooding customer whose callers all use this instance got a thirtieth, and most of the quarter was served to nobody.

A customer is now within its minimum share as long as all customers together, none counted with more than it, were admitted less than the quarter. Customers that use little have the same priority as before.

InstanceAdmissionTest#partThatIsServedWhileLateIsUsedByThoseWhoWait failed before: 4.1 of 90 millicores are served to the only customer that waits, beside thirty others.

--- a/kernel/src/main/java/org/marjoramswitch/kernel/admission/InstanceAdmission.java
+++ b/kernel/src/main/java/org/marjoramswitch/kernel/admission/InstanceAdmission.java
@@ -50,7 +50,7 @@
     private static final double MIN_UNREAD_PER_MS = 0.02;
 
     private static final double REJECTION_BURST_MS = 20;
-    /** Part of the processor from which each customer is served a share although the instance is late. */
+    /** Part of the processor that customers with waiting connections share although the instance is late. */
     private static final double MIN_SHARE = 0.25;
     /** Threads that are later than this would not take the connection before it is rejected. */
     private static final long MAX_MIN_SHARE_LAG_MS = 100;
@@ -131,7 +131,7 @@
     /**
      * Selects the customer of which a waiting connection is served next: the one that was admitted the least work. Customers
      * whose callers open a connection for each request thus have the same shares as those that keep theirs. While the
-     * instance may not accept connections, as after a flood of them, only a customer below a minimum share is selected, and
+     * instance may not accept connections, as after a flood of them, only a customer within its minimum share is selected, and
      * none while the threads are too late to take the connection in time.
      *
      * @param customers those with waiting connections; if empty, their customers are not known
@@ -152,16 +152,23 @@
                 leastMillicores = millicores;
             }
         }
-        if (!accepts && (lagMs >= MAX_MIN_SHARE_LAG_MS || leastMillicores >= minShareMillicores())) {
+        if (!accepts && (lagMs >= MAX_MIN_SHARE_LAG_MS || !isWithinMinShare(leastMillicores, nowMs))) {
             return null;
         }
         demandOf(least).expect(nowMs);
         return least;
     }
 
-    /** The work that each customer may have admitted while the instance is late. */
-    private double minShareMillicores() {
-        return MIN_SHARE * processorMillicores / Math.max(1, customers.size());
+    /**
+     * Whether a customer that was served this much is within its max-min share of the work that is admitted while the instance
+     * is late: what others do not use is shared by those who wait.
+     */
+    private boolean isWithinMinShare(double servedMillicores, long nowMs) {
+        double upToThis = 0;
+        for (CustomerDemand customer : customers.values()) {
+            upToThis += Math.min(servedMillicores, customer.servedMillicores(nowMs));
+        }
+        return upToThis < MIN_SHARE * processorMillicores;
     }
 
     /** Returns what became of the largest customers' requests, once a second while any are rejected. */
--- a/kernel/src/test/java/org/marjoramswitch/kernel/admission/InstanceAdmissionTest.java
+++ b/kernel/src/test/java/org/marjoramswitch/kernel/admission/InstanceAdmissionTest.java
@@ -203,6 +203,29 @@
         }
     }
 
+    /**
+     * Guards against an instance that is late and serves nearly nothing: of the part of the processor that is served
+     * regardless, a flooding customer got the part of one of many customers, whether the others used theirs or not.
+     */
+    @Test
+    void partThatIsServedWhileLateIsUsedByThoseWhoWait() {
+        InstanceAdmission admission = InstanceAdmission.create(OverloadedInstance.MILLICORES);
+        for (int i = 0; i < 30; i++) {
+            admission.admit(request("ordinary-" + i, "report", 1_000), 1_000);
+        }
+        double servedUs = 0;
+        for (long nowMs = 4_000; nowMs < 7_000; nowMs++) {
+            if (FLOODING.equals(admission.chooseWaiting(List.of(FLOODING), 60, nowMs))) {
+                servedUs += 650 * count(admission.admit(request(FLOODING.name(), "report", 1_000), nowMs));
+            }
+        }
+        double millicores = servedUs / 3_000;
+        assertTrue(millicores >= 0.25 * OverloadedInstance.MILLICORES, millicores + " millicores");
+        assertEquals(
+                CustomerId.of("ordinary-3"),
+                admission.chooseWaiting(List.of(FLOODING, CustomerId.of("ordinary-3")), 60, 7_000));
+    }
+
     /** Guards against state that grows with the names that callers send. */
     @Test
     void stateIsBounded() {
