--- a/kernel/src/main/java/org/marjoramswitch/kernel/admission/RecentRequests.java
+++ b/kernel/src/main/java/org/marjoramswitch/kernel/admission/RecentRequests.java
@@ -31,6 +31,10 @@
     }
 
     void add(PoolId pool, CustomerId customer, double tokens, long nowMs) {
+        if (nowMs - decayedAtMs > WINDOW_MS) {
+            // The growth below is infinite after some minutes.
+            decay(nowMs);
+        }
         Key key = new Key(pool, customer);
         if (amounts.size() >= MAX_KEYS && !amounts.containsKey(key)) {
             decay(nowMs);
@@ -43,9 +47,6 @@
         Amount amount = amounts.computeIfAbsent(key, missing -> new Amount());
         amount.requests += growth;
         amount.tokens += growth * tokens;
-        if (nowMs - decayedAtMs > WINDOW_MS) {
-            decay(nowMs);
-        }
     }
 
     /** Adds the estimated tokens of unread requests to the rejected ones; none while nothing was read. */
@@ -64,20 +65,6 @@
         });
     }
 
-    /** Adds the estimated tokens of a customer's unread requests to the rejected ones; none while none of its own was read. */
-    void distributeOf(CustomerId customer, long requests, long nowMs, RejectedTokens rejected) {
-        decay(nowMs);
-        double total = amounts.entrySet().stream()
-                .filter(entry -> entry.getKey().customer().equals(customer))
-                .mapToDouble(entry -> entry.getValue().requests)
-                .sum();
-        amounts.forEach((key, amount) -> {
-            if (key.customer().equals(customer)) {
-                rejected.add(key.pool(), customer, requests * amount.tokens / total);
-            }
-        });
-    }
-
     int size() {
         return amounts.size();
     }
--- a/kernel/src/test/java/org/marjoramswitch/kernel/admission/AcceptLineTest.java
+++ b/kernel/src/test/java/org/marjoramswitch/kernel/admission/AcceptLineTest.java
@@ -7,18 +7,25 @@
 
 import java.util.ArrayList;
 import java.util.HashMap;
+import java.util.HashSet;
 import java.util.List;
 import java.util.Map;
 import java.util.Objects;
+import java.util.Set;
+import org.jspecify.annotations.Nullable;
 import org.junit.jupiter.api.Test;
 import org.marjoramswitch.kernel.model.CustomerId;
+import org.marjoramswitch.kernel.model.PoolId;
 
 class AcceptLineTest {
     private static final long MAX_WAIT_MS = 100;
     private static final long PATIENCE_MS = 1_000;
 
     private final Map<Integer, CustomerId> customers = new HashMap<>();
-    private final AcceptLine<Integer> line = AcceptLine.create(1_000, customers::get);
+    /** Connections whose request has many tokens for its work. */
+    private final Set<Integer> denseConnections = new HashSet<>();
+
+    private final AcceptLine<Integer> line = AcceptLine.create(1_000, this::request);
 
     /** Guards against serving connections when their callers are about to give up, while newer ones wait. */
     @Test
@@ -84,6 +91,41 @@
         assertEquals(0, line.expired(10, 20));
     }
 
+    /** Guards against a customer that gets few tokens for the processor time that it gets, or of some kinds none at all. */
+    @Test
+    void kindWithMostTokensPerWorkIsPreferredAndNoneIsStarved() {
+        CustomerId flooding = CustomerId.of("flooding");
+        for (int i = 0; i < 80; i++) {
+            customers.put(i, flooding);
+            if (i % 2 == 0) {
+                denseConnections.add(i);
+            }
+            line.add(i, i);
+        }
+        line.identify();
+        List<Integer> served = new ArrayList<>();
+        for (int i = 0; i < 16; i++) {
+            served.add(line.removeNext(waiting -> flooding, MAX_WAIT_MS, 80));
+        }
+        assertTrue(served.stream().filter(denseConnections::contains).count() >= 12, served::toString);
+        assertTrue(served.stream().anyMatch(connection -> !denseConnections.contains(connection)), served::toString);
+    }
+
+    /** Guards against serving a request with many tokens that should have been rejected already. */
+    @Test
+    void expiredConnectionIsNotPreferred() {
+        CustomerId flooding = CustomerId.of("flooding");
+        for (int i = 0; i < 8; i++) {
+            customers.put(i, flooding);
+            line.add(i, i < 4 ? 0 : 90);
+        }
+        denseConnections.addAll(List.of(0, 1, 2, 3));
+        line.identify();
+        for (int i = 0; i < 4; i++) {
+            assertTrue(next(MAX_WAIT_MS) >= 4);
+        }
+    }
+
     /** Guards against a customer that is chosen for connections that should have been rejected already. */
     @Test
     void customersWithExpiredConnectionsAreNotChosen() {
@@ -137,6 +179,15 @@
         assertEquals(0, line.referenceCount());
     }
 
+    private @Nullable AdmissionRequest request(int connection) {
+        CustomerId customer = customers.get(connection);
+        boolean dense = denseConnections.contains(connection);
+        return customer == null
+                ? null
+                : new AdmissionRequest(
+                        customer, PoolId.of("pool"), dense ? "report" : "plain", dense ? 5_000 : 1, 500, 800, 6_000);
+    }
+
     private Integer next(long nowMs) {
         return Objects.requireNonNull(line.removeNext(
                 waiting -> waiting.isEmpty()
--- a/kernel/src/test/java/org/marjoramswitch/kernel/admission/InstanceAdmissionTest.java
+++ b/kernel/src/test/java/org/marjoramswitch/kernel/admission/InstanceAdmissionTest.java
@@ -162,6 +162,70 @@
         }
     }
 
+    /**
+     * Guards against arbiters that know little of a flooding customer's demand, and so take it for served while its requests
+     * are rejected unread.
+     */
+    @ParameterizedTest
+    @CsvSource({"2, 1", "4, 2", "12, 3"})
+    void demandOfAFloodingCustomerIsReportedInFull(double factor, long seed) {
+        OverloadedInstance instance = instance(0.38, seed);
+        instance.loadOnNewConnections(FLOODING, factor * sustainablePerS(), 1_000, END_MS);
+        instance.runUntil(BEGIN_MS);
+        instance.report();
+        instance.resetCounts();
+        instance.runUntil(END_MS);
+        instance.report();
+        OverloadedInstance.Counts counts = instance.counts(FLOODING);
+        double ratio = counts.reportedTokens / counts.rejectedTokens;
+        assertTrue(ratio >= 0.95 && ratio <= 1.05, "reported " + ratio + ", " + summary(instance));
+    }
+
+    /**
+     * Guards against a flood of connections of which few tokens are served, since those that are served next are selected
+     * without regard to what they are worth for their processor time.
+     */
+    @ParameterizedTest
+    @CsvSource({"2, 0.8, 1", "4, 0.8, 2", "4, 0.8, 3", "12, 0.6, 4"})
+    void floodOfConnectionsIsServedNearlyTheTokensOfTheCapacity(double factor, double minShare, long seed) {
+        OverloadedInstance instance = instance(0.38, seed);
+        ORDINARY.forEach(customer -> instance.loadOnNewConnections(customer, ORDINARY_PER_S, 1_000, END_MS));
+        instance.loadOnNewConnections(FLOODING, factor * sustainablePerS(), 1_000, END_MS);
+        instance.runUntil(BEGIN_MS);
+        instance.resetCounts();
+        instance.runUntil(END_MS);
+        double capacityTokens = idealTokens((END_MS - BEGIN_MS) / 1_000);
+        assertTrue(instance.counts(FLOODING).servedTokens >= minShare * capacityTokens, summary(instance));
+        for (OverloadedInstance.Kind kind : OverloadedInstance.MIX) {
+            assertTrue(
+                    instance.counts(FLOODING).servedByKind.getOrDefault(kind.name(), 0) > 0,
+                    kind.name() + " is starved, " + summary(instance));
+        }
+    }
+
+    /**
+     * Guards against an instance that is late and serves nearly nothing: of the part of the processor that is served
+     * regardless, a flooding customer got the part of one of many customers, whether the others used theirs or not.
+     */
+    @Test
+    void partThatIsServedWhileLateIsUsedByThoseWhoWait() {
+        InstanceAdmission admission = InstanceAdmission.create(OverloadedInstance.MILLICORES);
+        for (int i = 0; i < 30; i++) {
+            admission.admit(request("ordinary-" + i, "report", 1_000), 1_000);
+        }
+        double servedUs = 0;
+        for (long nowMs = 4_000; nowMs < 7_000; nowMs++) {
+            if (FLOODING.equals(admission.chooseWaiting(List.of(FLOODING), 60, nowMs))) {
+                servedUs += 650 * count(admission.admit(request(FLOODING.name(), "report", 1_000), nowMs));
+            }
+        }
+        double millicores = servedUs / 3_000;
+        assertTrue(millicores >= 0.25 * OverloadedInstance.MILLICORES, millicores + " millicores");
+        assertEquals(
+                CustomerId.of("ordinary-3"),
+                admission.chooseWaiting(List.of(FLOODING, CustomerId.of("ordinary-3")), 60, 7_000));
+    }
+
     /** Guards against state that grows with the names that callers send. */
     @Test
     void stateIsBounded() {
@@ -185,9 +249,9 @@
     void instanceThatRejectsUnreadHasNoHeadroom() {
         InstanceAdmission admission = InstanceAdmission.create(OverloadedInstance.MILLICORES);
         assertEquals(100, admission.headroomPercent(2_000));
-        admission.rejectedUnread(Map.of(), 1, 2_000);
+        admission.rejectedUnread(List.of(), 1, 2_000);
         assertEquals(100, admission.headroomPercent(2_000));
-        admission.rejectedUnread(Map.of(), 60, 2_100);
+        admission.rejectedUnread(List.of(), 60, 2_100);
         assertTrue(admission.isRejecting(2_200));
         assertEquals(0, admission.headroomPercent(2_200));
         assertEquals(100, admission.headroomPercent(3_000));
--- a/kernel/src/test/java/org/marjoramswitch/kernel/admission/OverloadedInstance.java
+++ b/kernel/src/test/java/org/marjoramswitch/kernel/admission/OverloadedInstance.java
@@ -11,6 +11,7 @@
 import java.util.Random;
 import java.util.function.Consumer;
 import org.jspecify.annotations.Nullable;
+import org.marjoramswitch.kernel.message.PeerMessage.CustomerTokens;
 import org.marjoramswitch.kernel.model.CustomerId;
 import org.marjoramswitch.kernel.model.PoolId;
 
@@ -23,6 +24,9 @@
  */
 final class OverloadedInstance {
     static final int MILLICORES = 360;
+    /** The clock of an instance is the wall clock's time at its start plus what has elapsed since. */
+    private static final long CLOCK_START_MS = 1_790_000_000_000L;
+
     private static final double MILLICORES_PER_CORE = 1_000;
     private static final double ACCEPT_CORE_MS = 0.09;
     private static final double READ_CORE_MS = 0.25;
@@ -85,7 +89,12 @@
         @Nullable
         CustomerId chooseWaiting(Collection<CustomerId> customers, long overdueMs, long nowMs);
 
-        void rejectedUnread(CustomerId customer, long nowMs);
+        void rejectedUnread(AdmissionRequest request, long nowMs);
+
+        /** Returns the tokens of rejected requests that are reported to the arbiters now. */
+        default List<CustomerTokens> takeRejectedDemand(long nowMs) {
+            return List.of();
+        }
     }
 
     /** What happened to the requests of one customer since the last reset. */
@@ -95,6 +104,11 @@
         int rejected;
         int unread;
         double servedTokens;
+        /** Tokens of rejected requests, read or not. */
+        double rejectedTokens;
+        /** Tokens of rejected requests according to the reports to the arbiters. */
+        double reportedTokens;
+
         final Map<String, Integer> servedByKind = new HashMap<>();
     }
 
@@ -108,7 +122,7 @@
     private double rejectionLeadMs;
 
     private final Deque<Call> backlog = new ArrayDeque<>();
-    private final AcceptLine<Call> line = AcceptLine.create(MAX_WAITING, Call::customer);
+    private final AcceptLine<Call> line = AcceptLine.create(MAX_WAITING, this::request);
     private boolean roundScheduled;
     private double handOvers;
     private double unreadRejections;
@@ -235,9 +249,16 @@
         }
     }
 
+    /** Takes the report that is due, if any. */
+    void report() {
+        rule.takeRejectedDemand(Math.round(nowMs))
+                .forEach(demand -> counts(demand.customer()).reportedTokens += demand.tokens());
+    }
+
     private void rejectUnread(Call call) {
         counts(call.customer()).unread++;
-        rule.rejectedUnread(call.customer(), Math.round(nowMs));
+        counts(call.customer()).rejectedTokens += call.tokens();
+        rule.rejectedUnread(request(call), Math.round(nowMs));
         double atMs = nowMs + UNREAD_RETRY_AFTER_MS + UNREAD_RETRY_SPREAD_MS * random.nextDouble();
         if (!call.isRetry() && atMs < call.timesOutAtMs()) {
             schedule(
@@ -331,16 +352,8 @@
             use(ABANDONED_CORE_MS);
             return;
         }
-        AdmissionRequest request = new AdmissionRequest(
-                call.customer(),
-                POOL,
-                call.kind().name(),
-                call.tokens(),
-                call.kind().workUs(),
-                Math.round(call.firstSentAtMs() + call.kind().objectiveMs() - nowMs),
-                Math.round(call.timesOutAtMs() - nowMs));
         sampleOverdueTimer();
-        AdmissionResult result = rule.admit(request, Math.round(nowMs));
+        AdmissionResult result = rule.admit(request(call), Math.round(nowMs));
         if (result instanceof AdmissionResult.Rejected rejected) {
             use(rejectCoreMs);
             rejected(call, rejected.retryAfterMs());
@@ -352,12 +365,24 @@
         serve(call);
     }
 
+    private AdmissionRequest request(Call call) {
+        return new AdmissionRequest(
+                call.customer(),
+                POOL,
+                call.kind().name(),
+                call.tokens(),
+                call.kind().workUs(),
+                Math.round(call.firstSentAtMs() + call.kind().objectiveMs() - nowMs),
+                Math.round(call.timesOutAtMs() - nowMs));
+    }
+
     private void use(double coreMs) {
         freeAtMs += coreMs * MILLICORES_PER_CORE / MILLICORES;
     }
 
     private void rejected(Call call, long retryAfterMs) {
         counts(call.customer()).rejected++;
+        counts(call.customer()).rejectedTokens += call.tokens();
         if (!call.isRetry()) {
             double leftMs = call.timesOutAtMs() - nowMs;
             double atMs = nowMs + Math.min((double) retryAfterMs, leftMs / CALLER_WAIT_DIVISOR);
@@ -414,37 +439,43 @@
         }
     }
 
-    /** The rule of {@link InstanceAdmission}. */
+    /** The rule of {@link InstanceAdmission}, whose times are those of an instance's clock. */
     static Rule ruleOf(InstanceAdmission admission) {
         return new Rule() {
             @Override
             public AdmissionResult admit(AdmissionRequest request, long nowMs) {
-                return admission.admit(request, nowMs);
+                return admission.admit(request, CLOCK_START_MS + nowMs);
             }
 
             @Override
             public void lagSampled(long lagMs, long nowMs) {
-                admission.lagSampled(lagMs, nowMs);
+                admission.lagSampled(lagMs, CLOCK_START_MS + nowMs);
             }
 
             @Override
             public void lagAtLeast(long lagMs, long nowMs) {
-                admission.lagAtLeast(lagMs, nowMs);
+                admission.lagAtLeast(lagMs, CLOCK_START_MS + nowMs);
             }
 
             @Override
             public boolean mayAccept(long overdueMs, long nowMs) {
-                return admission.mayAccept(overdueMs, nowMs);
+                return admission.mayAccept(overdueMs, CLOCK_START_MS + nowMs);
             }
 
             @Override
             public @Nullable CustomerId chooseWaiting(Collection<CustomerId> customers, long overdueMs, long nowMs) {
-                return admission.chooseWaiting(customers, overdueMs, nowMs);
+                return admission.chooseWaiting(customers, overdueMs, CLOCK_START_MS + nowMs);
+            }
+
+            @Override
+            public void rejectedUnread(AdmissionRequest request, long nowMs) {
+                UnreadDemand demand = new UnreadDemand(request.customer(), request.pool(), 1, request.tokens(), 0);
+                admission.rejectedUnread(List.of(demand), 0, CLOCK_START_MS + nowMs);
             }
 
             @Override
-            public void rejectedUnread(CustomerId customer, long nowMs) {
-                admission.rejectedUnread(Map.of(customer, 1), 0, nowMs);
+            public List<CustomerTokens> takeRejectedDemand(long nowMs) {
+                return admission.takeRejectedDemand(CLOCK_START_MS + nowMs);
             }
         };
     }
@@ -482,7 +513,7 @@
             }
 
             @Override
-            public void rejectedUnread(CustomerId customer, long nowMs) {}
+            public void rejectedUnread(AdmissionRequest request, long nowMs) {}
         };
     }
 }
