Count the missing bytes of a rejected request from its first bytes only

Since the head is parsed when it is read ahead, later reads of a head that ends with bare line feeds would have restarted the count.

--- a/daemon/src/main/java/org/marjoramswitch/daemon/caller/RejectedConnection.java
+++ b/daemon/src/main/java/org/marjoramswitch/daemon/caller/RejectedConnection.java
@@ -187,7 +187,7 @@
             return;
         }
         input.flip();
-        UnreadHead parsed = isFirst && prefetchedHead == null ? parser.parse(input) : prefetchedHead;
+        UnreadHead parsed = isFirst ? firstHead() : null;
         if (parsed != null) {
             head = parsed;
             missingBytes = parsed.headBytes() + parsed.bodyBytes() - input.limit();
@@ -200,6 +200,10 @@
         }
     }
 
+    private @Nullable UnreadHead firstHead() {
+        return prefetchedHead == null ? parser.parse(input) : prefetchedHead;
+    }
+
     /** Reads what has arrived of the body, so that the connection need not stay open after the response. */
     private void readBody() throws IOException {
         input.clear();
