Add failing test: a customer served from spare capacity gets little at a peak; log the lead of counters

The floor of the counters is the least of all that wait, among them small customers that wait for the target that has their session cached, so that it does not follow those that are served meanwhile.

customer_demand gains leadTokens, how far a customer's counter is above the floor.

--- a/kernel/src/main/java/org/marjoramswitch/kernel/placement/PlacementArbiter.java
+++ b/kernel/src/main/java/org/marjoramswitch/kernel/placement/PlacementArbiter.java
@@ -381,8 +381,8 @@
     private void logDemand(long nowMs, ActionSink sink) {
         demandReport
                 .takeDue(nowMs)
-                .forEach(demand ->
-                        sink.accept(PlacementLog.demand(cell, demand, fairShare.standing(demand.customer(), nowMs))));
+                .forEach(demand -> sink.accept(PlacementLog.demand(
+                        cell, demand, fairShare.standing(demand.customer(), nowMs), shares.lead(demand.customer()))));
     }
 
     private void logUnderserved(long nowMs, ActionSink sink) {
--- a/kernel/src/main/java/org/marjoramswitch/kernel/placement/PlacementLog.java
+++ b/kernel/src/main/java/org/marjoramswitch/kernel/placement/PlacementLog.java
@@ -103,8 +103,13 @@
                 Math.round(speed.observations(nowMs))));
     }
 
-    /** Logs what became of a customer's requests, and what the arbiter takes its recent service to be. */
-    static Action demand(CellId cell, DemandReport.CustomerDemand demand, FairShareEstimate.Standing standing) {
+    /**
+     * Logs what became of a customer's requests, and what the arbiter takes its recent service to be.
+     *
+     * @param leadTokens how far its counter is above the floor
+     */
+    static Action demand(
+            CellId cell, DemandReport.CustomerDemand demand, FairShareEstimate.Standing standing, double leadTokens) {
         return new Action.Decided(Decision.of(
                 "customer_demand",
                 "cell",
@@ -137,6 +142,8 @@
                 Math.round(standing.largestTokens()),
                 "recentBestTokens",
                 Math.round(standing.bestTokens()),
+                "leadTokens",
+                Math.round(leadTokens),
                 "underserved",
                 standing.underserved()));
     }
--- a/kernel/src/test/java/org/marjoramswitch/kernel/placement/PlacementLoadTest.java
+++ b/kernel/src/test/java/org/marjoramswitch/kernel/placement/PlacementLoadTest.java
@@ -3,6 +3,7 @@
 import static org.junit.jupiter.api.Assertions.assertEquals;
 import static org.junit.jupiter.api.Assertions.assertTrue;
 
+import java.util.Collections;
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.params.ParameterizedTest;
 import org.junit.jupiter.params.provider.CsvSource;
@@ -27,6 +28,11 @@
     private static final SimulatedEngine.Speed LARGE_ENGINE =
             new SimulatedEngine.Speed(16, 3.55, 0.0462, 157, EngineMemory.fetching(636_749, 0.0004));
     private static final int LARGE_ENGINES = 37;
+    /** As those of deployment S, a quarter of them. */
+    private static final SimulatedEngine.Speed SMALL_ENGINE =
+            new SimulatedEngine.Speed(24, 6.17, 0.0329, 30.9, EngineMemory.of(213_124));
+
+    private static final int SMALL_ENGINES = 24;
     private static final SimulatedEngine.Speed SLOW_ENGINE =
             new SimulatedEngine.Speed(128, 3.23, 0.0483, 112, 0.154, EngineMemory.fetching(986_232, 0.000256));
     private static final double SLOW_FIRST_BYTE_MS = 150;
@@ -241,6 +247,37 @@
                 () -> simulation.begunTokens(flooding) + " tokens, best " + best + ", " + simulation);
     }
 
+    /**
+     * Guards against a customer that gets nothing for seconds from a peak on, because it was served from spare capacity before,
+     * while others waited for the engines that have their sessions cached.
+     */
+    @ParameterizedTest
+    @CsvSource({"120, 1", "180, 2", "180, 3"})
+    void aCustomerServedFromSpareCapacityHasItsShareAtAPeak(double beforePerSecond, long seed) {
+        PlacementSimulation simulation = new PlacementSimulation(
+                Collections.nCopies(SMALL_ENGINES, SMALL_ENGINE),
+                PlacementSimulation.Mix.DEPLOYMENT_S,
+                PlacementSimulation.Sizes.UNEVEN,
+                PlacementPolicy.full(),
+                seed);
+        CustomerId before = CustomerId.of("before");
+        CustomerId later = CustomerId.of("later");
+        simulation.load(before, beforePerSecond, 0, 8_000);
+        simulation.load(later, 2, 0, 8_000);
+        simulation.load(before, 200, 8_000, 10_000);
+        simulation.load(later, 200, 8_000, 10_000);
+        for (int i = 0; i < 28; i++) {
+            simulation.load(customer(i), 3, 0, 10_000);
+        }
+        simulation.run(8_000);
+        long beforeTokens = simulation.begunTokens(before);
+        long laterTokens = simulation.begunTokens(later);
+        simulation.run(10_000);
+        long own = simulation.begunTokens(before) - beforeTokens;
+        long best = simulation.begunTokens(later) - laterTokens;
+        assertTrue(own >= 0.5 * best, () -> own + " tokens, best " + best + ", " + simulation);
+    }
+
     /**
      * Guards against rejecting the requests of all customers because one entry lags, so that first bytes seem to take
      * long. The load is 0.7 of the capacity.
