--- a/daemon/src/test/java/org/marjoramswitch/daemon/caller/UnreadHeadParserTest.java
+++ b/daemon/src/test/java/org/marjoramswitch/daemon/caller/UnreadHeadParserTest.java
@@ -3,11 +3,13 @@
 import static org.junit.jupiter.api.Assertions.assertEquals;
 import static org.junit.jupiter.api.Assertions.assertNotNull;
 import static org.junit.jupiter.api.Assertions.assertNull;
+import static org.junit.jupiter.api.Assertions.assertTrue;
 
 import java.nio.ByteBuffer;
 import java.nio.charset.StandardCharsets;
 import java.util.List;
 import java.util.Map;
+import java.util.Random;
 import java.util.Set;
 import org.jspecify.annotations.Nullable;
 import org.junit.jupiter.api.Test;
@@ -43,6 +45,22 @@
         }
     }
 
+    /** Guards against an accepting thread that a head with faults keeps from accepting anyone. */
+    @Test
+    void headsWithFaultsAreParsed() {
+        Random random = new Random(5);
+        String characters = " \r\n:/?\u0000Hhost:Token-Count,Content-Length:-1\t\u00e9";
+        for (int i = 0; i < 20_000; i++) {
+            StringBuilder text = new StringBuilder(i % 2 == 0 ? FIRST_LINE : "");
+            for (int length = random.nextInt(60); length > 0; length--) {
+                text.append(characters.charAt(random.nextInt(characters.length())));
+            }
+            UnreadHead head = parse(text + "\n\n");
+            assertNotNull(head);
+            assertTrue(head.headBytes() <= text.length() + 2);
+        }
+    }
+
     @Test
     void incompleteHeadIsNotParsed() {
         assertNull(parse(FIRST_LINE + "Host: h\r\n"));
