--- a/kernel/src/main/java/org/marjoramswitch/kernel/placement/DemandReport.java
+++ b/kernel/src/main/java/org/marjoramswitch/kernel/placement/DemandReport.java
@@ -1,10 +1,7 @@
 package org.marjoramswitch.kernel.placement;
 
-import java.util.ArrayList;
-import java.util.Comparator;
-import java.util.HashMap;
 import java.util.List;
-import java.util.Map;
+import org.marjoramswitch.kernel.misc.CustomerCounts;
 import org.marjoramswitch.kernel.model.CustomerId;
 
 /**
@@ -14,18 +11,10 @@
  * <p>Each request is counted once when it arrives and once when it starts, is rejected or is withdrawn, so that the tokens
  * asked for are those of the three outcomes and of the requests that wait.
  *
- * <p>Cost: constant for each request; a report is n log n in the customers. Not thread-safe.
+ * <p>Not thread-safe.
  */
 final class DemandReport {
-    /** Maximum customers in a report. */
-    static final int MAX_REPORTED = 8;
-
-    private static final long INTERVAL_MS = 1_000;
-    private static final int MAX_COUNTED = 256;
-
-    private final Map<CustomerId, Counts> counts = new HashMap<>();
-    private boolean anyRejected;
-    private long takenAtMs;
+    private final CustomerCounts<Counts> counts = CustomerCounts.create(Counts::new);
 
     private static final class Counts {
         private long asked;
@@ -77,25 +66,23 @@
             long withdrawnTokens) {}
 
     void asked(WaitingRequest request) {
-        Counts own = of(request.customer());
+        Counts own = counts.of(request.customer());
         own.asked++;
         own.askedTokens += request.costTokens();
     }
 
     void rejectedAtEntry(CustomerId customer, double tokens) {
-        of(customer).rejectedAtEntriesTokens += tokens;
-        anyRejected = true;
+        counts.ofRejected(customer).rejectedAtEntriesTokens += tokens;
     }
 
     void started(WaitingRequest request) {
-        Counts own = of(request.customer());
+        Counts own = counts.of(request.customer());
         own.started++;
         own.startedTokens += request.costTokens();
     }
 
     void rejected(WaitingRequest request, String reason) {
-        Counts own = of(request.customer());
-        anyRejected = true;
+        Counts own = counts.ofRejected(request.customer());
         switch (reason) {
             case PlacementLog.LATE -> own.lateTokens += request.costTokens();
             case PlacementLog.ARBITER_LAG -> own.lagTokens += request.costTokens();
@@ -104,39 +91,11 @@
     }
 
     void withdrawn(WaitingRequest request) {
-        of(request.customer()).withdrawnTokens += request.costTokens();
-    }
-
-    /** Customers beyond the maximum are counted, but not kept. */
-    private Counts of(CustomerId customer) {
-        Counts known = counts.get(customer);
-        if (known != null) {
-            return known;
-        }
-        Counts added = new Counts();
-        if (counts.size() < MAX_COUNTED) {
-            counts.put(customer, added);
-        }
-        return added;
+        counts.of(request.customer()).withdrawnTokens += request.costTokens();
     }
 
     /** Returns the customers with most demand since the last report; empty before the next one is due. */
     List<CustomerDemand> takeDue(long nowMs) {
-        if (nowMs - takenAtMs < INTERVAL_MS) {
-            return List.of();
-        }
-        takenAtMs = nowMs;
-        List<CustomerDemand> largest = new ArrayList<>();
-        if (anyRejected) {
-            counts.entrySet().stream()
-                    .sorted(Comparator.comparingDouble((Map.Entry<CustomerId, Counts> entry) ->
-                                    entry.getValue().demandTokens())
-                            .reversed())
-                    .limit(MAX_REPORTED)
-                    .forEach(entry -> largest.add(entry.getValue().demand(entry.getKey())));
-        }
-        counts.clear();
-        anyRejected = false;
-        return largest;
+        return counts.takeDue(Counts::demandTokens, (customer, own) -> own.demand(customer), nowMs);
     }
 }
--- a/kernel/src/test/java/org/marjoramswitch/kernel/placement/DemandReportTest.java
+++ b/kernel/src/test/java/org/marjoramswitch/kernel/placement/DemandReportTest.java
@@ -8,6 +8,7 @@
 import org.junit.jupiter.api.Test;
 import org.marjoramswitch.kernel.action.Action;
 import org.marjoramswitch.kernel.message.PeerMessage;
+import org.marjoramswitch.kernel.misc.CustomerCounts;
 import org.marjoramswitch.kernel.model.CellId;
 import org.marjoramswitch.kernel.model.CustomerId;
 import org.marjoramswitch.kernel.model.DataCentreId;
@@ -86,7 +87,7 @@
         for (int i = 0; i < 10_000; i++) {
             report.rejectedAtEntry(CustomerId.of("c" + i), 1);
         }
-        assertEquals(DemandReport.MAX_REPORTED, report.takeDue(1_000).size());
+        assertEquals(CustomerCounts.MAX_REPORTED, report.takeDue(1_000).size());
     }
 
     private static long field(Action.Decided decided, String name) {
