--- a/kernel/src/main/java/org/marjoramswitch/kernel/admission/CustomerLine.java
+++ b/kernel/src/main/java/org/marjoramswitch/kernel/admission/CustomerLine.java
@@ -9,8 +9,9 @@
  * The waiting connections of one customer, in the order of accepts.
  *
  * <p>The next one is the newest of the kind with most tokens per work, so that the processor time that the customer gets
- * carries as many tokens as possible. Every fourth is the newest of all kinds, so that each kind keeps a quarter of its
- * proportional part, as among requests that were read ({@link CustomerDemand}).
+ * carries as many tokens as possible. Every fourth is the newest of all kinds, so that no kind is left out. Admission control
+ * prefers kinds once more when the request is read ({@link CustomerDemand}), so that the others keep less than a quarter of
+ * their proportional part.
  *
  * <p>Cost: constant, besides the kinds, of which at most {@link #MAX_KINDS} are told apart. Not thread-safe.
  *
--- a/kernel/src/test/java/org/marjoramswitch/kernel/admission/InstanceAdmissionTest.java
+++ b/kernel/src/test/java/org/marjoramswitch/kernel/admission/InstanceAdmissionTest.java
@@ -203,6 +203,22 @@
         }
     }
 
+    /** Guards against the kinds with few tokens per work being starved where each request comes on a connection of its own. */
+    @ParameterizedTest
+    @CsvSource({"2, 1", "4, 2", "12, 3"})
+    void eachKindKeepsAPartOfAFloodOfConnections(double factor, long seed) {
+        OverloadedInstance instance = instance(0.38, seed);
+        instance.loadOnNewConnections(FLOODING, factor * sustainablePerS(), 1_000, END_MS);
+        instance.runUntil(BEGIN_MS);
+        instance.resetCounts();
+        instance.runUntil(END_MS);
+        Map<String, Integer> served = instance.counts(FLOODING).servedByKind;
+        int all = served.values().stream().mapToInt(Integer::intValue).sum();
+        for (OverloadedInstance.Kind kind : OverloadedInstance.MIX) {
+            assertTrue(served.getOrDefault(kind.name(), 0) >= 0.25 * all / 4, kind.name() + ", " + summary(instance));
+        }
+    }
+
     /**
      * Guards against an instance that is late and serves nearly nothing: of the part of the processor that is served
      * regardless, a flooding customer got the part of one of many customers, whether the others used theirs or not.
